--- /dev/null
+++ b/apps/mustardflow_entry.cc
@@ -0,0 +1,53 @@
+// The entry host on the platform.
+
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include "platform/settings_file.h"
+#include "transport/asio.h"
+#include "transport/entry_host.h"
+#include "transport/event_log.h"
+
+namespace {
+
+// The exit status for settings that cannot be used.
+constexpr int kBadSettings = 2;
+
+std::string ReadFile(const char* path) {
+  std::ifstream stream(path);
+  std::ostringstream text;
+  text << stream.rdbuf();
+  return text.str();
+}
+
+}  // namespace
+
+int main() {
+  using mustardflow::platform::kSettingsVariable;
+  const char* path = std::getenv(kSettingsVariable);
+  if (path == nullptr) {
+    std::cerr << kSettingsVariable
+              << " is not set; set it to the path of the settings file\n";
+    return kBadSettings;
+  }
+  mustardflow::protocol::Findings findings;
+  auto profile =
+      mustardflow::platform::ParseSettingsFile(ReadFile(path), &findings);
+  if (!profile) {
+    std::cerr << findings.Report(path);
+    return kBadSettings;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  // One thread: the argument leaves out locks.
+  mustardflow::transport::asio::io_context context(1);
+  mustardflow::transport::EventLog log(STDOUT_FILENO, profile->name);
+  mustardflow::transport::EntryHost host(context, std::move(*profile), log);
+  host.Start();
+  context.run();
+  return 0;
+}
--- /dev/null
+++ b/src/coordination/keyspace_coordinator.cc
@@ -0,0 +1,605 @@
+// Phases of a range, and the orders that move it through them.
+
+#include "coordination/keyspace_coordinator.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mustardflow::coordination {
+
+using state::Duration;
+using state::Instant;
+using state::OwnedRange;
+using state::ServerLife;
+using state::ServiceRanges;
+
+namespace {
+
+// A server's clock may run 2 % slow; the rest covers the way back.
+constexpr Duration kLeaseSpan =
+    kKeyLease + kKeyLease / 50 + std::chrono::milliseconds(60);
+// Four renewals in a lease, so that three may be lost.
+constexpr Duration kRenewInterval = std::chrono::milliseconds(600);
+constexpr Duration kRetryInterval = std::chrono::milliseconds(250);
+// A server that fails orders for this long loses its keys.
+constexpr Duration kUnansweringAfter = std::chrono::milliseconds(650);
+constexpr Duration kBalanceInterval = std::chrono::milliseconds(500);
+// Moves in one round of balancing; each is a short pause for its keys.
+constexpr int kMovesPerRound = 3;
+// A server gives keys away above this multiple of the mean load: about two
+// standard deviations of what a server gets within the load's memory.
+constexpr double kOverloadRatio = 1.25;
+// The load of an idle key, as a fraction of the mean key's: idle ranges are
+// spread by their width.
+constexpr double kIdleWeight = 0.05;
+// Each slice costs its server an order in each renewal interval.
+constexpr std::size_t kMostSlicesPerServer = 8;
+// A lost server's range is dealt to this many others at most.
+constexpr int kPartsOfLostRange = 4;
+
+}  // namespace
+
+KeyspaceCoordinator::KeyspaceCoordinator(Instant now,
+                                         std::int64_t term,
+                                         const ServiceRanges& recorded,
+                                         Instant predecessor_end)
+    : term_(term), next_balance_(now) {
+  const Instant latest = predecessor_end + kLeaseSpan;
+  for (const OwnedRange& range : recorded) {
+    Slice slice;
+    slice.first = range.first;
+    slice.last = range.last;
+    slice.holder = {range.holder, latest};
+    for (const ServerLife& server : range.former) {
+      slice.former.push_back({server, latest});
+    }
+    slice.fence = NextFence();
+    slice.phase = !slice.former.empty()      ? Phase::kEnding
+                  : !range.holder.id.empty() ? Phase::kGranting
+                                             : Phase::kSteady;
+    slices_.push_back(std::move(slice));
+  }
+  if (slices_.empty()) {
+    Slice whole;
+    whole.last = state::kShardKeyCount - 1;
+    whole.holder.end = now;
+    slices_.push_back(std::move(whole));
+  }
+}
+
+std::int64_t KeyspaceCoordinator::NextFence() {
+  // 2^20 fences a term.
+  constexpr int kCountBits = 20;
+  return (term_ << kCountBits) | ++fence_count_;
+}
+
+const KeyspaceCoordinator::ServerState* KeyspaceCoordinator::FindServer(
+    const ServerLife& life) const {
+  const auto found = servers_.find(life.id);
+  return found != servers_.end() && found->second.server.life == life
+             ? &found->second
+             : nullptr;
+}
+
+bool KeyspaceCoordinator::Usable(const ServerLife& life) const {
+  const ServerState* found = FindServer(life);
+  return found != nullptr && found->server.wanted && !found->unanswering;
+}
+
+bool KeyspaceCoordinator::Ended(const ServerLife& life) const {
+  const auto found = servers_.find(life.id);
+  return found != servers_.end() &&
+         found->second.server.life.born > life.born;
+}
+
+void KeyspaceCoordinator::SetServers(Instant now,
+                                     std::vector<KeyServer> servers) {
+  std::map<std::string, ServerState> next;
+  for (KeyServer& server : servers) {
+    ServerState state;
+    if (const ServerState* known = FindServer(server.life)) {
+      state = *known;
+    }
+    state.server = std::move(server);
+    const std::string id = state.server.life.id;
+    next.emplace(id, std::move(state));
+  }
+  servers_ = std::move(next);
+  MoveFromUnusable(now);
+}
+
+void KeyspaceCoordinator::HandlePredecessorEnd(Instant now) {
+  const Instant latest = now + kLeaseSpan;
+  for (Slice& slice : slices_) {
+    for (Lease& lease : slice.former) {
+      lease.end = std::min(lease.end, latest);
+    }
+    slice.holder.end = std::min(slice.holder.end, latest);
+  }
+}
+
+void KeyspaceCoordinator::HandleOrder(Instant now,
+                                      const KeyOrder& order,
+                                      OrderOutcome outcome,
+                                      const std::string& handover) {
+  if (outcome == OrderOutcome::kAccepted || outcome == OrderOutcome::kRefused) {
+    HandleAnswering(order.server);
+  } else {
+    NoteFailure(now, order.server);
+  }
+  const auto slice = std::find_if(
+      slices_.begin(), slices_.end(), [&](const Slice& candidate) {
+        return candidate.first == order.first && candidate.last == order.last;
+      });
+  if (slice == slices_.end()) {
+    return;
+  }
+  if (order.kind == OrderKind::kRelease) {
+    for (Lease& lease : slice->former) {
+      if (lease.server != order.server) {
+        continue;
+      }
+      lease.release_pending = false;
+      lease.next_release = now + kRetryInterval;
+      if (outcome == OrderOutcome::kAccepted) {
+        lease.ended = true;
+        slice->handover = handover;
+      }
+    }
+    return;
+  }
+  const bool may_have_arrived =
+      outcome == OrderOutcome::kAccepted || outcome == OrderOutcome::kUnknown;
+  if (slice->holder.server != order.server || slice->fence != order.fence) {
+    // The range has begun to move meanwhile.
+    for (Lease& lease : slice->former) {
+      if (lease.server == order.server && may_have_arrived) {
+        lease.end = std::max(lease.end, now + kLeaseSpan);
+      }
+    }
+    if (slice->holder.server == order.server) {
+      slice->grant_pending = false;
+    }
+    return;
+  }
+  slice->grant_pending = false;
+  switch (outcome) {
+    case OrderOutcome::kAccepted:
+      slice->holder.end = now + kLeaseSpan;
+      slice->next_grant = now + kRenewInterval;
+      slice->handover.clear();
+      if (!slice->accepted) {
+        slice->accepted = true;
+        ChangeRouted();
+      }
+      if (slice->phase == Phase::kGranting) {
+        slice->phase = Phase::kSteady;
+        ChangeRouted();
+      }
+      break;
+    case OrderOutcome::kRefused:
+      slice->holder.end = slice->end_if_not_sent;
+      slice->fence = NextFence();
+      slice->next_grant = now + kRetryInterval;
+      break;
+    case OrderOutcome::kUnknown:
+      slice->holder.end = std::max(slice->end_if_not_sent, now + kLeaseSpan);
+      slice->next_grant = now + kRetryInterval;
+      break;
+    case OrderOutcome::kNotSent:
+      slice->holder.end = slice->end_if_not_sent;
+      slice->next_grant = now + kRetryInterval;
+      break;
+  }
+}
+
+void KeyspaceCoordinator::HandleRecorded(std::uint64_t change) {
+  confirmed_change_ = std::max(confirmed_change_, change);
+}
+
+void KeyspaceCoordinator::NoteFailure(Instant now, const ServerLife& server) {
+  const auto found = servers_.find(server.id);
+  if (found == servers_.end() || found->second.server.life != server) {
+    return;
+  }
+  ServerState& state = found->second;
+  if (!state.failing_since) {
+    state.failing_since = now;
+  } else if (now - *state.failing_since >= kUnansweringAfter) {
+    state.unanswering = true;
+  }
+}
+
+void KeyspaceCoordinator::HandleAnswering(const ServerLife& server) {
+  const auto found = servers_.find(server.id);
+  if (found != servers_.end() && found->second.server.life == server) {
+    found->second.failing_since.reset();
+    found->second.unanswering = false;
+  }
+}
+
+std::vector<ServerLife> KeyspaceCoordinator::Unanswering() const {
+  std::vector<ServerLife> lives;
+  for (const auto& [id, state] : servers_) {
+    if (state.unanswering) {
+      lives.push_back(state.server.life);
+    }
+  }
+  return lives;
+}
+
+std::vector<KeyOrder> KeyspaceCoordinator::Tick(Instant now) {
+  MoveFromUnusable(now);
+  if (now >= next_balance_) {
+    next_balance_ = now + kBalanceInterval;
+    load_.Decay(now);
+    MergeSteady();
+    Balance(now);
+  }
+  std::vector<KeyOrder> orders;
+  for (Slice& slice : slices_) {
+    Advance(now, &slice);
+    AddOrders(now, &slice, &orders);
+  }
+  return orders;
+}
+
+void KeyspaceCoordinator::Advance(Instant now, Slice* slice) {
+  if (slice->phase == Phase::kRecording &&
+      confirmed_change_ >= slice->waits_for) {
+    if (!slice->holder.server.id.empty()) {
+      slice->former.push_back(slice->holder);
+      moved_share_ += static_cast<double>(slice->last - slice->first + 1) /
+                      state::kShardKeyCount;
+    }
+    slice->holder = {slice->next, now};
+    slice->next = {};
+    slice->accepted = false;
+    slice->grant_pending = false;
+    slice->next_grant = now;
+    slice->handover.clear();
+    slice->fence = NextFence();
+    slice->phase = Phase::kEnding;
+    ChangeRouted();
+  }
+  if (slice->phase == Phase::kEnding) {
+    const bool all_ended = std::all_of(
+        slice->former.begin(), slice->former.end(), [&](const Lease& lease) {
+          return lease.ended || Ended(lease.server) || now >= lease.end;
+        });
+    if (all_ended) {
+      if (!slice->former.empty()) {
+        slice->former.clear();
+        ChangeRecorded();
+      }
+      slice->phase = slice->holder.server.id.empty() ? Phase::kSteady
+                                                     : Phase::kGranting;
+    }
+  }
+}
+
+void KeyspaceCoordinator::AddOrders(Instant now,
+                                    Slice* slice,
+                                    std::vector<KeyOrder>* orders) {
+  if (slice->phase == Phase::kEnding) {
+    for (Lease& lease : slice->former) {
+      if (!lease.ended && !lease.release_pending && now >= lease.next_release) {
+        lease.release_pending = true;
+        orders->push_back({++order_count_, OrderKind::kRelease, lease.server,
+                           slice->first, slice->last, slice->fence, ""});
+      }
+    }
+    return;
+  }
+  const ServerState* holder = FindServer(slice->holder.server);
+  if (slice->holder.server.id.empty() || slice->grant_pending ||
+      now < slice->next_grant || holder == nullptr || holder->unanswering ||
+      (slice->phase == Phase::kRecording && !slice->accepted)) {
+    return;
+  }
+  slice->grant_pending = true;
+  slice->end_if_not_sent = slice->holder.end;
+  slice->holder.end =
+      std::max(slice->holder.end, now + kOrderTimeout + kLeaseSpan);
+  orders->push_back({++order_count_, OrderKind::kGrant, slice->holder.server,
+                     slice->first, slice->last, slice->fence,
+                     slice->handover});
+}
+
+void KeyspaceCoordinator::StartMove(Slice* slice, const ServerLife& to) {
+  slice->next = to;
+  slice->phase = Phase::kRecording;
+  ChangeRecorded();
+  slice->waits_for = recorded_change_;
+}
+
+std::map<ServerLife, double> KeyspaceCoordinator::LoadByServer() const {
+  std::map<ServerLife, double> loads;
+  for (const auto& [id, state] : servers_) {
+    if (Usable(state.server.life)) {
+      loads[state.server.life] = 0;
+    }
+  }
+  const double idle =
+      (kIdleWeight * load_.total() + 1) / state::kShardKeyCount;
+  for (const Slice& slice : slices_) {
+    const ServerLife& server =
+        slice.phase == Phase::kRecording ? slice.next : slice.holder.server;
+    const auto found = loads.find(server);
+    if (found != loads.end()) {
+      found->second += load_.Of(slice.first, slice.last) +
+                       idle * (slice.last - slice.first + 1);
+    }
+  }
+  return loads;
+}
+
+ServerLife KeyspaceCoordinator::LeastLoaded(
+    const std::map<ServerLife, double>& loads) const {
+  ServerLife best;
+  double best_ratio = 0;
+  for (const auto& [life, load] : loads) {
+    const double ratio = load / FindServer(life)->server.capacity;
+    if (best.id.empty() || ratio < best_ratio) {
+      best = life;
+      best_ratio = ratio;
+    }
+  }
+  return best;
+}
+
+void KeyspaceCoordinator::MoveFromUnusable(Instant now) {
+  const auto needs_server = [this](const Slice& slice) {
+    const ServerLife& server =
+        slice.phase == Phase::kRecording ? slice.next : slice.holder.server;
+    return !Usable(server);
+  };
+  if (std::none_of(slices_.begin(), slices_.end(), needs_server)) {
+    return;
+  }
+  std::map<ServerLife, double> loads = LoadByServer();
+  if (loads.empty()) {
+    return;
+  }
+  // Deals wide ranges to several servers.
+  const bool first_deal =
+      slices_.size() == 1 && slices_.front().holder.server.id.empty();
+  for (std::size_t i = 0; i < slices_.size(); ++i) {
+    const Slice& slice = slices_[i];
+    if (!needs_server(slice) || slice.grant_pending ||
+        slice.phase != Phase::kSteady) {
+      continue;
+    }
+    const auto parts = static_cast<std::int32_t>(
+        first_deal ? loads.size()
+                   : std::min<std::size_t>(kPartsOfLostRange, loads.size()));
+    const std::int32_t width = slice.last - slice.first + 1;
+    const double load = load_.Of(slice.first, slice.last);
+    if (width < parts * 2 ||
+        slices_.size() + parts > kMostSlicesPerServer * servers_.size()) {
+      continue;
+    }
+    for (std::int32_t part = 1; part < parts; ++part) {
+      const Slice& rest = slices_[i];
+      const std::int32_t cut =
+          load > 0
+              ? load_.CutAfter(rest.first, rest.last, load / parts)
+              : rest.first + width / parts - 1;
+      if (cut >= rest.last) {
+        break;
+      }
+      SplitAfter(i, cut);
+      ++i;
+    }
+  }
+  const double idle =
+      (kIdleWeight * load_.total() + 1) / state::kShardKeyCount;
+  for (Slice& slice : slices_) {
+    if (needs_server(slice)) {
+      const ServerLife to = LeastLoaded(loads);
+      loads[to] += load_.Of(slice.first, slice.last) +
+                   idle * (slice.last - slice.first + 1);
+      StartMove(&slice, to);
+    }
+  }
+  next_balance_ = std::max(next_balance_, now);
+}
+
+void KeyspaceCoordinator::Balance(Instant /*now*/) {
+  const bool moving = std::any_of(
+      slices_.begin(), slices_.end(),
+      [](const Slice& slice) { return slice.phase != Phase::kSteady; });
+  if (moving) {
+    return;
+  }
+  for (int move = 0; move < kMovesPerRound; ++move) {
+    const std::map<ServerLife, double> loads = LoadByServer();
+    double total_load = 0;
+    double total_capacity = 0;
+    for (const auto& [life, load] : loads) {
+      total_load += load;
+      total_capacity += FindServer(life)->server.capacity;
+    }
+    if (loads.size() < 2 || total_load <= 0) {
+      return;
+    }
+    const double mean = total_load / total_capacity;
+    std::vector<std::pair<double, ServerLife>> by_ratio;
+    for (const auto& [life, load] : loads) {
+      by_ratio.emplace_back(load / FindServer(life)->server.capacity, life);
+    }
+    std::sort(by_ratio.rbegin(), by_ratio.rend());
+    const ServerLife coldest = by_ratio.back().second;
+    const double room = mean * FindServer(coldest)->server.capacity -
+                        loads.at(coldest);
+    bool moved = false;
+    for (const auto& [ratio, life] : by_ratio) {
+      const bool overloaded = ratio > kOverloadRatio * mean;
+      // A server that holds nothing gets keys although nobody is overloaded.
+      const bool empty_target = loads.at(coldest) <= 0;
+      if (!overloaded && !(empty_target && ratio > mean * 0.9)) {
+        break;
+      }
+      const double excess =
+          empty_target ? room
+                       : loads.at(life) -
+                             mean * FindServer(life)->server.capacity;
+      if (MoveLoad(life, coldest, std::min(excess, room))) {
+        moved = true;
+        break;
+      }
+    }
+    if (!moved) {
+      return;
+    }
+  }
+}
+
+bool KeyspaceCoordinator::MoveLoad(const ServerLife& from,
+                                   const ServerLife& to,
+                                   double amount) {
+  // What may be moved at once, and what is worth a move.
+  const double most = amount * 1.2;
+  const double least = amount * 0.2;
+  std::size_t best = slices_.size();
+  double best_load = 0;
+  std::size_t largest = slices_.size();
+  double largest_load = 0;
+  const double idle =
+      (kIdleWeight * load_.total() + 1) / state::kShardKeyCount;
+  for (std::size_t i = 0; i < slices_.size(); ++i) {
+    const Slice& slice = slices_[i];
+    if (slice.phase != Phase::kSteady || slice.grant_pending ||
+        slice.holder.server != from) {
+      continue;
+    }
+    const double load = load_.Of(slice.first, slice.last) +
+                        idle * (slice.last - slice.first + 1);
+    if (load <= most && load > best_load) {
+      best = i;
+      best_load = load;
+    }
+    if (load > most && load > largest_load) {
+      largest = i;
+      largest_load = load;
+    }
+  }
+  const bool may_split =
+      slices_.size() < kMostSlicesPerServer * servers_.size();
+  if (largest < slices_.size() && may_split && best_load < 0.7 * amount) {
+    const Slice& slice = slices_[largest];
+    const std::int32_t cut = CutFor(slice, amount, idle);
+    const double prefix = load_.Of(slice.first, cut) +
+                          idle * (cut - slice.first + 1);
+    if (cut < slice.last && prefix >= least && prefix <= most) {
+      SplitAfter(largest, cut);
+      StartMove(&slices_[largest], to);
+      return true;
+    }
+    // A hot key stands in the way: what lies behind it may move instead.
+    const double suffix = largest_load - prefix;
+    if (cut < slice.last && suffix >= least && suffix <= most) {
+      SplitAfter(largest, cut);
+      StartMove(&slices_[largest + 1], to);
+      return true;
+    }
+  }
+  if (best < slices_.size() && best_load >= least) {
+    StartMove(&slices_[best], to);
+    return true;
+  }
+  return false;
+}
+
+std::int32_t KeyspaceCoordinator::CutFor(const Slice& slice,
+                                         double amount,
+                                         double idle) const {
+  double sum = 0;
+  for (std::int32_t key = slice.first; key < slice.last; ++key) {
+    const double next = sum + load_.Of(key, key) + idle;
+    if (next > amount * 1.1 && key > slice.first && sum >= amount * 0.2) {
+      return key - 1;
+    }
+    sum = next;
+    if (sum >= amount) {
+      return key;
+    }
+  }
+  return slice.last;
+}
+
+void KeyspaceCoordinator::SplitAfter(std::size_t index, std::int32_t last) {
+  Slice rest = slices_[index];
+  rest.first = last + 1;
+  slices_[index].last = last;
+  slices_.insert(slices_.begin() + static_cast<std::ptrdiff_t>(index) + 1,
+                 std::move(rest));
+  ChangeRouted();
+}
+
+void KeyspaceCoordinator::MergeSteady() {
+  for (std::size_t i = 0; i + 1 < slices_.size();) {
+    Slice& left = slices_[i];
+    const Slice& right = slices_[i + 1];
+    const bool same = left.phase == Phase::kSteady &&
+                      right.phase == Phase::kSteady && left.accepted &&
+                      right.accepted && !left.grant_pending &&
+                      !right.grant_pending &&
+                      left.holder.server == right.holder.server;
+    if (!same) {
+      ++i;
+      continue;
+    }
+    left.last = right.last;
+    left.fence = std::max(left.fence, right.fence);
+    left.holder.end = std::max(left.holder.end, right.holder.end);
+    left.next_grant = std::min(left.next_grant, right.next_grant);
+    slices_.erase(slices_.begin() + static_cast<std::ptrdiff_t>(i) + 1);
+    ChangeRouted();
+  }
+}
+
+bool KeyspaceCoordinator::record_urgent() const {
+  return std::any_of(slices_.begin(), slices_.end(), [this](const Slice& s) {
+    return s.phase == Phase::kRecording && s.waits_for > confirmed_change_;
+  });
+}
+
+ServiceRanges KeyspaceCoordinator::Recorded() const {
+  ServiceRanges ranges;
+  for (const Slice& slice : slices_) {
+    OwnedRange range;
+    range.first = slice.first;
+    range.last = slice.last;
+    range.fence = slice.fence;
+    range.holder = slice.holder.server;
+    for (const Lease& lease : slice.former) {
+      range.former.push_back(lease.server);
+    }
+    if (slice.phase == Phase::kRecording) {
+      if (!slice.holder.server.id.empty()) {
+        range.former.push_back(slice.holder.server);
+      }
+      range.holder = slice.next;
+    }
+    ranges.push_back(std::move(range));
+  }
+  return ranges;
+}
+
+ServiceRanges KeyspaceCoordinator::Routed() const {
+  ServiceRanges ranges;
+  for (const Slice& slice : slices_) {
+    OwnedRange range;
+    range.first = slice.first;
+    range.last = slice.last;
+    range.fence = slice.fence;
+    range.holder = slice.holder.server;
+    range.serving = slice.accepted && (slice.phase == Phase::kSteady ||
+                                       slice.phase == Phase::kRecording);
+    ranges.push_back(std::move(range));
+  }
+  return ranges;
+}
+
+}  // namespace mustardflow::coordination
--- /dev/null
+++ b/src/coordination/keyspace_coordinator.h
@@ -0,0 +1,213 @@
+// Grants the keys of one service to its backend servers.
+//
+// A key has one holder because a grant to a server is sent only after
+//   1. the store has confirmed a record that names the server for the range, and
+//   2. each server that was named before has released the range, has started
+//      anew, or its lease has run out, counted from the latest moment at which a
+//      grant of this leader or of its predecessor can have arrived.
+// Fences carry the leader's term above a count, so they rise over all leaders.
+
+#ifndef MUSTARDFLOW_COORDINATION_KEYSPACE_COORDINATOR_H_
+#define MUSTARDFLOW_COORDINATION_KEYSPACE_COORDINATOR_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "coordination/shard_load.h"
+#include "state/ownership_table.h"
+#include "state/time.h"
+
+namespace mustardflow::coordination {
+
+// How long a grant lasts from its arrival. A lost server's keys are dark for
+// about this long; a change of leader has to take less.
+inline constexpr state::Duration kKeyLease = std::chrono::milliseconds(2500);
+
+// An order without an answer is given up after this time; some round trips. The
+// connection is then reset, so that the order cannot arrive later.
+inline constexpr state::Duration kOrderTimeout = std::chrono::milliseconds(300);
+
+// A server as the coordinator sees it.
+struct KeyServer {
+  state::ServerLife life;
+  // Relative; from slots and measured speed.
+  double capacity = 1;
+  // Whether it may hold keys: neither leaving nor in an evacuated zone.
+  bool wanted = true;
+};
+
+enum class OrderKind {
+  kGrant,
+  kRelease,
+};
+
+// An order to a server. The range, holder and fence identify it.
+struct KeyOrder {
+  std::uint64_t id = 0;
+  OrderKind kind = OrderKind::kGrant;
+  state::ServerLife server;
+  std::int32_t first = 0;
+  std::int32_t last = 0;
+  std::int64_t fence = 0;
+  // For a grant, what the last holder handed over, if anything.
+  std::string handover;
+};
+
+enum class OrderOutcome {
+  kAccepted,
+  // The server has seen a higher fence.
+  kRefused,
+  // No byte of the order can have reached the server.
+  kNotSent,
+  // The order may have been carried out.
+  kUnknown,
+};
+
+class KeyspaceCoordinator {
+ public:
+  // `recorded` is what the store names; empty for a service that is new.
+  // Leases of predecessors may be renewed until `predecessor_end`.
+  KeyspaceCoordinator(state::Instant now,
+                      std::int64_t term,
+                      const state::ServiceRanges& recorded,
+                      state::Instant predecessor_end);
+
+  // The servers of the service. A server whose id is listed with another life
+  // has lost what it held.
+  void SetServers(state::Instant now, std::vector<KeyServer> servers);
+
+  // The predecessor has certainly stopped granting.
+  void HandlePredecessorEnd(state::Instant now);
+
+  void HandleOrder(state::Instant now,
+                   const KeyOrder& order,
+                   OrderOutcome outcome,
+                   const std::string& handover);
+
+  // The store has confirmed the record that Recorded() gave at `change`.
+  void HandleRecorded(std::uint64_t change);
+
+  // Returns the orders to send. Plans moves.
+  std::vector<KeyOrder> Tick(state::Instant now);
+
+  ShardLoad& load() { return load_; }
+
+  // What the store has to name, and a count that rises with each change of it.
+  state::ServiceRanges Recorded() const;
+  std::uint64_t recorded_change() const { return recorded_change_; }
+  // Whether orders wait for the record, or only a former holder is to be
+  // dropped from it.
+  bool record_urgent() const;
+
+  // What hosts route by, and a count that rises with each change of it.
+  state::ServiceRanges Routed() const;
+  std::uint64_t routed_change() const { return routed_change_; }
+
+  // Servers that have not answered orders for a while; an order that changes
+  // nothing shows whether they answer again.
+  std::vector<state::ServerLife> Unanswering() const;
+  void HandleAnswering(const state::ServerLife& server);
+
+  // The share of all keys that changed hands.
+  double moved_share() const { return moved_share_; }
+
+ private:
+  enum class Phase {
+    // The holder has accepted, or nobody holds the range.
+    kSteady,
+    // `next` is to hold the range; the store has not confirmed that yet. The
+    // holder goes on.
+    kRecording,
+    // Former holders have to end.
+    kEnding,
+    // The holder is being given the range.
+    kGranting,
+  };
+
+  // A server that may hold a lease.
+  struct Lease {
+    state::ServerLife server;
+    // The latest moment at which it can run out.
+    state::Instant end;
+    bool ended = false;
+    bool release_pending = false;
+    state::Instant next_release{};
+  };
+
+  struct Slice {
+    std::int32_t first = 0;
+    std::int32_t last = 0;
+    Phase phase = Phase::kSteady;
+    // An empty id for none.
+    Lease holder;
+    state::ServerLife next;
+    std::vector<Lease> former;
+    std::int64_t fence = 0;
+    // The holder has accepted a grant of this term.
+    bool accepted = false;
+    bool grant_pending = false;
+    // The holder's lease end if the pending grant turns out not to be sent.
+    state::Instant end_if_not_sent{};
+    state::Instant next_grant{};
+    // The recorded change that has to be confirmed before `next` gets a grant.
+    std::uint64_t waits_for = 0;
+    std::string handover;
+  };
+
+  struct ServerState {
+    KeyServer server;
+    std::optional<state::Instant> failing_since;
+    bool unanswering = false;
+  };
+
+  const ServerState* FindServer(const state::ServerLife& life) const;
+  bool Usable(const state::ServerLife& life) const;
+  // Whether `life` is known to be over, since its id has another life.
+  bool Ended(const state::ServerLife& life) const;
+  std::int64_t NextFence();
+
+  void StartMove(Slice* slice, const state::ServerLife& to);
+  void MoveFromUnusable(state::Instant now);
+  void Balance(state::Instant now);
+  // Moves about `amount` of load; false if no part fits.
+  bool MoveLoad(const state::ServerLife& from,
+                const state::ServerLife& to,
+                double amount);
+  // The last key of the part at the slice's start that carries `amount`,
+  // without a hot key that would carry far more.
+  std::int32_t CutFor(const Slice& slice, double amount, double idle) const;
+  void SplitAfter(std::size_t index, std::int32_t last);
+  void MergeSteady();
+  std::map<state::ServerLife, double> LoadByServer() const;
+  state::ServerLife LeastLoaded(
+      const std::map<state::ServerLife, double>& loads) const;
+
+  void Advance(state::Instant now, Slice* slice);
+  void AddOrders(state::Instant now,
+                 Slice* slice,
+                 std::vector<KeyOrder>* orders);
+  void NoteFailure(state::Instant now, const state::ServerLife& server);
+  void ChangeRecorded() { ++recorded_change_; }
+  void ChangeRouted() { ++routed_change_; }
+
+  const std::int64_t term_;
+  std::int64_t fence_count_ = 0;
+  std::uint64_t order_count_ = 0;
+  // Invariant: in order, covering all keys once.
+  std::vector<Slice> slices_;
+  std::map<std::string, ServerState> servers_;
+  ShardLoad load_;
+  std::uint64_t recorded_change_ = 1;
+  std::uint64_t confirmed_change_ = 0;
+  std::uint64_t routed_change_ = 1;
+  state::Instant next_balance_;
+  double moved_share_ = 0;
+};
+
+}  // namespace mustardflow::coordination
+
+#endif  // MUSTARDFLOW_COORDINATION_KEYSPACE_COORDINATOR_H_
--- /dev/null
+++ b/src/coordination/leader_election.cc
@@ -0,0 +1,272 @@
+// Phases of the election.
+
+#include "coordination/leader_election.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mustardflow::coordination {
+
+using state::Duration;
+using state::Instant;
+
+namespace {
+
+// A leader that is silent for this long is asked after; five beats.
+constexpr Duration kSilence = std::chrono::milliseconds(1000);
+// Spreads the claims of hosts that miss the leader at the same moment.
+constexpr Duration kStaggerSpan = std::chrono::milliseconds(300);
+// How long a starting host waits for beats before it asks.
+constexpr Duration kFirstSilence = std::chrono::milliseconds(50);
+// The wait for the answers of other hosts; some round trips.
+constexpr Duration kAskTime = std::chrono::milliseconds(120);
+// An answer that names an older beat does not count.
+constexpr Duration kFreshBeat = std::chrono::milliseconds(700);
+// A host that reaches no other one claims only if the ledger's renewals stand
+// still for this long; more than two renewal intervals.
+constexpr Duration kStillLedger = std::chrono::milliseconds(2600);
+constexpr Duration kRenewInterval = std::chrono::milliseconds(1000);
+constexpr Duration kRetryInterval = std::chrono::milliseconds(250);
+// A leader whose renewals fail for this long asks to be succeeded.
+constexpr Duration kStoreLost = std::chrono::milliseconds(1800);
+// A reading that gets no answer is given up.
+constexpr Duration kReadTime = std::chrono::seconds(2);
+
+Duration Scale(Duration span, double factor) {
+  return Duration(
+      static_cast<Duration::rep>(static_cast<double>(span.count()) * factor));
+}
+
+}  // namespace
+
+LeaderElection::LeaderElection(Instant now, std::string claim, double stagger)
+    : claim_(std::move(claim)),
+      stagger_(stagger),
+      heard_(now - kSilence + kFirstSilence),
+      phase_since_(now),
+      seen_beat_at_(now),
+      proven_(now),
+      next_renewal_(now) {}
+
+bool LeaderElection::yielding(Instant now) const {
+  return leading() && (leaving_ || now - proven_ > kStoreLost);
+}
+
+bool LeaderElection::deaf(Instant now) const {
+  return !leading() && (!heard_directly_ || now - *heard_directly_ > kSilence);
+}
+
+Duration LeaderElection::Patience() const {
+  const Duration stagger = Scale(kStaggerSpan, stagger_);
+  return leader_yields_ ? stagger : kSilence + stagger;
+}
+
+void LeaderElection::Follow(Instant heard) {
+  phase_ = Phase::kFollowing;
+  heard_ = heard;
+}
+
+void LeaderElection::HandleBeat(Instant now, std::int64_t term, bool yielding) {
+  if (term < term_ || (leading() && term == term_)) {
+    return;
+  }
+  if (leading()) {
+    stop_reason_ = "another host leads a higher term";
+  }
+  const bool was_yielding = leader_yields_ && term == term_;
+  term_ = term;
+  leader_yields_ = yielding;
+  heard_directly_ = now;
+  // The first beat that yields starts the wait; later ones do not renew it.
+  if (!yielding) {
+    if (phase_ != Phase::kClaiming || term > claimed_term_) {
+      Follow(now);
+    }
+  } else if (!was_yielding && phase_ == Phase::kFollowing) {
+    heard_ = now;
+  }
+}
+
+void LeaderElection::HandleHostView(Instant now,
+                                    std::int64_t term,
+                                    std::optional<Duration> heard) {
+  host_answered_ = true;
+  if (phase_ != Phase::kAsking || term < term_ || !heard ||
+      *heard > kFreshBeat) {
+    return;
+  }
+  term_ = term;
+  Follow(now - *heard);
+}
+
+void LeaderElection::HandleLedger(Instant now,
+                                  const std::optional<LedgerHead>& head) {
+  if (phase_ != Phase::kReading) {
+    return;
+  }
+  if (!head) {
+    Follow(now - Patience() + kRetryInterval);
+    return;
+  }
+  if (head->term == claimed_term_ && head->claim == claim_ &&
+      claimed_term_ > 0) {
+    // An earlier claim has taken effect although its answer was lost.
+    Lead(now, now);
+    beat_ = head->beat;
+    return;
+  }
+  DecideClaim(now, *head);
+}
+
+void LeaderElection::DecideClaim(Instant now, const LedgerHead& head) {
+  if (head.beat != seen_beat_ || head.term != seen_beat_term_) {
+    seen_beat_ = head.beat;
+    seen_beat_term_ = head.term;
+    seen_beat_at_ = now;
+  }
+  const bool moved_on = head.term > term_ && term_ > 0;
+  const bool still = now - seen_beat_at_ >= kStillLedger;
+  if (head.term > term_) {
+    term_ = head.term;
+    leader_yields_ = false;
+  }
+  if (moved_on || (!host_answered_ && head.term > 0 && !still)) {
+    Follow(now);
+    return;
+  }
+  claim_base_ = head;
+  claim_sent_ = false;
+  phase_ = Phase::kClaiming;
+  phase_since_ = now;
+}
+
+void LeaderElection::HandleWrite(Instant now,
+                                 Instant sent,
+                                 WriteOutcome outcome) {
+  if (phase_ == Phase::kLeading) {
+    renewal_pending_ = false;
+    switch (outcome) {
+      case WriteOutcome::kDone:
+        proven_ = std::max(proven_, sent);
+        next_renewal_ = now + kRenewInterval;
+        break;
+      case WriteOutcome::kFenced:
+        HandleFenced();
+        break;
+      case WriteOutcome::kConflict:
+      case WriteOutcome::kRefused:
+      case WriteOutcome::kUnknown:
+        next_renewal_ = now + kRetryInterval;
+        break;
+    }
+    return;
+  }
+  if (phase_ != Phase::kClaiming) {
+    return;
+  }
+  claim_base_.reset();
+  if (outcome == WriteOutcome::kDone) {
+    Lead(sent, now + kRenewInterval);
+  } else if (outcome == WriteOutcome::kUnknown) {
+    // Reads the ledger to see whether the claim has taken effect.
+    phase_ = Phase::kReading;
+    phase_since_ = now;
+    ledger_asked_ = false;
+  } else {
+    Follow(now - Patience() + kRetryInterval);
+  }
+}
+
+void LeaderElection::Lead(Instant proven, Instant next_renewal) {
+  phase_ = Phase::kLeading;
+  term_ = claimed_term_;
+  claim_base_.reset();
+  proven_ = proven;
+  next_renewal_ = next_renewal;
+  beat_ = 0;
+  renewal_pending_ = false;
+  leader_yields_ = false;
+  begin_pending_ = true;
+}
+
+void LeaderElection::HandleFenced() {
+  if (leading()) {
+    stop_reason_ = "the store refuses this term";
+  }
+}
+
+void LeaderElection::HandleProof(Instant sent) {
+  if (leading()) {
+    proven_ = std::max(proven_, sent);
+  }
+}
+
+std::vector<ElectionAction> LeaderElection::Tick(Instant now) {
+  std::vector<ElectionAction> actions;
+  if (stop_reason_) {
+    actions.emplace_back(StopLeading{*stop_reason_});
+    stop_reason_.reset();
+    if (leading()) {
+      Follow(now);
+    }
+  }
+  if (begin_pending_) {
+    begin_pending_ = false;
+    actions.emplace_back(BeginLeading{term_});
+  }
+  switch (phase_) {
+    case Phase::kFollowing:
+      if (now - heard_ > Patience() && !leaving_) {
+        phase_ = Phase::kAsking;
+        phase_since_ = now;
+        host_answered_ = leader_yields_;
+        actions.emplace_back(AskHosts{});
+      }
+      break;
+    case Phase::kAsking:
+      if (now - phase_since_ >= kAskTime) {
+        phase_ = Phase::kReading;
+        phase_since_ = now;
+        ledger_asked_ = false;
+      }
+      break;
+    case Phase::kReading:
+      if (!ledger_asked_) {
+        ledger_asked_ = true;
+        actions.emplace_back(ReadLedger{});
+      } else if (now - phase_since_ > kReadTime) {
+        Follow(now - Patience() + kRetryInterval);
+      }
+      break;
+    case Phase::kClaiming:
+      if (claim_base_ && !claim_sent_) {
+        claim_sent_ = true;
+        claimed_term_ = std::max(term_, claim_base_->term) + 1;
+        actions.emplace_back(ClaimTerm{claimed_term_, claim_base_->end});
+      } else if (now - phase_since_ > kReadTime) {
+        phase_ = Phase::kReading;
+        phase_since_ = now;
+        ledger_asked_ = false;
+      }
+      break;
+    case Phase::kLeading:
+      TickLeading(now, &actions);
+      break;
+  }
+  return actions;
+}
+
+void LeaderElection::TickLeading(Instant now,
+                                 std::vector<ElectionAction>* actions) {
+  if (now - proven_ > kLeadLease) {
+    actions->emplace_back(StopLeading{"no proof from the store in time"});
+    Follow(now);
+    return;
+  }
+  if (!renewal_pending_ && now >= next_renewal_) {
+    renewal_pending_ = true;
+    actions->emplace_back(RenewTerm{++beat_});
+  }
+}
+
+}  // namespace mustardflow::coordination
--- /dev/null
+++ b/src/coordination/leader_election.h
@@ -0,0 +1,170 @@
+// Which host leads: grants keys and writes the ownership table.
+//
+// Terms are settled by the store alone: a claim is an append under a condition,
+// and the store refuses the writes of a lower term. Beats between hosts only
+// decide when a claim is worth a try, so a wrong guess costs calls, not safety.
+
+#ifndef MUSTARDFLOW_COORDINATION_LEADER_ELECTION_H_
+#define MUSTARDFLOW_COORDINATION_LEADER_ELECTION_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "state/time.h"
+
+namespace mustardflow::coordination {
+
+// How long a leader may act after the last proof that it leads. Longer than the
+// outages of the store that should cost nothing; a successor has to wait this
+// long before it counts the leases of a server that it cannot reach as ended.
+inline constexpr state::Duration kLeadLease = std::chrono::seconds(10);
+
+// What the store says of the present term.
+struct LedgerHead {
+  std::int64_t term = 0;
+  // The claim that won the term.
+  std::string claim;
+  // Counts the leader's renewals.
+  std::int64_t beat = 0;
+  // Where the ledger ends.
+  std::int64_t end = 0;
+};
+
+enum class WriteOutcome {
+  kDone,
+  // Another host has a higher term.
+  kFenced,
+  // The condition did not hold. Nothing was written.
+  kConflict,
+  // Nothing was written.
+  kRefused,
+  // The write may have taken effect, or may do so later.
+  kUnknown,
+};
+
+// Ask all other hosts whom they follow.
+struct AskHosts {};
+// Read the ledger's head.
+struct ReadLedger {};
+// Append a claim for `term`, if the ledger still ends at `at`.
+struct ClaimTerm {
+  std::int64_t term = 0;
+  std::int64_t at = 0;
+};
+// Append a renewal.
+struct RenewTerm {
+  std::int64_t beat = 0;
+};
+// This host leads from now on.
+struct BeginLeading {
+  std::int64_t term = 0;
+};
+// This host must not grant anything any more.
+struct StopLeading {
+  std::string_view reason;
+};
+
+using ElectionAction = std::variant<AskHosts,
+                                    ReadLedger,
+                                    ClaimTerm,
+                                    RenewTerm,
+                                    BeginLeading,
+                                    StopLeading>;
+
+class LeaderElection {
+ public:
+  // `claim` identifies this start of the host. `stagger` in [0, 1) sets apart
+  // hosts that miss the leader at the same moment.
+  LeaderElection(state::Instant now, std::string claim, double stagger);
+
+  // A leader's beat has arrived. `yielding` leaders ask to be succeeded.
+  void HandleBeat(state::Instant now, std::int64_t term, bool yielding);
+
+  // Another host has answered AskHosts: how long ago it heard the leader of
+  // `term`; nothing if it hears none.
+  void HandleHostView(state::Instant now,
+                      std::int64_t term,
+                      std::optional<state::Duration> heard);
+
+  // The answer to ReadLedger; nothing if the store did not answer.
+  void HandleLedger(state::Instant now,
+                    const std::optional<LedgerHead>& head);
+
+  // The answer to ClaimTerm or RenewTerm, sent at `sent`.
+  void HandleWrite(state::Instant now,
+                   state::Instant sent,
+                   WriteOutcome outcome);
+
+  // Any other write of this term was fenced, or confirmed.
+  void HandleFenced();
+  void HandleProof(state::Instant sent);
+
+  // Returns what is due.
+  std::vector<ElectionAction> Tick(state::Instant now);
+
+  bool leading() const { return phase_ == Phase::kLeading; }
+  // Whether the leader, here this host, should be succeeded: it has lost the
+  // store or is about to stop.
+  bool yielding(state::Instant now) const;
+  void Yield() { leaving_ = true; }
+  std::int64_t term() const { return term_; }
+  // When the leader's own beats were last heard.
+  std::optional<state::Instant> heard_directly() const {
+    return heard_directly_;
+  }
+  bool leader_yields() const { return leader_yields_; }
+  // Whether no leader has been heard directly for a while.
+  bool deaf(state::Instant now) const;
+
+ private:
+  enum class Phase {
+    kFollowing,
+    kAsking,
+    kReading,
+    kClaiming,
+    kLeading,
+  };
+
+  void Follow(state::Instant heard);
+  void Lead(state::Instant proven, state::Instant next_renewal);
+  void DecideClaim(state::Instant now, const LedgerHead& head);
+  void TickLeading(state::Instant now, std::vector<ElectionAction>* actions);
+  state::Duration Patience() const;
+
+  const std::string claim_;
+  const double stagger_;
+  Phase phase_ = Phase::kFollowing;
+  // The highest term known.
+  std::int64_t term_ = 0;
+  // When the leader was last heard, by this host or one that it asked.
+  state::Instant heard_;
+  std::optional<state::Instant> heard_directly_;
+  // The leader asks to be succeeded.
+  bool leader_yields_ = false;
+  bool leaving_ = false;
+  state::Instant phase_since_;
+  // Whether any other host has answered since the last question.
+  bool host_answered_ = false;
+  bool ledger_asked_ = false;
+  std::optional<LedgerHead> claim_base_;
+  bool claim_sent_ = false;
+  std::int64_t claimed_term_ = 0;
+  // The renewal count in the ledger when it last changed, and that moment.
+  std::int64_t seen_beat_ = -1;
+  std::int64_t seen_beat_term_ = -1;
+  state::Instant seen_beat_at_;
+  // While leading: the sending of the last renewal that the store confirmed.
+  state::Instant proven_;
+  std::int64_t beat_ = 0;
+  bool renewal_pending_ = false;
+  state::Instant next_renewal_;
+  bool begin_pending_ = false;
+  std::optional<std::string_view> stop_reason_;
+};
+
+}  // namespace mustardflow::coordination
+
+#endif  // MUSTARDFLOW_COORDINATION_LEADER_ELECTION_H_
--- /dev/null
+++ b/src/coordination/server_pool.cc
@@ -0,0 +1,339 @@
+// Estimates, limits and choice of backend servers.
+
+#include "coordination/server_pool.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+#include <variant>
+
+namespace mustardflow::coordination {
+
+using state::Duration;
+using state::Instant;
+using state::ServerLife;
+using state::ServerRecord;
+
+namespace {
+
+// Before any answer, work is expected to take this long.
+constexpr double kFirstLatency = 0.1;
+// The weight of one answer in a server's and in its service's average.
+constexpr double kServerStep = 0.15;
+constexpr double kServiceStep = 0.02;
+// A server's own average fades into its service's in this time, so that one
+// that was slow is tried again.
+constexpr double kLatencyMemory = 2.0;
+constexpr double kFailureStep = 0.25;
+constexpr double kFailureMemory = 3.0;
+// Other hosts' requests that a report counted are over after about this many
+// answer times.
+constexpr double kReportMemory = 0.5;
+// How many servers are compared; more would send all hosts to the same one.
+constexpr int kCompared = 3;
+// What the way to another zone and back adds, and how much more it may cost
+// there before the own zone is left.
+constexpr double kOtherZone = 0.015;
+constexpr double kOtherZoneLarge = 0.08;
+// A server may hold this many requests for each slot. Beyond, some drop what
+// they cannot queue without a word.
+constexpr double kMostPerSlot = 2.5;
+// After a lost connection, the server is tried again after this time, and later
+// with each further loss.
+constexpr Duration kFirstBlock = std::chrono::milliseconds(150);
+constexpr Duration kLongestBlock = std::chrono::milliseconds(1200);
+// A server whose connections broke may have started anew and be cold.
+constexpr Duration kSuspectCold = std::chrono::milliseconds(1500);
+constexpr Duration kSecond = std::chrono::seconds(1);
+// The part of the connections and of the cold rate that is used; the rest
+// covers hosts that are not counted yet.
+constexpr double kShareInUse = 0.85;
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+Duration FromSeconds(double seconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(std::min(seconds, 1000.0)));
+}
+
+}  // namespace
+
+ServerPool::ServerPool(std::string zone,
+                       state::ServiceBounds bounds,
+                       std::function<double()> random)
+    : zone_(std::move(zone)), bounds_(bounds), random_(std::move(random)) {}
+
+void ServerPool::SetConfig(const state::RoutingConfig& config) {
+  rules_ = config.services();
+  ++change_;
+}
+
+void ServerPool::SetEvacuated(std::set<std::string> zones) {
+  evacuated_ = std::move(zones);
+  ++change_;
+}
+
+void ServerPool::Update(Instant now, const ServerRecord& record) {
+  ServerState& server = servers_[record.life.id];
+  const bool fresh = server.record.life.id.empty();
+  const bool other_life = !fresh && record.life.born != server.record.life.born;
+  if (!fresh && (record.life.born < server.record.life.born ||
+                 (!other_life && record.sequence < server.record.sequence))) {
+    return;
+  }
+  if (other_life) {
+    server = ServerState();
+  }
+  if (fresh || other_life || server.gone ||
+      server.record.draining != record.draining ||
+      (record.warmup_left.count() > 0) != (now < server.cold_until)) {
+    ++change_;
+  }
+  const bool was_draining = !fresh && !other_life && server.record.draining;
+  server.record = record;
+  server.record.draining = record.draining || was_draining;
+  server.gone = false;
+  server.cold_until = now + record.warmup_left;
+}
+
+void ServerPool::Remove(const std::string& id) {
+  const auto found = servers_.find(id);
+  if (found != servers_.end() && !found->second.gone) {
+    found->second.gone = true;
+    ++change_;
+  }
+}
+
+bool ServerPool::Leaving(const ServerState& server) const {
+  return server.gone || server.record.draining ||
+         evacuated_.contains(server.record.zone);
+}
+
+ServerPool::ServerState* ServerPool::Find(const ServerLife& life) {
+  const auto found = servers_.find(life.id);
+  return found != servers_.end() && found->second.record.life == life
+             ? &found->second
+             : nullptr;
+}
+
+const ServerPool::ServerState* ServerPool::Find(const ServerLife& life) const {
+  const auto found = servers_.find(life.id);
+  return found != servers_.end() && found->second.record.life == life
+             ? &found->second
+             : nullptr;
+}
+
+std::size_t ServerPool::ColdShare(const std::string& service) const {
+  const auto rules = rules_.find(service);
+  const double rate = rules == rules_.end() ? 0 : rules->second.cold_rate;
+  const double bound = rate * bounds_.cold_factor + bounds_.cold_slack;
+  return static_cast<std::size_t>(bound * kShareInUse /
+                                  static_cast<double>(hosts_));
+}
+
+std::size_t ServerPool::ConnectionShare(const std::string& service) const {
+  const auto rules = rules_.find(service);
+  const double bound =
+      rules == rules_.end() ? 100 : rules->second.max_connections;
+  return std::max<std::size_t>(
+      1, static_cast<std::size_t>(bound * kShareInUse /
+                                  static_cast<double>(hosts_)));
+}
+
+bool ServerPool::HasRoom(Instant now, const ServerState& server) const {
+  if (now < server.blocked_until) {
+    return false;
+  }
+  if (server.in_flight.size() >= ConnectionShare(server.record.service)) {
+    return false;
+  }
+  if (Cold(now, server)) {
+    const auto in_window = std::count_if(
+        server.recent.begin(), server.recent.end(),
+        [now](Instant sent) { return now - sent <= kSecond; });
+    if (static_cast<std::size_t>(in_window) >=
+        ColdShare(server.record.service)) {
+      return false;
+    }
+  }
+  return EstimatedLoad(now, server) < kMostPerSlot * server.record.slots;
+}
+
+double ServerPool::EstimatedLoad(Instant now, const ServerState& server) const {
+  const double others =
+      std::max(0.0, server.reported_load -
+                        static_cast<double>(server.in_flight_at_report));
+  const double age = Seconds(now - server.reported_at);
+  return static_cast<double>(server.in_flight.size()) +
+         others * std::exp(-age / kReportMemory);
+}
+
+double ServerPool::Latency(Instant now, const ServerState& server) const {
+  const auto found = service_latency_.find(server.record.service);
+  const double usual =
+      found == service_latency_.end() ? kFirstLatency : found->second;
+  if (server.latency <= 0) {
+    return Cold(now, server) ? 2 * usual : usual;
+  }
+  const double age = Seconds(now - server.latency_at);
+  return usual + (server.latency - usual) * std::exp(-age / kLatencyMemory);
+}
+
+double ServerPool::RelativeLatency(Instant now,
+                                   const ServerState& server) const {
+  const auto found = service_latency_.find(server.record.service);
+  return found == service_latency_.end() ? 1
+                                         : Latency(now, server) / found->second;
+}
+
+double ServerPool::Estimate(Instant now, const ServerState& server) const {
+  const double slots = server.record.slots;
+  const double load = EstimatedLoad(now, server);
+  const double latency = Latency(now, server);
+  // Requests beyond the slots wait for one of them.
+  const double waiting = std::max(0.0, load + 1 - slots);
+  double estimate = latency * (1 + waiting / slots);
+  // Spreads requests before slots are short.
+  estimate *= 1 + 0.15 * load / slots;
+  if (!server.in_flight.empty()) {
+    // A request that takes far longer than usual shows a stall.
+    const double oldest = Seconds(now - *server.in_flight.begin());
+    estimate += std::max(0.0, oldest - 3 * latency);
+  }
+  const double age = Seconds(now - server.failures_at);
+  const double failures = server.failures * std::exp(-age / kFailureMemory);
+  return estimate / std::max(0.05, 1 - failures);
+}
+
+std::variant<ServerChoice, NoChoice> ServerPool::Check(
+    Instant now,
+    const ServerLife& life,
+    Duration longest) const {
+  const ServerState* server = Find(life);
+  if (server == nullptr || Leaving(*server)) {
+    return NoChoice::kNoServer;
+  }
+  const Duration expected = FromSeconds(Estimate(now, *server));
+  if (!HasRoom(now, *server) || expected > longest) {
+    return NoChoice::kBusy;
+  }
+  return ServerChoice{server->record, expected};
+}
+
+std::variant<ServerChoice, NoChoice> ServerPool::Choose(
+    Instant now,
+    const ChoiceRequest& request) const {
+  std::vector<const ServerState*> candidates;
+  bool any = false;
+  for (const auto& [id, server] : servers_) {
+    if (server.record.service != request.service || Leaving(server)) {
+      continue;
+    }
+    any = true;
+    if (HasRoom(now, server) &&
+        (request.tried == nullptr || !request.tried->contains(id))) {
+      candidates.push_back(&server);
+    }
+  }
+  if (!any) {
+    return NoChoice::kNoServer;
+  }
+  const ServerState* best = nullptr;
+  double best_cost = 0;
+  double best_estimate = 0;
+  for (int i = 0; i < kCompared && !candidates.empty(); ++i) {
+    const auto index = static_cast<std::size_t>(
+        random_() * static_cast<double>(candidates.size()));
+    const ServerState* server = candidates[index];
+    candidates[index] = candidates.back();
+    candidates.pop_back();
+    const double estimate = Estimate(now, *server);
+    const double away = server->record.zone == zone_ ? 0
+                        : request.large_answer       ? kOtherZoneLarge
+                                                     : kOtherZone;
+    if (best == nullptr || estimate + away < best_cost) {
+      best = server;
+      best_cost = estimate + away;
+      best_estimate = estimate;
+    }
+  }
+  if (best == nullptr || FromSeconds(best_estimate) > request.longest) {
+    return NoChoice::kBusy;
+  }
+  return ServerChoice{best->record, FromSeconds(best_estimate)};
+}
+
+void ServerPool::NoteSent(Instant now, const ServerLife& life) {
+  ServerState* server = Find(life);
+  if (server == nullptr) {
+    return;
+  }
+  server->in_flight.insert(now);
+  server->recent.push_back(now);
+  while (now - server->recent.front() > kSecond) {
+    server->recent.pop_front();
+  }
+}
+
+void ServerPool::NoteEnd(Instant now,
+                         const ServerLife& life,
+                         Instant sent,
+                         ServerResult result) {
+  ServerState* server = Find(life);
+  if (server == nullptr) {
+    return;
+  }
+  const auto entry = server->in_flight.find(sent);
+  if (entry != server->in_flight.end()) {
+    server->in_flight.erase(entry);
+  }
+  const double took = Seconds(now - sent);
+  const bool answered = result == ServerResult::kAnswered;
+  if (answered || (result == ServerResult::kAbandoned &&
+                   took > Latency(now, *server))) {
+    double& usual =
+        service_latency_.try_emplace(server->record.service, took)
+            .first->second;
+    usual += kServiceStep * (took - usual);
+    const double before = Latency(now, *server);
+    server->latency = before + kServerStep * (took - before);
+    server->latency_at = now;
+  }
+  const double age = Seconds(now - server->failures_at);
+  const double failures = server->failures * std::exp(-age / kFailureMemory);
+  const bool failed = result == ServerResult::kFailed ||
+                      result == ServerResult::kRefused ||
+                      result == ServerResult::kBroken;
+  if (answered || failed) {
+    server->failures = failures + kFailureStep * ((failed ? 1 : 0) - failures);
+    server->failures_at = now;
+  }
+  if (answered) {
+    server->lost_connections = 0;
+  } else if (result == ServerResult::kUnreachable) {
+    const Duration block = std::min(
+        kFirstBlock * (1 << std::min(server->lost_connections, 5)),
+        kLongestBlock);
+    ++server->lost_connections;
+    server->blocked_until = std::max(server->blocked_until, now + block);
+    server->cold_until = std::max(server->cold_until, now + kSuspectCold);
+  }
+}
+
+void ServerPool::NoteLoad(Instant now,
+                          const ServerLife& life,
+                          int load,
+                          double slowness) {
+  ServerState* server = Find(life);
+  if (server == nullptr) {
+    return;
+  }
+  server->reported_load = load;
+  server->in_flight_at_report = server->in_flight.size();
+  server->reported_at = now;
+  server->slowness = slowness;
+}
+
+}  // namespace mustardflow::coordination
--- /dev/null
+++ b/src/coordination/server_pool.h
@@ -0,0 +1,169 @@
+// The backend servers as one host sees them: who may get a request, and which
+// one should.
+
+#ifndef MUSTARDFLOW_COORDINATION_SERVER_POOL_H_
+#define MUSTARDFLOW_COORDINATION_SERVER_POOL_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "state/host_profile.h"
+#include "state/routing_config.h"
+#include "state/server_record.h"
+#include "state/time.h"
+
+namespace mustardflow::coordination {
+
+// How an attempt at a server ended, for the server's standing.
+enum class ServerResult {
+  // An answer of the server's own.
+  kAnswered,
+  // The server answered 5xx on its own account.
+  kFailed,
+  // The server did not run the request.
+  kRefused,
+  // No connection.
+  kUnreachable,
+  // The connection broke, or the answer was not one.
+  kBroken,
+  // This host gave up waiting.
+  kAbandoned,
+};
+
+struct ServerChoice {
+  state::ServerRecord record;
+  // How long the answer is expected to take.
+  state::Duration expected{0};
+};
+
+// Why no server was chosen.
+enum class NoChoice {
+  // No server of the service may get requests.
+  kNoServer,
+  // All are expected to answer too late, or are at a limit.
+  kBusy,
+};
+
+// What a request asks of a choice.
+struct ChoiceRequest {
+  std::string service;
+  // Ids of servers that it has tried.
+  const std::set<std::string>* tried = nullptr;
+  // The longest expected time that is acceptable.
+  state::Duration longest{0};
+  // Whether the answer is large: other zones then cost more.
+  bool large_answer = false;
+};
+
+class ServerPool {
+ public:
+  // `random` returns numbers in [0, 1).
+  ServerPool(std::string zone,
+             state::ServiceBounds bounds,
+             std::function<double()> random);
+
+  void SetConfig(const state::RoutingConfig& config);
+  void SetEvacuated(std::set<std::string> zones);
+  // How many hosts share the limits of cold servers and of connections.
+  void SetHostCount(std::size_t hosts) { hosts_ = hosts; }
+
+  // Replaces the entry of a server's id. Entries that are older than what is
+  // known are ignored.
+  void Update(state::Instant now, const state::ServerRecord& record);
+  // The server's entry is gone; it gets no new requests.
+  void Remove(const std::string& id);
+
+  // The server with this life, if it may get a request now.
+  std::variant<ServerChoice, NoChoice> Check(
+      state::Instant now,
+      const state::ServerLife& life,
+      state::Duration longest) const;
+
+  std::variant<ServerChoice, NoChoice> Choose(
+      state::Instant now,
+      const ChoiceRequest& request) const;
+
+  void NoteSent(state::Instant now, const state::ServerLife& life);
+  void NoteEnd(state::Instant now,
+               const state::ServerLife& life,
+               state::Instant sent,
+               ServerResult result);
+  // The server's own figures, as an answer of now carried them.
+  void NoteLoad(state::Instant now,
+                const state::ServerLife& life,
+                int load,
+                double slowness);
+
+  struct ServerState {
+    state::ServerRecord record;
+    // The entry is gone.
+    bool gone = false;
+    state::Instant cold_until{};
+    // When the requests under way were sent.
+    std::multiset<state::Instant> in_flight;
+    // When requests were sent in the last second, while cold.
+    std::deque<state::Instant> recent;
+    // Average time of an answer, in seconds, and when it was last updated.
+    double latency = 0;
+    state::Instant latency_at{};
+    // Average share of attempts that failed.
+    double failures = 0;
+    state::Instant failures_at{};
+    // Requests at the server, by all hosts, at its last report.
+    int reported_load = 0;
+    std::size_t in_flight_at_report = 0;
+    state::Instant reported_at{};
+    double slowness = 1;
+    // No requests before this moment, after a lost connection.
+    state::Instant blocked_until{};
+    int lost_connections = 0;
+  };
+
+  const std::map<std::string, ServerState>& servers() const {
+    return servers_;
+  }
+  // Whether the server is to get no new work: leaving, gone or evacuated.
+  bool Leaving(const ServerState& server) const;
+  bool Cold(state::Instant now, const ServerState& server) const {
+    return now < server.cold_until;
+  }
+  // A server's answer time as a multiple of its service's average.
+  double RelativeLatency(state::Instant now, const ServerState& server) const;
+  // Connections that this host may open to a server of the service.
+  std::size_t ConnectionShare(const std::string& service) const;
+  // A change of the set of servers or of their standing to get work.
+  std::uint64_t change() const { return change_; }
+
+ private:
+  ServerState* Find(const state::ServerLife& life);
+  const ServerState* Find(const state::ServerLife& life) const;
+  // Whether the limits allow another request.
+  bool HasRoom(state::Instant now, const ServerState& server) const;
+  std::size_t ColdShare(const std::string& service) const;
+  double EstimatedLoad(state::Instant now, const ServerState& server) const;
+  // Seconds until an answer, were a request sent now.
+  double Estimate(state::Instant now, const ServerState& server) const;
+  double Latency(state::Instant now, const ServerState& server) const;
+
+  const std::string zone_;
+  const state::ServiceBounds bounds_;
+  const std::function<double()> random_;
+  std::map<std::string, state::ServiceRules> rules_;
+  std::set<std::string> evacuated_;
+  std::size_t hosts_ = 1;
+  std::map<std::string, ServerState> servers_;
+  // Average answer time by service, in seconds.
+  std::map<std::string, double> service_latency_;
+  std::uint64_t change_ = 1;
+};
+
+}  // namespace mustardflow::coordination
+
+#endif  // MUSTARDFLOW_COORDINATION_SERVER_POOL_H_
--- /dev/null
+++ b/src/coordination/shard_load.h
@@ -0,0 +1,45 @@
+// The load of each key of a service, from the reports of all hosts.
+
+#ifndef MUSTARDFLOW_COORDINATION_SHARD_LOAD_H_
+#define MUSTARDFLOW_COORDINATION_SHARD_LOAD_H_
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "state/ownership_table.h"
+#include "state/time.h"
+
+namespace mustardflow::coordination {
+
+// Requests a second by key, as an average that forgets. One float a key: 256 KB
+// for a service, whatever the number of keys in use.
+class ShardLoad {
+ public:
+  ShardLoad();
+
+  // Notes requests for `key` since the last report.
+  void Add(state::ShardKey key, double requests);
+  // Forgets what is old. Call at regular intervals.
+  void Decay(state::Instant now);
+
+  // Requests a second for the keys from `first` to `last`, inclusive.
+  double Of(std::int32_t first, std::int32_t last) const;
+  double total() const { return total_; }
+
+  // The smallest key such that the keys from `first` to it carry at least
+  // `load`; `last` if all carry less.
+  std::int32_t CutAfter(std::int32_t first,
+                        std::int32_t last,
+                        double load) const;
+
+ private:
+  std::vector<float> weights_;
+  // Invariant: the sum of weights_, but for rounding.
+  double total_ = 0;
+  std::optional<state::Instant> decayed_;
+};
+
+}  // namespace mustardflow::coordination
+
+#endif  // MUSTARDFLOW_COORDINATION_SHARD_LOAD_H_
--- /dev/null
+++ b/src/platform/operator_config.cc
@@ -0,0 +1,152 @@
+// Field names and words of the operators' configuration.
+
+#include "platform/operator_config.h"
+
+#include <algorithm>
+#include <array>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "platform/wire_values.h"
+#include "protocol/object_reader.h"
+
+namespace mustardflow::platform {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::array<std::pair<std::string_view, state::RequestKind>, 3>
+    kRequestKinds = {{
+        {"idempotent", state::RequestKind::kIdempotent},
+        {"non_idempotent", state::RequestKind::kNonIdempotent},
+        {"download", state::RequestKind::kDownload},
+    }};
+
+// A kind that is not known is treated as the one that promises least.
+state::RequestKind KindFromName(std::string_view name) {
+  for (const auto& [word, kind] : kRequestKinds) {
+    if (word == name) {
+      return kind;
+    }
+  }
+  return state::RequestKind::kNonIdempotent;
+}
+
+std::vector<state::WeightedService> ReadServices(const json::value& route) {
+  std::vector<state::WeightedService> services;
+  const json::value* split = Member(route, "traffic_split");
+  if (split != nullptr && split->is_array() && !split->get_array().empty()) {
+    for (const json::value& part : split->get_array()) {
+      const auto service = TextMember(part, "service");
+      const double weight = NumberMember(part, "weight").value_or(0);
+      if (service && weight > 0) {
+        services.push_back({*service, weight});
+      }
+    }
+  } else if (auto service = TextMember(route, "service")) {
+    services.push_back({std::move(*service), 1});
+  }
+  return services;
+}
+
+std::optional<state::Route> ReadRoute(const std::string& name,
+                                      const json::value& value) {
+  state::Route route;
+  route.name = name;
+  const auto hostname = TextMember(value, "hostname");
+  const auto prefix = TextMember(value, "path_prefix");
+  route.services = ReadServices(value);
+  if (!hostname || !prefix || route.services.empty()) {
+    return std::nullopt;
+  }
+  route.hostname = *hostname;
+  std::transform(route.hostname.begin(), route.hostname.end(),
+                 route.hostname.begin(), [](unsigned char letter) {
+                   return static_cast<char>(std::tolower(letter));
+                 });
+  route.prefix = *prefix;
+  route.kind = KindFromName(TextMember(value, "type").value_or(""));
+  route.timeout = PeriodMember(value, "timeout").value_or(route.timeout);
+  route.target_latency =
+      PeriodMember(value, "target_latency").value_or(route.target_latency);
+  route.max_attempts = static_cast<int>(std::clamp<std::int64_t>(
+      IntegerMember(value, "max_attempts").value_or(1), 1, 10));
+  route.priority =
+      static_cast<int>(IntegerMember(value, "priority").value_or(0));
+  return route;
+}
+
+state::ServiceRules ReadService(const json::value& value) {
+  state::ServiceRules rules;
+  rules.max_connections = static_cast<int>(
+      IntegerMember(value, "max_connections").value_or(rules.max_connections));
+  rules.warmup = PeriodMember(value, "warmup").value_or(rules.warmup);
+  rules.cold_rate = NumberMember(value, "warmup_per_s").value_or(0);
+  const json::value* sharded = Member(value, "sharded");
+  rules.keyed =
+      sharded != nullptr && sharded->is_bool() && sharded->get_bool();
+  return rules;
+}
+
+state::IngressLimits ReadLimits(const json::value& config) {
+  state::IngressLimits limits;
+  const json::value* value = Member(config, "limits");
+  if (value == nullptr) {
+    return limits;
+  }
+  const auto read_size = [&](std::string_view name, std::size_t* target) {
+    const auto size = IntegerMember(*value, name);
+    if (size && *size > 0) {
+      *target = static_cast<std::size_t>(*size);
+    }
+  };
+  read_size("max_header_bytes", &limits.header_bytes);
+  read_size("max_body_bytes", &limits.body_bytes);
+  limits.header_timeout =
+      PeriodMember(*value, "header_timeout").value_or(limits.header_timeout);
+  limits.idle_timeout =
+      PeriodMember(*value, "idle_timeout").value_or(limits.idle_timeout);
+  return limits;
+}
+
+}  // namespace
+
+std::shared_ptr<const state::RoutingConfig> ParseOperatorConfig(
+    std::string_view text,
+    protocol::Findings* findings) {
+  const auto config = protocol::ParseJson(text, findings);
+  if (!config) {
+    return nullptr;
+  }
+  const auto version = IntegerMember(*config, "version");
+  const json::value* routes = Member(*config, "routes");
+  const json::value* services = Member(*config, "services");
+  if (!version || routes == nullptr || !routes->is_object()) {
+    findings->Add("/routes", "no version or no routes",
+                  "publish a whole configuration");
+    return nullptr;
+  }
+  std::vector<state::Route> read_routes;
+  for (const auto& [name, value] : routes->get_object()) {
+    if (auto route = ReadRoute(std::string(name), value)) {
+      read_routes.push_back(std::move(*route));
+    } else {
+      findings->Add("/routes/" + std::string(name), "cannot be read",
+                    "give host name, prefix and service");
+    }
+  }
+  std::map<std::string, state::ServiceRules> read_services;
+  if (services != nullptr && services->is_object()) {
+    for (const auto& [name, value] : services->get_object()) {
+      read_services.emplace(name, ReadService(value));
+    }
+  }
+  return std::make_shared<state::RoutingConfig>(
+      *version, std::move(read_routes), std::move(read_services),
+      ReadLimits(*config));
+}
+
+}  // namespace mustardflow::platform
--- /dev/null
+++ b/src/platform/server_protocol.cc
@@ -0,0 +1,59 @@
+// Formats of load reports, grants and releases.
+
+#include "platform/server_protocol.h"
+
+#include <array>
+#include <boost/json.hpp>
+#include <charconv>
+
+#include "platform/wire_values.h"
+
+namespace mustardflow::platform {
+
+namespace json = boost::json;
+
+std::optional<LoadReport> ParseLoad(std::string_view text) {
+  std::array<int, 4> figures = {0, 0, 0, 100};
+  std::size_t count = 0;
+  const char* position = text.data();
+  const char* const end = text.data() + text.size();
+  while (count < figures.size() && position < end) {
+    const auto parsed = std::from_chars(position, end, figures[count]);
+    if (parsed.ec != std::errc() || figures[count] < 0) {
+      return std::nullopt;
+    }
+    ++count;
+    position = parsed.ptr;
+    while (position < end && (*position == ',' || *position == ' ')) {
+      ++position;
+    }
+  }
+  if (count < 3 || figures[2] < 1) {
+    return std::nullopt;
+  }
+  return LoadReport{figures[0], figures[1], figures[2], figures[3] / 100.0};
+}
+
+std::string GrantBody(std::int32_t first,
+                      std::int32_t last,
+                      std::int64_t fence,
+                      state::Duration lease,
+                      const std::string& handover) {
+  json::object body{{"from", first},
+                    {"target", last},
+                    {"fence", fence},
+                    {"hold_time", FormatPeriod(lease)}};
+  if (!handover.empty()) {
+    body["handover"] = handover;
+  }
+  return json::serialize(body);
+}
+
+std::string ReleaseBody(std::int32_t first,
+                        std::int32_t last,
+                        std::int64_t fence) {
+  return json::serialize(
+      json::object{{"from", first}, {"target", last}, {"fence", fence}});
+}
+
+}  // namespace mustardflow::platform
--- /dev/null
+++ b/src/platform/store_protocol.cc
@@ -0,0 +1,208 @@
+// Formats of the platform's log store.
+
+#include "platform/store_protocol.h"
+
+#include <boost/archive/iterators/binary_from_base64.hpp>
+#include <boost/archive/iterators/transform_width.hpp>
+#include <boost/endian/conversion.hpp>
+#include <boost/json.hpp>
+#include <cctype>
+#include <exception>
+
+#include "platform/wire_values.h"
+
+namespace mustardflow::platform {
+
+namespace json = boost::json;
+
+namespace {
+
+void AppendLength(std::uint32_t length, std::string* out) {
+  const std::uint32_t wire = boost::endian::native_to_big(length);
+  out->append(reinterpret_cast<const char*>(&wire), sizeof wire);
+}
+
+// A record: its length, then the key's length, the key and the value.
+void AppendKeyed(const KeyedRecord& record, std::string* out) {
+  const std::size_t value_size = record.value ? record.value->size() : 0;
+  AppendLength(static_cast<std::uint32_t>(1 + record.key.size() + value_size),
+               out);
+  out->push_back(static_cast<char>(record.key.size()));
+  out->append(record.key);
+  if (record.value) {
+    out->append(*record.value);
+  }
+}
+
+std::string PartitionQuery(std::string_view call, std::string_view topic) {
+  return std::string(call) + "?topic=" + std::string(topic) + "&part=0";
+}
+
+// Decodes a record's content; nothing if the key is cut off.
+std::optional<KeyedRecord> DecodeKeyed(std::string_view content) {
+  if (content.empty()) {
+    return std::nullopt;
+  }
+  const auto key_size = static_cast<unsigned char>(content[0]);
+  if (content.size() < 1u + key_size) {
+    return std::nullopt;
+  }
+  KeyedRecord record;
+  record.key = content.substr(1, key_size);
+  const std::string_view value = content.substr(1 + key_size);
+  if (!value.empty()) {
+    record.value = std::string(value);
+  }
+  return record;
+}
+
+// Nothing if a letter is not of the base64 alphabet.
+std::optional<std::string> DecodeBase64(std::string_view text) {
+  using boost::archive::iterators::binary_from_base64;
+  using boost::archive::iterators::transform_width;
+  using Decoder = transform_width<binary_from_base64<const char*>, 8, 6>;
+  while (!text.empty() && text.back() == '=') {
+    text.remove_suffix(1);
+  }
+  const std::size_t size = text.size() * 6 / 8;
+  std::string bytes;
+  bytes.reserve(size);
+  try {
+    Decoder decoder(text.data());
+    for (std::size_t i = 0; i < size; ++i, ++decoder) {
+      bytes.push_back(static_cast<char>(*decoder));
+    }
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+  return bytes;
+}
+
+std::string PercentEncode(std::string_view text) {
+  constexpr std::string_view kHex = "0123456789ABCDEF";
+  std::string encoded;
+  for (const char letter : text) {
+    const auto byte = static_cast<unsigned char>(letter);
+    if (std::isalnum(byte) != 0 || letter == '-' || letter == '.') {
+      encoded.push_back(letter);
+    } else {
+      encoded.push_back('%');
+      encoded.push_back(kHex[byte >> 4]);
+      encoded.push_back(kHex[byte & 15]);
+    }
+  }
+  return encoded;
+}
+
+}  // namespace
+
+StoreCall AppendCall(std::string_view topic,
+                     const std::vector<KeyedRecord>& records,
+                     const WriterMark& mark,
+                     std::optional<std::int64_t> at) {
+  StoreCall call{"POST", PartitionQuery("/log-append", topic), ""};
+  call.target += "&producer=" + std::string(mark.producer) +
+                 "&epoch=" + std::to_string(mark.epoch) +
+                 "&seq=" + std::to_string(mark.sequence);
+  if (at) {
+    call.target += "&at=" + std::to_string(*at);
+  }
+  for (const KeyedRecord& record : records) {
+    AppendKeyed(record, &call.body);
+  }
+  return call;
+}
+
+StoreCall ReadCall(std::string_view topic,
+                   std::int64_t from,
+                   state::Duration wait) {
+  return {"GET",
+          PartitionQuery("/log-read", topic) + "&from=" + std::to_string(from) +
+              "&wait_ms=" + std::to_string(wait.count() / 1000),
+          ""};
+}
+
+StoreCall NewestCall(std::string_view topic, std::string_view after) {
+  StoreCall call{"GET", PartitionQuery("/log-newest", topic), ""};
+  if (!after.empty()) {
+    call.target += "&after=" + PercentEncode(after);
+  }
+  return call;
+}
+
+AppendOutcome ParseAppendReply(int status, std::string_view body) {
+  if (status == 200) {
+    return AppendOutcome::kDone;
+  }
+  if (status == 412) {
+    return AppendOutcome::kConflict;
+  }
+  if (status == 409) {
+    json::error_code error;
+    const json::value reply = json::parse(body, error);
+    return !error && TextMember(reply, "why") == "fenced"
+               ? AppendOutcome::kFenced
+               : AppendOutcome::kConflict;
+  }
+  if (status == 429 || status == 503) {
+    return AppendOutcome::kRefused;
+  }
+  return AppendOutcome::kUnknown;
+}
+
+std::optional<ReadReply> ParseReadReply(std::string_view body,
+                                        std::int64_t from) {
+  constexpr std::size_t kOffsetBytes = 8;
+  if (body.size() < 2 * kOffsetBytes) {
+    return std::nullopt;
+  }
+  ReadReply reply;
+  reply.end = boost::endian::load_big_s64(
+      reinterpret_cast<const unsigned char*>(body.data()));
+  std::string_view rest = body.substr(2 * kOffsetBytes);
+  std::int64_t offset = from;
+  while (rest.size() >= 4) {
+    const std::uint32_t length = boost::endian::load_big_u32(
+        reinterpret_cast<const unsigned char*>(rest.data()));
+    if (rest.size() - 4 < length) {
+      break;
+    }
+    auto record = DecodeKeyed(rest.substr(4, length));
+    if (record) {
+      record->offset = offset;
+      reply.records.push_back(std::move(*record));
+    } else {
+      // A record without a key still takes its offset.
+      reply.records.push_back({"", std::nullopt, offset});
+    }
+    ++offset;
+    rest.remove_prefix(4 + length);
+  }
+  return reply;
+}
+
+std::optional<NewestReply> ParseNewestReply(std::string_view body) {
+  json::error_code error;
+  const json::value value = json::parse(body, error);
+  const json::value* items = error ? nullptr : Member(value, "items");
+  const auto end = error ? std::nullopt : IntegerMember(value, "end");
+  if (items == nullptr || !items->is_array() || !end) {
+    return std::nullopt;
+  }
+  NewestReply reply;
+  reply.end = *end;
+  const json::value* more = Member(value, "has_more");
+  reply.more = more != nullptr && more->is_bool() && more->get_bool();
+  for (const json::value& item : items->get_array()) {
+    const auto key = TextMember(item, "key");
+    const auto encoded = TextMember(item, "value");
+    auto value_bytes = encoded ? DecodeBase64(*encoded) : std::nullopt;
+    if (key && value_bytes) {
+      reply.records.push_back({*key, std::move(value_bytes),
+                               IntegerMember(item, "offset").value_or(0)});
+    }
+  }
+  return reply;
+}
+
+}  // namespace mustardflow::platform
--- /dev/null
+++ b/src/protocol/host_messages.cc
@@ -0,0 +1,211 @@
+// JSON forms of messages and records.
+
+#include "protocol/host_messages.h"
+
+#include <boost/json.hpp>
+#include <utility>
+
+namespace mustardflow::protocol {
+
+namespace json = boost::json;
+
+namespace {
+
+struct MessageWriter {
+  json::object operator()(const LeaderBeat& beat) const {
+    return {{"kind", "beat"},
+            {"host", beat.host},
+            {"term", beat.term},
+            {"revision", beat.revision},
+            {"config", beat.config},
+            {"yielding", beat.yielding},
+            {"hosts", beat.hosts}};
+  }
+  json::object operator()(const LeaderQuestion& question) const {
+    return {{"kind", "question"},
+            {"host", question.host},
+            {"claim", question.claim}};
+  }
+  json::object operator()(const LeaderOpinion& opinion) const {
+    json::object object{
+        {"kind", "opinion"}, {"host", opinion.host}, {"term", opinion.term}};
+    if (opinion.heard) {
+      object["heard_us"] = opinion.heard->count();
+    }
+    return object;
+  }
+  json::object operator()(const HostReport& report) const {
+    json::object load;
+    for (const auto& [service, seen] : report.load) {
+      load[service] = json::object{
+          {"requests", seen.requests},
+          {"samples", json::value_from(seen.samples)}};
+    }
+    return {{"kind", "report"},
+            {"host", report.host},
+            {"load", std::move(load)},
+            {"slowness", json::value_from(report.slowness)}};
+  }
+};
+
+// Throws if a member is missing or of another type.
+HostMessage ReadMessage(const json::object& object) {
+  const std::string kind(object.at("kind").as_string());
+  std::string host(object.at("host").as_string());
+  if (kind == "beat") {
+    LeaderBeat beat;
+    beat.host = std::move(host);
+    beat.term = object.at("term").to_number<std::int64_t>();
+    beat.revision = object.at("revision").to_number<std::int64_t>();
+    beat.config = object.at("config").to_number<std::int64_t>();
+    beat.yielding = object.at("yielding").as_bool();
+    beat.hosts = object.at("hosts").to_number<std::size_t>();
+    return beat;
+  }
+  if (kind == "question") {
+    return LeaderQuestion{std::move(host),
+                          std::string(object.at("claim").as_string())};
+  }
+  if (kind == "opinion") {
+    LeaderOpinion opinion;
+    opinion.host = std::move(host);
+    opinion.term = object.at("term").to_number<std::int64_t>();
+    if (const json::value* heard = object.if_contains("heard_us")) {
+      opinion.heard = state::Duration(heard->to_number<std::int64_t>());
+    }
+    return opinion;
+  }
+  HostReport report;
+  report.host = std::move(host);
+  for (const auto& [service, value] : object.at("load").as_object()) {
+    coordination::LoadReport& load = report.load[std::string(service)];
+    load.requests = value.at("requests").to_number<std::uint64_t>();
+    for (const json::value& sample : value.at("samples").as_array()) {
+      load.samples.push_back(sample.to_number<std::uint64_t>());
+    }
+  }
+  for (const auto& [server, value] : object.at("slowness").as_object()) {
+    report.slowness[std::string(server)] = value.to_number<double>();
+  }
+  return report;
+}
+
+json::array EncodeLife(const state::ServerLife& life) {
+  return {life.id, life.born};
+}
+
+state::ServerLife ReadLife(const json::value& value) {
+  return {std::string(value.at(0).as_string()),
+          value.at(1).to_number<std::int64_t>()};
+}
+
+// A range: first, last, fence, serving, holder, former holders.
+json::array EncodeRange(const state::OwnedRange& range) {
+  json::array former;
+  for (const state::ServerLife& life : range.former) {
+    former.push_back(EncodeLife(life));
+  }
+  return {range.first,   range.last,
+          range.fence,   range.serving,
+          EncodeLife(range.holder), std::move(former)};
+}
+
+state::OwnedRange ReadRange(const json::value& value) {
+  state::OwnedRange range;
+  range.first = value.at(0).to_number<std::int32_t>();
+  range.last = value.at(1).to_number<std::int32_t>();
+  range.fence = value.at(2).to_number<std::int64_t>();
+  range.serving = value.at(3).as_bool();
+  range.holder = ReadLife(value.at(4));
+  for (const json::value& former : value.at(5).as_array()) {
+    range.former.push_back(ReadLife(former));
+  }
+  return range;
+}
+
+// Whether the ranges are in order and cover all keys once.
+bool CoversAllKeys(const state::ServiceRanges& ranges) {
+  std::int32_t next = 0;
+  for (const state::OwnedRange& range : ranges) {
+    if (range.first != next || range.last < range.first) {
+      return false;
+    }
+    next = range.last + 1;
+  }
+  return next == state::kShardKeyCount;
+}
+
+}  // namespace
+
+std::string EncodeMessage(const HostMessage& message) {
+  return json::serialize(std::visit(MessageWriter{}, message));
+}
+
+std::optional<HostMessage> DecodeMessage(std::string_view text) {
+  try {
+    return ReadMessage(json::parse(text).as_object());
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+std::string EncodeTable(const state::OwnershipTable& table) {
+  json::object services;
+  for (const auto& [service, ranges] : table.services) {
+    json::array list;
+    for (const state::OwnedRange& range : ranges) {
+      list.push_back(EncodeRange(range));
+    }
+    services[service] = std::move(list);
+  }
+  return json::serialize(json::object{{"term", table.term},
+                                      {"revision", table.revision},
+                                      {"services", std::move(services)}});
+}
+
+std::optional<state::OwnershipTable> DecodeTable(std::string_view text) {
+  try {
+    const json::value value = json::parse(text);
+    state::OwnershipTable table;
+    table.term = value.at("term").to_number<std::int64_t>();
+    table.revision = value.at("revision").to_number<std::int64_t>();
+    for (const auto& [service, list] : value.at("services").as_object()) {
+      state::ServiceRanges ranges;
+      for (const json::value& range : list.as_array()) {
+        ranges.push_back(ReadRange(range));
+      }
+      if (!CoversAllKeys(ranges)) {
+        return std::nullopt;
+      }
+      table.services.emplace(std::string(service), std::move(ranges));
+    }
+    return table;
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+std::string EncodeLedgerHead(const coordination::LedgerHead& head,
+                             const std::string& host) {
+  return json::serialize(json::object{{"term", head.term},
+                                      {"claim", head.claim},
+                                      {"beat", head.beat},
+                                      {"host", host}});
+}
+
+std::optional<coordination::LedgerHead> DecodeLedgerHead(std::string_view text,
+                                                         std::string* host) {
+  try {
+    const json::value value = json::parse(text);
+    coordination::LedgerHead head;
+    head.term = value.at("term").to_number<std::int64_t>();
+    head.claim = std::string(value.at("claim").as_string());
+    head.beat = value.at("beat").to_number<std::int64_t>();
+    *host = std::string(value.at("host").as_string());
+    return head;
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace mustardflow::protocol
--- /dev/null
+++ b/src/transport/caller_connection.cc
@@ -0,0 +1,316 @@
+// Parsing of requests and writing of answers.
+
+#include "transport/caller_connection.h"
+
+#include <utility>
+
+#include "platform/server_protocol.h"
+#include "transport/clocks.h"
+#include "transport/header_fields.h"
+
+namespace mustardflow::transport {
+
+using state::Instant;
+
+namespace {
+
+// Requests of one connection that are under way at the same time.
+constexpr std::size_t kMostPipelined = 32;
+// How long a closed connection waits for the caller's end.
+constexpr state::Duration kLingerTime = std::chrono::seconds(1);
+
+int StatusFor(const beast::error_code& error) {
+  if (error == http::error::header_limit) {
+    return 431;
+  }
+  if (error == http::error::body_limit) {
+    return 413;
+  }
+  return 400;
+}
+
+}  // namespace
+
+CallerConnection::CallerConnection(tcp::socket socket,
+                                   const RelayView& view,
+                                   RequestRelay& relay,
+                                   EventLog& log,
+                                   ClosedHandler closed)
+    : socket_(std::move(socket)),
+      view_(view),
+      relay_(relay),
+      log_(log),
+      closed_handler_(std::move(closed)),
+      idle_since_(Now()) {}
+
+void CallerConnection::Start() {
+  beast::error_code ignored;
+  socket_.set_option(tcp::no_delay(true), ignored);
+  NewParser();
+  Read();
+}
+
+void CallerConnection::NewParser() {
+  parser_ = std::make_unique<Parser>();
+  const state::IngressLimits limits = Limits();
+  parser_->header_limit(static_cast<std::uint32_t>(limits.header_bytes));
+  parser_->body_limit(limits.body_bytes);
+  parser_->eager(true);
+  request_began_.reset();
+}
+
+state::IngressLimits CallerConnection::Limits() const {
+  return view_.config ? view_.config->limits() : state::IngressLimits();
+}
+
+void CallerConnection::Read() {
+  if (reading_ || closed_) {
+    return;
+  }
+  reading_ = true;
+  socket_.async_read_some(
+      asio::buffer(chunk_), [self = shared_from_this()](
+                                const beast::error_code& error,
+                                std::size_t size) {
+        self->reading_ = false;
+        self->HandleRead(error, size);
+      });
+}
+
+void CallerConnection::HandleRead(const beast::error_code& error,
+                                  std::size_t size) {
+  if (closed_) {
+    return;
+  }
+  if (error) {
+    HandleGone();
+    return;
+  }
+  if (last_read_) {
+    // What follows the last request is not read; it only shows the end.
+    Read();
+    return;
+  }
+  in_.append(chunk_.data(), size);
+  Parse();
+}
+
+void CallerConnection::Parse() {
+  while (!in_.empty() && !last_read_ && exchanges_.size() < kMostPipelined) {
+    if (!request_began_) {
+      request_began_ = Now();
+    }
+    beast::error_code error;
+    const std::size_t used = parser_->put(asio::buffer(in_), error);
+    in_.erase(0, used);
+    if (error && error != http::error::need_more) {
+      Reject(StatusFor(error));
+      break;
+    }
+    if (parser_->is_header_done()) {
+      const int status = CheckHead();
+      if (status != 0) {
+        Reject(status);
+        break;
+      }
+    }
+    if (parser_->is_done()) {
+      Dispatch();
+      continue;
+    }
+    if (parser_->is_header_done() && exchanges_.empty() && !writing_ &&
+        beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
+      parser_->get().erase(http::field::expect);
+      static constexpr std::string_view kContinue =
+          "HTTP/1.1 100 Continue\r\n\r\n";
+      asio::async_write(socket_, asio::buffer(kContinue),
+                        [self = shared_from_this()](const beast::error_code&,
+                                                    std::size_t) {});
+    }
+    if (error == http::error::need_more || used == 0) {
+      break;
+    }
+  }
+  // Without room for another request, the caller has to wait.
+  if (exchanges_.size() < kMostPipelined) {
+    Read();
+  }
+}
+
+int CallerConnection::CheckHead() const {
+  const auto& message = parser_->get();
+  if (message.version() != 11 && message.version() != 10) {
+    return 505;
+  }
+  if (message.count(http::field::host) > 1 ||
+      message.count(http::field::content_length) > 1 ||
+      (message.version() == 11 && message.count(http::field::host) == 0)) {
+    return 400;
+  }
+  if (message.target().empty() || message.target().front() != '/') {
+    return 400;
+  }
+  return 0;
+}
+
+void CallerConnection::Dispatch() {
+  CallerMessage message = parser_->release();
+  NewParser();
+  auto exchange = std::make_shared<Exchange>();
+  exchange->keep_alive = message.keep_alive();
+  exchange->head = message.method() == http::verb::head;
+  exchange->at_relay = true;
+  exchanges_.push_back(exchange);
+  if (!exchange->keep_alive) {
+    last_read_ = true;
+  }
+  exchange->id = relay_.Start(
+      std::move(message),
+      [self = shared_from_this(), exchange](CallerAnswer answer) {
+        self->HandleAnswer(exchange, std::move(answer));
+      });
+}
+
+void CallerConnection::Reject(int status) {
+  log_.Write(LogPart::kCaller, "malformed",
+             {{"status", static_cast<std::int64_t>(status)}});
+  auto exchange = std::make_shared<Exchange>();
+  exchange->keep_alive = false;
+  exchange->answer = CallerAnswer{
+      status,
+      std::string(http::obsolete_reason(static_cast<http::status>(status))),
+      {},
+      ""};
+  exchanges_.push_back(exchange);
+  last_read_ = true;
+  Flush();
+}
+
+void CallerConnection::HandleAnswer(const std::shared_ptr<Exchange>& exchange,
+                                    CallerAnswer answer) {
+  exchange->at_relay = false;
+  exchange->answer = std::move(answer);
+  Flush();
+}
+
+void CallerConnection::Flush() {
+  if (writing_ || closed_ || exchanges_.empty() ||
+      !exchanges_.front()->answer) {
+    return;
+  }
+  const std::shared_ptr<Exchange> exchange = exchanges_.front();
+  exchanges_.pop_front();
+  // A request behind an answer that ends the connection would count as not
+  // read, although it may have been run. Only the last answer announces it.
+  const bool alone = exchanges_.empty() && in_.empty() && !request_began_;
+  const bool close = !exchange->keep_alive || (draining_ && alone);
+  if (close) {
+    last_read_ = true;
+  }
+  out_ = AnswerBytes(*exchange, close);
+  writing_ = true;
+  asio::async_write(
+      socket_, asio::buffer(out_),
+      [self = shared_from_this(), close](const beast::error_code& error,
+                                         std::size_t) {
+        self->writing_ = false;
+        self->idle_since_ = Now();
+        if (self->closed_) {
+          return;
+        }
+        if (error) {
+          self->HandleGone();
+        } else if (close) {
+          self->Linger();
+        } else {
+          self->Flush();
+          self->Parse();
+        }
+      });
+}
+
+std::string CallerConnection::AnswerBytes(const Exchange& exchange,
+                                          bool close) const {
+  const CallerAnswer& answer = *exchange.answer;
+  std::string bytes;
+  bytes.reserve(256 + answer.body.size());
+  bytes += "HTTP/1.1 " + std::to_string(answer.status) + ' ' + answer.reason +
+           "\r\n";
+  for (const auto& [name, value] : answer.fields) {
+    AppendField(name, value, &bytes);
+  }
+  if (answer.status != 204 && answer.status != 304 && !exchange.head) {
+    AppendField("Content-Length", std::to_string(answer.body.size()), &bytes);
+  }
+  if (close) {
+    AppendField("Connection", "close", &bytes);
+  }
+  bytes += "\r\n";
+  if (!exchange.head) {
+    bytes += answer.body;
+  }
+  return bytes;
+}
+
+void CallerConnection::HandleGone() {
+  std::deque<std::shared_ptr<Exchange>> exchanges = std::move(exchanges_);
+  exchanges_.clear();
+  Close();
+  for (const auto& exchange : exchanges) {
+    if (exchange->at_relay) {
+      relay_.Abandon(exchange->id);
+    }
+  }
+}
+
+void CallerConnection::Linger() {
+  beast::error_code ignored;
+  socket_.shutdown(tcp::socket::shutdown_send, ignored);
+  lingering_ = true;
+  idle_since_ = Now();
+  Read();
+}
+
+void CallerConnection::CloseIfIdle() {
+  if (exchanges_.empty() && !writing_ && !request_began_ && in_.empty()) {
+    Close();
+  }
+}
+
+void CallerConnection::Tick(Instant now) {
+  if (lingering_) {
+    if (now - idle_since_ > kLingerTime) {
+      Close();
+    }
+    return;
+  }
+  const state::IngressLimits limits = Limits();
+  if (request_began_ && !last_read_) {
+    const state::Duration allowed =
+        parser_->is_header_done() ? limits.header_timeout + limits.idle_timeout
+                                  : limits.header_timeout;
+    if (now - *request_began_ > allowed) {
+      Reject(408);
+    }
+    return;
+  }
+  if (exchanges_.empty() && !writing_ && !request_began_ &&
+      now - idle_since_ > limits.idle_timeout) {
+    Close();
+  }
+}
+
+void CallerConnection::Close() {
+  if (closed_) {
+    return;
+  }
+  closed_ = true;
+  beast::error_code ignored;
+  socket_.close(ignored);
+  const auto self = shared_from_this();
+  if (closed_handler_) {
+    closed_handler_(this);
+  }
+}
+
+}  // namespace mustardflow::transport
--- /dev/null
+++ b/src/transport/caller_listener.cc
@@ -0,0 +1,94 @@
+// The set of callers' connections.
+
+#include "transport/caller_listener.h"
+
+#include <utility>
+#include <vector>
+
+namespace mustardflow::transport {
+
+namespace {
+
+// Accepting is tried again after this time when no descriptor is free.
+constexpr auto kAcceptPause = std::chrono::milliseconds(20);
+// A queue that is full drops the opening of a connection for seconds.
+constexpr int kBacklog = 1024;
+// Most connections at once; descriptors are also needed towards servers.
+constexpr std::size_t kMostConnections = 2500;
+
+}  // namespace
+
+CallerListener::CallerListener(asio::io_context& context,
+                               const state::Address& address,
+                               const RelayView& view,
+                               RequestRelay& relay,
+                               EventLog& log)
+    : context_(context),
+      acceptor_(context),
+      view_(view),
+      relay_(relay),
+      log_(log),
+      pause_(context) {
+  const tcp::endpoint endpoint = ToEndpoint(address);
+  acceptor_.open(endpoint.protocol());
+  acceptor_.set_option(asio::socket_base::reuse_address(true));
+  acceptor_.bind(endpoint);
+  acceptor_.listen(kBacklog);
+  Accept();
+}
+
+void CallerListener::Accept() {
+  acceptor_.async_accept([this](const beast::error_code& error,
+                                tcp::socket socket) {
+    if (error == asio::error::operation_aborted) {
+      return;
+    }
+    if (error) {
+      pause_.expires_after(kAcceptPause);
+      pause_.async_wait([this](const beast::error_code&) { Accept(); });
+      return;
+    }
+    if (connections_.size() < kMostConnections) {
+      auto connection = std::make_shared<CallerConnection>(
+          std::move(socket), view_, relay_, log_,
+          [this](CallerConnection* closed) { connections_.erase(closed); });
+      if (draining_) {
+        connection->Drain();
+      }
+      connections_.emplace(connection.get(), connection);
+      connection->Start();
+    }
+    Accept();
+  });
+}
+
+void CallerListener::Tick(state::Instant now) {
+  std::vector<std::shared_ptr<CallerConnection>> connections;
+  for (const auto& [raw, connection] : connections_) {
+    connections.push_back(connection);
+  }
+  for (const auto& connection : connections) {
+    connection->Tick(now);
+  }
+}
+
+void CallerListener::Drain() {
+  draining_ = true;
+  for (const auto& [raw, connection] : connections_) {
+    connection->Drain();
+  }
+}
+
+void CallerListener::CloseIdle() {
+  beast::error_code ignored;
+  acceptor_.close(ignored);
+  std::vector<std::shared_ptr<CallerConnection>> connections;
+  for (const auto& [raw, connection] : connections_) {
+    connections.push_back(connection);
+  }
+  for (const auto& connection : connections) {
+    connection->CloseIfIdle();
+  }
+}
+
+}  // namespace mustardflow::transport
--- /dev/null
+++ b/src/transport/caller_listener.h
@@ -0,0 +1,50 @@
+// Accepts callers' connections.
+
+#ifndef MUSTARDFLOW_TRANSPORT_CALLER_LISTENER_H_
+#define MUSTARDFLOW_TRANSPORT_CALLER_LISTENER_H_
+
+#include <cstddef>
+#include <map>
+#include <memory>
+
+#include "state/document.h"
+#include "transport/asio.h"
+#include "transport/caller_connection.h"
+
+namespace mustardflow::transport {
+
+class CallerListener {
+ public:
+  // Listens at once; throws boost::system::system_error if it cannot.
+  CallerListener(asio::io_context& context,
+                 const state::Address& address,
+                 const RelayView& view,
+                 RequestRelay& relay,
+                 EventLog& log);
+
+  // Enforces time limits; call some times a second.
+  void Tick(state::Instant now);
+
+  // Answers announce the end of their connections from now on.
+  void Drain();
+  // Accepts nothing more and closes connections without a request.
+  void CloseIdle();
+
+  std::size_t connections() const { return connections_.size(); }
+
+ private:
+  void Accept();
+
+  asio::io_context& context_;
+  tcp::acceptor acceptor_;
+  const RelayView& view_;
+  RequestRelay& relay_;
+  EventLog& log_;
+  bool draining_ = false;
+  asio::steady_timer pause_;
+  std::map<CallerConnection*, std::shared_ptr<CallerConnection>> connections_;
+};
+
+}  // namespace mustardflow::transport
+
+#endif  // MUSTARDFLOW_TRANSPORT_CALLER_LISTENER_H_
--- /dev/null
+++ b/src/transport/entry_host.cc
@@ -0,0 +1,449 @@
+// The loop of a host, its messages, and its end.
+
+#include "transport/entry_host.h"
+
+#include <signal.h>
+
+#include <algorithm>
+#include <functional>
+#include <string_view>
+#include <utility>
+
+#include "platform/server_protocol.h"
+#include "protocol/object_reader.h"
+#include "transport/clocks.h"
+
+namespace mustardflow::transport {
+
+using state::Duration;
+using state::Instant;
+
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(20);
+// Work that need not happen at each tick.
+constexpr Duration kSlowTick = std::chrono::milliseconds(250);
+constexpr Duration kReportInterval = std::chrono::milliseconds(400);
+// The store's table is read this often while no leader is heard.
+constexpr Duration kTableReadInterval = std::chrono::milliseconds(1000);
+// A host that has not been heard for this long does not share the limits.
+constexpr Duration kPeerMemory = std::chrono::seconds(5);
+constexpr Duration kPeerCallTimeout = std::chrono::milliseconds(300);
+// The leader needs quicker news of servers than the others.
+constexpr Duration kLeaderServerInterval = std::chrono::milliseconds(350);
+constexpr Duration kUsualServerInterval = std::chrono::milliseconds(700);
+// From the stop signal: until new connections have found other hosts, until
+// idle connections are closed, and before the grace ends.
+constexpr Duration kStopAcceptAfter = std::chrono::milliseconds(2800);
+constexpr Duration kStopMargin = std::chrono::milliseconds(400);
+constexpr std::size_t kMostPeerReply = 4 << 20;
+constexpr std::string_view kHostTopic = "keyed.mustardflow-hosts";
+constexpr std::string_view kTablePath = "/v1/table";
+
+std::mt19937_64 SeededRandom() {
+  std::random_device device;
+  std::seed_seq seed{device(), device(), device(), device()};
+  return std::mt19937_64(seed);
+}
+
+std::string DrawClaim(std::mt19937_64& random, const std::string& host) {
+  return host + "-" + std::to_string(random());
+}
+
+ListenerLimits SmallListener() {
+  ListenerLimits limits;
+  limits.max_connections = 100;
+  return limits;
+}
+
+}  // namespace
+
+EntryHost::EntryHost(asio::io_context& context,
+                     state::HostProfile profile,
+                     EventLog& log)
+    : context_(context),
+      profile_(std::move(profile)),
+      log_(log),
+      random_(SeededRandom()),
+      claim_(DrawClaim(random_, profile_.name)),
+      pool_(profile_.zone,
+            profile_.bounds,
+            [this] { return std::generate_canonical<double, 32>(random_); }),
+      store_(context.get_executor(), profile_.store, log),
+      watch_(context.get_executor(),
+             store_,
+             pool_,
+             log,
+             {[this](std::shared_ptr<const state::RoutingConfig> config) {
+                view_.config = config;
+                pool_.SetConfig(*config);
+                leader_.SetConfig(std::move(config));
+              },
+              [this](const std::set<std::string>& zones) {
+                pool_.SetEvacuated(zones);
+              }}),
+      leader_(context.get_executor(),
+              profile_,
+              claim_,
+              std::generate_canonical<double, 32>(random_),
+              store_,
+              pool_,
+              log,
+              {[this](const protocol::HostMessage& message) {
+                 Broadcast(message);
+               },
+               [this](state::OwnershipTable table) {
+                 SetTable(std::move(table));
+               },
+               [this] { return HostCount(); }}),
+      relay_(context,
+             profile_,
+             view_,
+             pool_,
+             [this] { return std::generate_canonical<double, 32>(random_); },
+             log),
+      callers_(context, profile_.callers, view_, relay_, log),
+      readiness_(context.get_executor(),
+                 profile_.readiness,
+                 SmallListener(),
+                 [this](HttpRequest request) {
+                   return AnswerReadiness(std::move(request));
+                 }),
+      peer_pages_(context.get_executor(),
+                  {profile_.ip, profile_.peer_port},
+                  SmallListener(),
+                  [this](HttpRequest request) {
+                    return AnswerPeer(std::move(request));
+                  }),
+      peer_client_(context.get_executor(), kMostPeerReply),
+      peer_socket_(context,
+                   udp::endpoint(asio::ip::make_address(profile_.ip),
+                                 profile_.peer_port)),
+      tick_(context),
+      signals_(context) {}
+
+void EntryHost::Start() {
+  log_.Write(LogPart::kHost, "started",
+             {{"zone", std::string_view(profile_.zone)},
+              {"claim", std::string_view(claim_)},
+              {"retry_slack", profile_.bounds.retry_slack},
+              {"cold_factor", profile_.bounds.cold_factor}});
+  watch_.Start();
+  readiness_.Start();
+  peer_pages_.Start();
+  ReceiveMessage();
+  asio::co_spawn(context_.get_executor(), Register(), asio::detached);
+  signals_.add(SIGTERM);
+  signals_.add(SIGHUP);
+  AwaitStopSignal();
+  ScheduleTick();
+}
+
+// Makes this host known and learns of the others.
+awaitable<void> EntryHost::Register() {
+  const std::string topic(kHostTopic);
+  const std::string address =
+      protocol::FormatAddress({profile_.ip, profile_.peer_port});
+  const std::vector<platform::KeyedRecord> records(
+      1, platform::KeyedRecord{profile_.name, address, 0});
+  bool written = false;
+  bool read = false;
+  while (!written || !read) {
+    if (!read) {
+      if (const auto page = co_await store_.ReadNewest(topic)) {
+        read = true;
+        for (const platform::KeyedRecord& record : page->records) {
+          const auto peer =
+              record.value ? protocol::ParseAddress(*record.value)
+                           : std::nullopt;
+          if (peer && record.key != profile_.name) {
+            peers_.try_emplace(
+                record.key,
+                Peer{udp::endpoint(asio::ip::make_address(peer->ip),
+                                   peer->port),
+                     std::nullopt});
+          }
+        }
+        registered_ = true;
+        Broadcast(protocol::LeaderQuestion{profile_.name, claim_});
+      }
+    }
+    if (!written) {
+      const platform::WriterMark mark{claim_, 1, 1};
+      const auto outcome =
+          co_await store_.Append(topic, records, mark, std::nullopt);
+      written = outcome == platform::AppendOutcome::kDone;
+    }
+    if (!written || !read) {
+      asio::steady_timer timer(context_, std::chrono::milliseconds(250));
+      co_await timer.async_wait(kNoThrow);
+    }
+  }
+}
+
+void EntryHost::ScheduleTick() {
+  tick_.expires_after(kTick);
+  tick_.async_wait([this](const beast::error_code& error) {
+    if (!error) {
+      HandleTick();
+      ScheduleTick();
+    }
+  });
+}
+
+void EntryHost::HandleTick() {
+  const Instant now = Now();
+  relay_.Tick(now);
+  if (registered_) {
+    leader_.Tick(now);
+  }
+  if (now >= next_report_) {
+    next_report_ = now + kReportInterval;
+    SendReport(now);
+  }
+  if (leader_.deaf(now) && view_.config && now >= next_table_read_ &&
+      !fetching_table_) {
+    next_table_read_ = now + kTableReadInterval;
+    fetching_table_ = true;
+    asio::co_spawn(context_.get_executor(), FetchRecordedTable(),
+                   asio::detached);
+  }
+  if (now >= next_slow_tick_) {
+    next_slow_tick_ = now + kSlowTick;
+    callers_.Tick(now);
+    const std::size_t hosts = leader_.leading() ? HostCount() : view_.hosts;
+    view_.hosts = hosts;
+    pool_.SetHostCount(hosts);
+    watch_.SetServerInterval(leader_.leading() ? kLeaderServerInterval
+                                               : kUsualServerInterval);
+    log_.Flush(now);
+  }
+  if (stopping_since_) {
+    TickStop(now);
+  }
+}
+
+void EntryHost::SendReport(Instant now) {
+  protocol::HostReport report;
+  report.host = profile_.name;
+  report.load = relay_.TakeLoad();
+  for (const auto& [id, server] : pool_.servers()) {
+    if (server.latency > 0 && report.load.contains(server.record.service)) {
+      report.slowness[id] = pool_.RelativeLatency(now, server);
+    }
+  }
+  if (leader_.leading()) {
+    leader_.HandleReport(now, report);
+  } else if (leader_endpoint_ && !leader_.deaf(now)) {
+    SendMessage(*leader_endpoint_, report);
+  }
+}
+
+void EntryHost::ReceiveMessage() {
+  peer_socket_.async_receive_from(
+      asio::buffer(datagram_), sender_,
+      [this](const beast::error_code& error, std::size_t size) {
+        if (error == asio::error::operation_aborted) {
+          return;
+        }
+        if (!error) {
+          HandleMessage(sender_, {datagram_.data(), size});
+        }
+        ReceiveMessage();
+      });
+}
+
+void EntryHost::HandleMessage(const udp::endpoint& from,
+                              std::string_view text) {
+  const auto message = protocol::DecodeMessage(text);
+  if (!message) {
+    log_.Write(LogPart::kHost, "message-unreadable", {});
+    return;
+  }
+  struct Visitor {
+    EntryHost* host;
+    const udp::endpoint& from;
+
+    void operator()(const protocol::LeaderBeat& beat) const {
+      host->NotePeer(beat.host, from);
+      host->HandleBeat(from, beat);
+    }
+    void operator()(const protocol::LeaderQuestion& question) const {
+      host->NotePeer(question.host, from);
+      const Instant now = Now();
+      host->leader_.HandleQuestion(now, question);
+      host->SendMessage(from, host->leader_.Opinion(now));
+    }
+    void operator()(const protocol::LeaderOpinion& opinion) const {
+      host->NotePeer(opinion.host, from);
+      host->leader_.HandleOpinion(Now(), opinion);
+    }
+    void operator()(const protocol::HostReport& report) const {
+      host->NotePeer(report.host, from);
+      host->leader_.HandleReport(Now(), report);
+    }
+  };
+  std::visit(Visitor{this, from}, *message);
+}
+
+void EntryHost::HandleBeat(const udp::endpoint& from,
+                           const protocol::LeaderBeat& beat) {
+  const Instant now = Now();
+  leader_.HandleBeat(now, beat);
+  watch_.HandleVersionHint(beat.config);
+  if (beat.term < leader_.term() || leader_.leading()) {
+    return;
+  }
+  leader_endpoint_ = from;
+  view_.hosts = std::max<std::size_t>(1, beat.hosts);
+  const bool newer =
+      beat.term > view_.table.term ||
+      (beat.term == view_.table.term && beat.revision > view_.table.revision);
+  if (newer && !fetching_table_) {
+    fetching_table_ = true;
+    asio::co_spawn(
+        context_.get_executor(),
+        FetchTable({from.address().to_string(), from.port()}),
+        asio::detached);
+  }
+}
+
+awaitable<void> EntryHost::FetchTable(state::Address leader) {
+  const auto reply =
+      co_await peer_client_.Send(std::move(leader), http::verb::get,
+                                 std::string(kTablePath), "", kPeerCallTimeout);
+  fetching_table_ = false;
+  if (reply && reply.value().ok()) {
+    if (auto table = protocol::DecodeTable(reply.value().body)) {
+      SetTable(std::move(*table));
+    }
+  }
+}
+
+awaitable<void> EntryHost::FetchRecordedTable() {
+  const auto page =
+      co_await store_.ReadNewest(std::string(platform::kOwnershipTopic));
+  fetching_table_ = false;
+  if (!page) {
+    co_return;
+  }
+  for (const platform::KeyedRecord& record : page->records) {
+    auto table = record.value ? protocol::DecodeTable(*record.value)
+                              : std::nullopt;
+    if (!table) {
+      continue;
+    }
+    for (auto& [service, ranges] : table->services) {
+      for (state::OwnedRange& range : ranges) {
+        range.serving = !range.holder.id.empty() && range.former.empty();
+      }
+    }
+    SetTable(std::move(*table));
+  }
+}
+
+void EntryHost::SetTable(state::OwnershipTable table) {
+  if (!table.NewerThan(view_.table)) {
+    return;
+  }
+  view_.table = std::move(table);
+  relay_.HandleTableChange(Now());
+}
+
+void EntryHost::SendMessage(const udp::endpoint& to,
+                            const protocol::HostMessage& message) {
+  beast::error_code ignored;
+  peer_socket_.send_to(asio::buffer(protocol::EncodeMessage(message)), to, 0,
+                       ignored);
+}
+
+void EntryHost::Broadcast(const protocol::HostMessage& message) {
+  const std::string text = protocol::EncodeMessage(message);
+  for (const auto& [name, peer] : peers_) {
+    beast::error_code ignored;
+    peer_socket_.send_to(asio::buffer(text), peer.endpoint, 0, ignored);
+  }
+}
+
+void EntryHost::NotePeer(const std::string& host,
+                         const udp::endpoint& endpoint) {
+  if (host == profile_.name) {
+    return;
+  }
+  Peer& peer = peers_[host];
+  peer.endpoint = endpoint;
+  peer.heard = Now();
+}
+
+std::size_t EntryHost::HostCount() const {
+  const Instant now = Now();
+  return 1 + static_cast<std::size_t>(std::count_if(
+                 peers_.begin(), peers_.end(), [now](const auto& entry) {
+                   return entry.second.heard &&
+                          now - *entry.second.heard < kPeerMemory;
+                 }));
+}
+
+bool EntryHost::Ready() const {
+  return !stopping_since_ && view_.config && watch_.servers_known();
+}
+
+awaitable<HttpReply> EntryHost::AnswerReadiness(HttpRequest request) {
+  HttpReply reply;
+  reply.status = request.path != platform::kReadyPath ? 404
+                 : Ready()                            ? 200
+                                                      : 503;
+  co_return reply;
+}
+
+awaitable<HttpReply> EntryHost::AnswerPeer(HttpRequest request) {
+  HttpReply reply;
+  if (request.path != kTablePath) {
+    reply.status = 404;
+    co_return reply;
+  }
+  reply.status = 200;
+  reply.body = protocol::EncodeTable(view_.table);
+  co_return reply;
+}
+
+void EntryHost::AwaitStopSignal() {
+  signals_.async_wait([this](const beast::error_code& error, int signal) {
+    if (error) {
+      return;
+    }
+    if (signal == SIGTERM) {
+      BeginStop();
+    }
+    AwaitStopSignal();
+  });
+}
+
+void EntryHost::BeginStop() {
+  if (stopping_since_) {
+    return;
+  }
+  stopping_since_ = Now();
+  log_.Write(LogPart::kHost, "stopping",
+             {{"requests", static_cast<std::int64_t>(relay_.active())}});
+  leader_.Yield();
+  callers_.Drain();
+}
+
+void EntryHost::TickStop(Instant now) {
+  const Duration since = now - *stopping_since_;
+  if (since < kStopAcceptAfter) {
+    return;
+  }
+  callers_.CloseIdle();
+  const bool out_of_time = since > profile_.bounds.stop_grace - kStopMargin;
+  if (out_of_time ||
+      (relay_.active() == 0 && callers_.connections() == 0)) {
+    log_.Write(LogPart::kHost, "stopped",
+               {{"requests", static_cast<std::int64_t>(relay_.active())}});
+    log_.Flush(now);
+    context_.stop();
+  }
+}
+
+}  // namespace mustardflow::transport
--- /dev/null
+++ b/src/transport/entry_host.h
@@ -0,0 +1,108 @@
+// An entry host on the platform: wires the duties of one process together.
+//
+// One thread serves all duties. A host has a fraction of one core, so threads
+// would only take turns, and each hand-over would cost a wake-up.
+
+#ifndef MUSTARDFLOW_TRANSPORT_ENTRY_HOST_H_
+#define MUSTARDFLOW_TRANSPORT_ENTRY_HOST_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+
+#include "coordination/server_pool.h"
+#include "protocol/host_messages.h"
+#include "state/host_profile.h"
+#include "transport/asio.h"
+#include "transport/caller_listener.h"
+#include "transport/event_log.h"
+#include "transport/http_listener.h"
+#include "transport/leader_duty.h"
+#include "transport/request_relay.h"
+#include "transport/store_client.h"
+#include "transport/store_watch.h"
+
+namespace mustardflow::transport {
+
+class EntryHost {
+ public:
+  EntryHost(asio::io_context& context,
+            state::HostProfile profile,
+            EventLog& log);
+
+  void Start();
+
+ private:
+  using udp = asio::ip::udp;
+
+  // A host that has been heard, or that is registered in the store.
+  struct Peer {
+    udp::endpoint endpoint;
+    std::optional<state::Instant> heard;
+  };
+
+  void HandleTick();
+  void ScheduleTick();
+  void SendReport(state::Instant now);
+
+  awaitable<void> Register();
+  void ReceiveMessage();
+  void HandleMessage(const udp::endpoint& from, std::string_view text);
+  void HandleBeat(const udp::endpoint& from, const protocol::LeaderBeat& beat);
+  void SendMessage(const udp::endpoint& to,
+                   const protocol::HostMessage& message);
+  void Broadcast(const protocol::HostMessage& message);
+  void NotePeer(const std::string& host, const udp::endpoint& endpoint);
+  std::size_t HostCount() const;
+
+  // Reads the ownership table from the leader, or from the store.
+  awaitable<void> FetchTable(state::Address leader);
+  awaitable<void> FetchRecordedTable();
+  void SetTable(state::OwnershipTable table);
+
+  awaitable<HttpReply> AnswerReadiness(HttpRequest request);
+  awaitable<HttpReply> AnswerPeer(HttpRequest request);
+  bool Ready() const;
+
+  void AwaitStopSignal();
+  void BeginStop();
+  void TickStop(state::Instant now);
+
+  asio::io_context& context_;
+  const state::HostProfile profile_;
+  EventLog& log_;
+  std::mt19937_64 random_;
+  const std::string claim_;
+  RelayView view_;
+  coordination::ServerPool pool_;
+  StoreClient store_;
+  StoreWatch watch_;
+  LeaderDuty leader_;
+  RequestRelay relay_;
+  CallerListener callers_;
+  HttpListener readiness_;
+  HttpListener peer_pages_;
+  HttpClient peer_client_;
+  udp::socket peer_socket_;
+  udp::endpoint sender_;
+  std::array<char, 64 << 10> datagram_{};
+  std::map<std::string, Peer> peers_;
+  bool fetching_table_ = false;
+  asio::steady_timer tick_;
+  asio::signal_set signals_;
+  state::Instant next_slow_tick_{};
+  state::Instant next_report_{};
+  state::Instant next_table_read_{};
+  // The table that was read from the store, while no leader is heard.
+  bool registered_ = false;
+  std::optional<udp::endpoint> leader_endpoint_;
+  std::optional<state::Instant> stopping_since_;
+};
+
+}  // namespace mustardflow::transport
+
+#endif  // MUSTARDFLOW_TRANSPORT_ENTRY_HOST_H_
--- /dev/null
+++ b/src/transport/event_log.cc
@@ -0,0 +1,112 @@
+// Formatting and budgets of events.
+
+#include "transport/event_log.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <array>
+#include <boost/json.hpp>
+#include <charconv>
+#include <cmath>
+#include <utility>
+
+#include "transport/clocks.h"
+
+namespace mustardflow::transport {
+
+namespace {
+
+constexpr std::array<std::string_view, 7> kPartNames = {
+    "host", "store", "leader", "keys", "servers", "request", "caller"};
+
+// Lines of one event in a second. A host serves some hundred requests a second;
+// what fails beyond this looks alike.
+constexpr int kLinesPerSecond = 20;
+// Unsent bytes that are kept while nobody reads.
+constexpr std::size_t kMostPending = 256 << 10;
+constexpr state::Duration kSecond = std::chrono::seconds(1);
+
+struct ValueWriter {
+  std::string* out;
+
+  void operator()(std::string_view text) const {
+    *out += boost::json::serialize(boost::json::string_view(text));
+  }
+  void operator()(std::int64_t number) const { *out += std::to_string(number); }
+  void operator()(double number) const {
+    std::array<char, 32> buffer{};
+    const double finite = std::isfinite(number) ? number : 0;
+    const auto end = std::to_chars(buffer.data(), buffer.data() + buffer.size(),
+                                   finite, std::chars_format::fixed, 3);
+    out->append(buffer.data(), end.ptr);
+  }
+  void operator()(bool flag) const { *out += flag ? "true" : "false"; }
+};
+
+}  // namespace
+
+EventLog::EventLog(int descriptor, std::string host)
+    : descriptor_(descriptor), host_(std::move(host)) {
+  const int flags = ::fcntl(descriptor_, F_GETFL);
+  if (flags >= 0) {
+    ::fcntl(descriptor_, F_SETFL, flags | O_NONBLOCK);
+  }
+}
+
+void EventLog::Write(LogPart part,
+                     std::string_view event,
+                     std::initializer_list<LogField> fields) {
+  auto count = written_.find(event);
+  if (count == written_.end()) {
+    count = written_.emplace(std::string(event), 0).first;
+  }
+  if (++count->second > kLinesPerSecond || pending_.size() > kMostPending) {
+    ++suppressed_total_;
+    ++suppressed_[std::string(event)];
+    return;
+  }
+  AppendLine(part, event, fields);
+}
+
+void EventLog::AppendLine(LogPart part,
+                          std::string_view event,
+                          std::initializer_list<LogField> fields) {
+  pending_ += "{\"time_ms\":";
+  pending_ += std::to_string(WallNow());
+  pending_ += ",\"host\":\"";
+  pending_ += host_;
+  pending_ += "\",\"part\":\"";
+  pending_ += kPartNames[static_cast<std::size_t>(part)];
+  pending_ += "\",\"event\":\"";
+  pending_ += event;
+  pending_ += '"';
+  for (const LogField& field : fields) {
+    pending_ += ",\"";
+    pending_ += field.name;
+    pending_ += "\":";
+    std::visit(ValueWriter{&pending_}, field.value);
+  }
+  pending_ += "}\n";
+}
+
+void EventLog::Flush(state::Instant now) {
+  if (now - second_began_ >= kSecond) {
+    second_began_ = now;
+    written_.clear();
+    for (const auto& [event, count] : suppressed_) {
+      AppendLine(LogPart::kHost, "lines-suppressed",
+                 {{"of", std::string_view(event)}, {"lines", count}});
+    }
+    suppressed_.clear();
+  }
+  if (pending_.empty()) {
+    return;
+  }
+  const ssize_t sent = ::write(descriptor_, pending_.data(), pending_.size());
+  if (sent > 0) {
+    pending_.erase(0, static_cast<std::size_t>(sent));
+  }
+}
+
+}  // namespace mustardflow::transport
--- /dev/null
+++ b/src/transport/header_fields.cc
@@ -0,0 +1,96 @@
+// Which header fields belong to a connection.
+
+#include "transport/header_fields.h"
+
+#include <algorithm>
+#include <cctype>
+
+#include "platform/server_protocol.h"
+
+namespace mustardflow::transport {
+
+namespace {
+
+bool ConcernsConnection(const http::fields::value_type& field) {
+  switch (field.name()) {
+    case http::field::connection:
+    case http::field::keep_alive:
+    case http::field::proxy_connection:
+    case http::field::te:
+    case http::field::trailer:
+    case http::field::transfer_encoding:
+    case http::field::upgrade:
+    case http::field::content_length:
+    case http::field::expect:
+      return true;
+    default:
+      return false;
+  }
+}
+
+bool SetBySystem(const http::fields::value_type& field) {
+  return beast::iequals(field.name_string(),
+                        beast::string_view(platform::kDeadlineField.data(),
+                                           platform::kDeadlineField.size())) ||
+         beast::iequals(field.name_string(),
+                        beast::string_view(platform::kServerIdField.data(),
+                                           platform::kServerIdField.size()));
+}
+
+// Whether the Connection field names this one.
+bool NamedByConnection(const http::fields& fields,
+                       const http::fields::value_type& field) {
+  const auto connection = fields.find(http::field::connection);
+  return connection != fields.end() &&
+         http::token_list(connection->value()).exists(field.name_string());
+}
+
+bool PassedOn(const http::fields& fields,
+              const http::fields::value_type& field) {
+  return !ConcernsConnection(field) && !NamedByConnection(fields, field);
+}
+
+}  // namespace
+
+std::string HostnameOf(std::string_view host_field) {
+  std::string hostname(host_field.substr(0, host_field.rfind(':')));
+  if (hostname.starts_with('[')) {
+    hostname = std::string(host_field.substr(0, host_field.find(']') + 1));
+  }
+  std::transform(hostname.begin(), hostname.end(), hostname.begin(),
+                 [](unsigned char letter) {
+                   return static_cast<char>(std::tolower(letter));
+                 });
+  return hostname;
+}
+
+void AppendField(std::string_view name,
+                 std::string_view value,
+                 std::string* bytes) {
+  bytes->append(name);
+  bytes->append(": ");
+  bytes->append(value);
+  bytes->append("\r\n");
+}
+
+void AppendEndToEndFields(const http::fields& fields, std::string* bytes) {
+  for (const auto& field : fields) {
+    if (PassedOn(fields, field) && !SetBySystem(field)) {
+      AppendField({field.name_string().data(), field.name_string().size()},
+                  {field.value().data(), field.value().size()}, bytes);
+    }
+  }
+}
+
+void CopyEndToEndFields(
+    const http::fields& fields,
+    std::vector<std::pair<std::string, std::string>>* copied) {
+  for (const auto& field : fields) {
+    if (PassedOn(fields, field)) {
+      copied->emplace_back(std::string(field.name_string()),
+                           std::string(field.value()));
+    }
+  }
+}
+
+}  // namespace mustardflow::transport
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -12,6 +12,14 @@
 
 constexpr std::size_t kMaxIdlePerAddress = 4;
 
+// Drops the connection with all bytes that have not arrived yet, so that a
+// request that was given up is not carried out later.
+void Reset(beast::tcp_stream& stream) {
+  beast::error_code ignored;
+  stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+  stream.socket().close(ignored);
+}
+
 }  // namespace
 
 HttpClient::HttpClient(asio::any_io_executor executor,
@@ -23,10 +31,16 @@
     http::verb method,
     std::string target,
     std::string body,
-    state::Duration timeout) {
+    state::Duration timeout,
+    HttpSendOptions options) {
+  bool ignored_sent = false;
+  bool& sent = options.sent != nullptr ? *options.sent : ignored_sent;
   Request request(method, target, 11);
   request.set(http::field::host, address.ip);
   request.set(http::field::content_type, "application/json");
+  for (const auto& [name, value] : options.fields) {
+    request.set(name, value);
+  }
   request.body() = std::move(body);
   request.prepare_payload();
   const auto end = std::chrono::steady_clock::now() + timeout;
@@ -36,6 +50,7 @@
     idle.pop_back();
     stream->expires_at(end);
     bool keep = false;
+    sent = true;
     auto reply = co_await SendOver(*stream, request, &keep);
     if (reply) {
       if (keep && idle_[address].size() < kMaxIdlePerAddress) {
@@ -43,6 +58,7 @@
       }
       co_return reply;
     }
+    Reset(*stream);
     if (reply.error() == beast::error::timeout) {
       co_return reply;
     }
@@ -56,9 +72,12 @@
   }
   stream->socket().set_option(tcp::no_delay(true));
   bool keep = false;
+  sent = true;
   auto reply = co_await SendOver(*stream, request, &keep);
   if (reply && keep && idle_[address].size() < kMaxIdlePerAddress) {
     idle_[address].push_back(std::move(stream));
+  } else if (!reply) {
+    Reset(*stream);
   }
   co_return reply;
 }
@@ -82,6 +101,10 @@
   HttpReply reply;
   reply.status = static_cast<int>(parser.get().result_int());
   reply.body = std::move(parser.get().body());
+  for (const auto& field : parser.get().base()) {
+    reply.fields.emplace_back(std::string(field.name_string()),
+                              std::string(field.value()));
+  }
   co_return reply;
 }
 
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -20,12 +20,23 @@
   int status = 0;
   std::string body;
   std::string content_type = "application/json";
-  // Further header fields, when a handler answers.
+  // Further header fields.
   std::vector<std::pair<std::string, std::string>> fields = {};
 
   bool ok() const { return status >= 200 && status < 300; }
 };
 
+// What a request may need beside method, target and body.
+struct HttpSendOptions {
+  // Not an aggregate: g++ 12 destroys aggregates twice that are made in the
+  // arguments of an awaited call.
+  HttpSendOptions() {}
+
+  std::vector<std::pair<std::string, std::string>> fields;
+  // Set once bytes of the request may have left this host, if not null.
+  bool* sent = nullptr;
+};
+
 // Sends requests whose bodies fit in memory and which may be sent twice. Keeps
 // idle connections. To be used from one thread.
 class HttpClient {
@@ -37,7 +48,9 @@
                                                        http::verb method,
                                                        std::string target,
                                                        std::string body,
-                                                       state::Duration timeout);
+                                                       state::Duration timeout,
+                                                       HttpSendOptions options =
+                                                           HttpSendOptions());
 
  private:
   using Stream = std::unique_ptr<beast::tcp_stream>;
--- /dev/null
+++ b/src/transport/leader_duty.cc
@@ -0,0 +1,598 @@
+// Store writes, orders and beats of the leading host.
+
+#include "transport/leader_duty.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "platform/server_protocol.h"
+#include "transport/clocks.h"
+
+namespace mustardflow::transport {
+
+using coordination::KeyOrder;
+using coordination::OrderKind;
+using coordination::OrderOutcome;
+using coordination::WriteOutcome;
+using platform::AppendOutcome;
+using state::Duration;
+using state::Instant;
+
+namespace {
+
+constexpr std::string_view kProducer = "leader";
+constexpr std::string_view kHeadKey = "lead";
+constexpr std::string_view kTableKey = "table";
+// Sequence numbers of a term begin at one drawn from the claim, below this: two
+// hosts that claim the same term must not look like repeats.
+constexpr std::int64_t kSequenceSpan = 1 << 30;
+constexpr Duration kBeatInterval = std::chrono::milliseconds(200);
+// A change of the record that no grant waits for is written together with
+// others within this time.
+constexpr Duration kTableWriteInterval = std::chrono::milliseconds(300);
+constexpr Duration kServersInterval = std::chrono::milliseconds(1000);
+constexpr Duration kTrialInterval = std::chrono::milliseconds(800);
+// A release is answered when the work on its keys has ended.
+constexpr Duration kReleaseTimeout = std::chrono::milliseconds(2600);
+constexpr std::size_t kMostReplyBytes = 64 << 10;
+// The capacity of a cold server, against a warm one.
+constexpr double kColdCapacity = 0.5;
+// The weight of a host's report on a server's speed, and the bounds of what is
+// believed.
+constexpr double kSlownessStep = 0.3;
+constexpr double kLeastSlowness = 0.4;
+constexpr double kMostSlowness = 4.0;
+
+std::vector<platform::KeyedRecord> OneRecord(std::string_view key,
+                                             std::string value) {
+  return std::vector<platform::KeyedRecord>(
+      1, platform::KeyedRecord{std::string(key), std::move(value), 0});
+}
+
+WriteOutcome ToWriteOutcome(AppendOutcome outcome) {
+  switch (outcome) {
+    case AppendOutcome::kDone:
+      return WriteOutcome::kDone;
+    case AppendOutcome::kFenced:
+      return WriteOutcome::kFenced;
+    case AppendOutcome::kConflict:
+      return WriteOutcome::kConflict;
+    case AppendOutcome::kRefused:
+      return WriteOutcome::kRefused;
+    case AppendOutcome::kUnknown:
+      break;
+  }
+  return WriteOutcome::kUnknown;
+}
+
+}  // namespace
+
+LeaderDuty::LeaderDuty(asio::any_io_executor executor,
+                       const state::HostProfile& profile,
+                       std::string claim,
+                       double stagger,
+                       StoreClient& store,
+                       const coordination::ServerPool& pool,
+                       EventLog& log,
+                       Hooks hooks)
+    : executor_(executor),
+      profile_(profile),
+      claim_(claim),
+      store_(store),
+      pool_(pool),
+      log_(log),
+      hooks_(std::move(hooks)),
+      orders_(executor, kMostReplyBytes),
+      election_(Now(), std::move(claim), stagger) {}
+
+void LeaderDuty::SetConfig(std::shared_ptr<const state::RoutingConfig> config) {
+  config_ = std::move(config);
+}
+
+void LeaderDuty::HandleBeat(Instant now, const protocol::LeaderBeat& beat) {
+  election_.HandleBeat(now, beat.term, beat.yielding);
+}
+
+void LeaderDuty::HandleQuestion(Instant now,
+                                const protocol::LeaderQuestion& question) {
+  // The former leader has started anew, so its earlier life grants no more.
+  if (leading() && question.host == ledger_host_ &&
+      question.claim != ledger_claim_ && question.host != profile_.name &&
+      now < predecessor_end_) {
+    predecessor_end_ = now;
+    log_.Write(LogPart::kLeader, "predecessor-ended",
+               {{"predecessor", std::string_view(ledger_host_)}});
+    for (auto& [service, keyspace] : keyspaces_) {
+      keyspace.coordinator->HandlePredecessorEnd(now);
+    }
+  }
+}
+
+void LeaderDuty::HandleOpinion(Instant now,
+                               const protocol::LeaderOpinion& opinion) {
+  election_.HandleHostView(now, opinion.term, opinion.heard);
+}
+
+void LeaderDuty::HandleReport(Instant /*now*/,
+                              const protocol::HostReport& report) {
+  for (const auto& [service, load] : report.load) {
+    const auto found = keyspaces_.find(service);
+    if (found == keyspaces_.end() || load.samples.empty()) {
+      continue;
+    }
+    const double weight = static_cast<double>(load.requests) /
+                          static_cast<double>(load.samples.size());
+    for (const auto sample : load.samples) {
+      found->second.coordinator->load().Add(
+          static_cast<state::ShardKey>(sample), weight);
+    }
+  }
+  for (const auto& [server, slowness] : report.slowness) {
+    double& average =
+        slowness_[server].try_emplace(report.host, slowness).first->second;
+    average += kSlownessStep * (slowness - average);
+  }
+}
+
+protocol::LeaderOpinion LeaderDuty::Opinion(Instant now) const {
+  protocol::LeaderOpinion opinion;
+  opinion.host = profile_.name;
+  opinion.term = election_.term();
+  if (leading() && !election_.yielding(now)) {
+    opinion.heard = Duration(0);
+  } else if (const auto heard = election_.heard_directly();
+             heard && !election_.leader_yields()) {
+    opinion.heard = now - *heard;
+  }
+  return opinion;
+}
+
+double LeaderDuty::moved_share() const {
+  double sum = 0;
+  for (const auto& [service, keyspace] : keyspaces_) {
+    sum += keyspace.coordinator->moved_share();
+  }
+  return sum;
+}
+
+void LeaderDuty::Tick(Instant now) {
+  for (const coordination::ElectionAction& action : election_.Tick(now)) {
+    Perform(now, action);
+  }
+  if (leading() && config_) {
+    TickKeyspaces(now);
+  }
+  if (leading() && now >= next_beat_) {
+    SendBeat(now);
+  }
+}
+
+void LeaderDuty::Perform(Instant now,
+                         const coordination::ElectionAction& action) {
+  struct Visitor {
+    LeaderDuty* duty;
+    Instant now;
+
+    void operator()(const coordination::AskHosts&) const {
+      duty->hooks_.broadcast(
+          protocol::LeaderQuestion{duty->profile_.name, duty->claim_});
+    }
+    void operator()(const coordination::ReadLedger&) const {
+      asio::co_spawn(duty->executor_, duty->ReadLedger(), asio::detached);
+    }
+    void operator()(const coordination::ClaimTerm& claim) const {
+      asio::co_spawn(duty->executor_, duty->WriteClaim(claim), asio::detached);
+    }
+    void operator()(const coordination::RenewTerm& renew) const {
+      asio::co_spawn(duty->executor_,
+                     duty->WriteRenewal(duty->election_.term(), renew.beat),
+                     asio::detached);
+    }
+    void operator()(const coordination::BeginLeading&) const {
+      duty->BeginLeading(now);
+    }
+    void operator()(const coordination::StopLeading& stop) const {
+      duty->EndLeading(stop.reason);
+    }
+  };
+  std::visit(Visitor{this, now}, action);
+}
+
+awaitable<void> LeaderDuty::ReadLedger() {
+  const auto page =
+      co_await store_.ReadNewest(std::string(platform::kOwnershipTopic));
+  if (!page) {
+    election_.HandleLedger(Now(), std::nullopt);
+    co_return;
+  }
+  coordination::LedgerHead head;
+  state::OwnershipTable table;
+  std::string host;
+  for (const platform::KeyedRecord& record : page->records) {
+    if (record.key == kHeadKey && record.value) {
+      head = protocol::DecodeLedgerHead(*record.value, &host)
+                 .value_or(coordination::LedgerHead());
+    } else if (record.key == kTableKey && record.value) {
+      table = protocol::DecodeTable(*record.value)
+                  .value_or(state::OwnershipTable());
+    }
+  }
+  head.end = page->next;
+  if (head.claim != claim_) {
+    ledger_host_ = host;
+    ledger_claim_ = head.claim;
+  }
+  ledger_table_ = std::move(table);
+  if (!leading() && ledger_table_.NewerThan(table_)) {
+    state::OwnershipTable routed = ledger_table_;
+    for (auto& [service, ranges] : routed.services) {
+      for (state::OwnedRange& range : ranges) {
+        range.serving = !range.holder.id.empty() && range.former.empty();
+      }
+    }
+    hooks_.table_changed(std::move(routed));
+  }
+  election_.HandleLedger(Now(), head);
+}
+
+std::int64_t LeaderDuty::FirstSequence() const {
+  return static_cast<std::int64_t>(std::hash<std::string>()(claim_) %
+                                   kSequenceSpan);
+}
+
+awaitable<void> LeaderDuty::WriteClaim(coordination::ClaimTerm claim) {
+  const Instant sent = Now();
+  coordination::LedgerHead head;
+  head.term = claim.term;
+  head.claim = claim_;
+  const platform::WriterMark mark{kProducer, claim.term, FirstSequence()};
+  const AppendOutcome outcome = co_await store_.Append(
+      std::string(platform::kOwnershipTopic),
+      OneRecord(kHeadKey, protocol::EncodeLedgerHead(head, profile_.name)),
+      mark, claim.at);
+  log_.Write(LogPart::kLeader, "claimed",
+             {{"term", claim.term},
+              {"at", claim.at},
+              {"outcome", static_cast<std::int64_t>(outcome)}});
+  election_.HandleWrite(Now(), sent, ToWriteOutcome(outcome));
+}
+
+awaitable<AppendOutcome> LeaderDuty::Append(
+    std::vector<platform::KeyedRecord> records) {
+  const std::shared_ptr<TermWriter> writer = writer_;
+  writer->pending = true;
+  AppendOutcome outcome = AppendOutcome::kDone;
+  if (writer->unresolved) {
+    outcome = co_await AppendNext(writer, *writer->unresolved);
+  }
+  if (outcome == AppendOutcome::kDone) {
+    writer->unresolved = records;
+    outcome = co_await AppendNext(writer, std::move(records));
+    if (outcome == AppendOutcome::kRefused) {
+      writer->unresolved.reset();
+    }
+  }
+  writer->pending = false;
+  const bool lost = outcome == AppendOutcome::kFenced ||
+                    outcome == AppendOutcome::kConflict;
+  if (lost && writer == writer_) {
+    election_.HandleFenced();
+  }
+  co_return outcome;
+}
+
+awaitable<AppendOutcome> LeaderDuty::AppendNext(
+    std::shared_ptr<TermWriter> writer,
+    std::vector<platform::KeyedRecord> records) {
+  const platform::WriterMark mark{kProducer, writer->term,
+                                  writer->next_sequence};
+  const AppendOutcome outcome =
+      co_await store_.Append(std::string(platform::kOwnershipTopic),
+                             std::move(records), mark, std::nullopt);
+  if (outcome == AppendOutcome::kDone) {
+    ++writer->next_sequence;
+    writer->unresolved.reset();
+  }
+  co_return outcome;
+}
+
+awaitable<void> LeaderDuty::WriteRenewal(std::int64_t term, std::int64_t beat) {
+  if (!leading() || writer_->pending) {
+    // The write under way proves as much, but its answer is not known yet.
+    election_.HandleWrite(Now(), Now(), WriteOutcome::kRefused);
+    co_return;
+  }
+  const Instant sent = Now();
+  coordination::LedgerHead head;
+  head.term = term;
+  head.claim = claim_;
+  head.beat = beat;
+  const AppendOutcome outcome = co_await Append(
+      OneRecord(kHeadKey, protocol::EncodeLedgerHead(head, profile_.name)));
+  if (term == election_.term()) {
+    election_.HandleWrite(Now(), sent, ToWriteOutcome(outcome));
+  }
+}
+
+awaitable<void> LeaderDuty::WriteTable(std::int64_t term) {
+  const Instant sent = Now();
+  std::map<std::string, std::uint64_t> changes;
+  for (const auto& [service, keyspace] : keyspaces_) {
+    changes[service] = keyspace.coordinator->recorded_change();
+  }
+  const AppendOutcome outcome = co_await Append(
+      OneRecord(kTableKey, protocol::EncodeTable(RecordedTable())));
+  if (outcome != AppendOutcome::kDone) {
+    next_table_write_ = Now() + kTableWriteInterval;
+    co_return;
+  }
+  if (!leading() || term != election_.term()) {
+    co_return;
+  }
+  election_.HandleProof(sent);
+  for (const auto& [service, change] : changes) {
+    const auto found = keyspaces_.find(service);
+    if (found != keyspaces_.end()) {
+      found->second.recorded = change;
+      found->second.coordinator->HandleRecorded(change);
+    }
+  }
+  TickKeyspaces(Now());
+}
+
+state::OwnershipTable LeaderDuty::RecordedTable() const {
+  state::OwnershipTable recorded;
+  recorded.term = election_.term();
+  recorded.revision = table_.revision;
+  // Services that are not keyed at present keep their record.
+  recorded.services = ledger_table_.services;
+  for (const auto& [service, keyspace] : keyspaces_) {
+    recorded.services[service] = keyspace.coordinator->Recorded();
+  }
+  return recorded;
+}
+
+void LeaderDuty::BeginLeading(Instant now) {
+  writer_ = std::make_shared<TermWriter>();
+  writer_->term = election_.term();
+  writer_->next_sequence = FirstSequence() + 1;
+  keyspaces_.clear();
+  // The predecessor may be paused and may not know yet that its term is over.
+  predecessor_end_ =
+      ledger_host_.empty() ? now : now + coordination::kLeadLease;
+  pool_change_ = 0;
+  next_servers_ = now;
+  next_table_write_ = now;
+  next_beat_ = now;
+  table_ = state::OwnershipTable();
+  table_.term = election_.term();
+  log_.Write(LogPart::kLeader, "leading",
+             {{"term", election_.term()},
+              {"predecessor", std::string_view(ledger_host_)},
+              {"ledger_revision", ledger_table_.revision}});
+  if (config_) {
+    TickKeyspaces(now);
+  }
+  SendBeat(now);
+}
+
+void LeaderDuty::EndLeading(std::string_view reason) {
+  log_.Write(LogPart::kLeader, "stopped-leading",
+             {{"term", table_.term}, {"reason", reason}});
+  keyspaces_.clear();
+}
+
+void LeaderDuty::AddKeyspaces(Instant now) {
+  for (const auto& [service, rules] : config_->services()) {
+    if (!rules.keyed || keyspaces_.contains(service)) {
+      continue;
+    }
+    const auto recorded = ledger_table_.services.find(service);
+    keyspaces_[service].coordinator =
+        std::make_unique<coordination::KeyspaceCoordinator>(
+            now, election_.term(),
+            recorded == ledger_table_.services.end() ? state::ServiceRanges()
+                                                     : recorded->second,
+            predecessor_end_);
+    pool_change_ = 0;
+  }
+}
+
+void LeaderDuty::GiveServers(Instant now) {
+  if (pool_change_ == pool_.change() && now < next_servers_) {
+    return;
+  }
+  pool_change_ = pool_.change();
+  next_servers_ = now + kServersInterval;
+  std::map<std::string, std::vector<coordination::KeyServer>> servers;
+  for (const auto& [id, server] : pool_.servers()) {
+    if (!keyspaces_.contains(server.record.service)) {
+      continue;
+    }
+    records_[id] = server.record;
+    if (server.gone) {
+      continue;
+    }
+    double slowness = 1;
+    if (const auto seen = slowness_.find(id); seen != slowness_.end()) {
+      double sum = 0;
+      for (const auto& [host, value] : seen->second) {
+        sum += value;
+      }
+      slowness = std::clamp(sum / static_cast<double>(seen->second.size()),
+                            kLeastSlowness, kMostSlowness);
+    }
+    coordination::KeyServer entry;
+    entry.life = server.record.life;
+    entry.capacity = server.record.slots / slowness *
+                     (pool_.Cold(now, server) ? kColdCapacity : 1);
+    entry.wanted = !pool_.Leaving(server);
+    servers[server.record.service].push_back(std::move(entry));
+  }
+  for (auto& [service, keyspace] : keyspaces_) {
+    keyspace.coordinator->SetServers(now, std::move(servers[service]));
+  }
+}
+
+void LeaderDuty::TickKeyspaces(Instant now) {
+  AddKeyspaces(now);
+  GiveServers(now);
+  bool urgent = false;
+  bool stale = false;
+  for (auto& [service, keyspace] : keyspaces_) {
+    for (KeyOrder& order : keyspace.coordinator->Tick(now)) {
+      asio::co_spawn(executor_,
+                     SendOrder(election_.term(), service, std::move(order)),
+                     asio::detached);
+    }
+    urgent = urgent || keyspace.coordinator->record_urgent();
+    stale =
+        stale || keyspace.coordinator->recorded_change() != keyspace.recorded;
+  }
+  Publish(now);
+  if (!writer_->pending && (urgent || stale) && now >= next_table_write_) {
+    next_table_write_ = now + (urgent ? Duration(0) : kTableWriteInterval);
+    writer_->pending = true;
+    asio::co_spawn(executor_, WriteTable(election_.term()), asio::detached);
+  }
+  if (now >= next_trial_) {
+    next_trial_ = now + kTrialInterval;
+    for (auto& [service, keyspace] : keyspaces_) {
+      for (const state::ServerLife& server :
+           keyspace.coordinator->Unanswering()) {
+        asio::co_spawn(executor_,
+                       TryServer(election_.term(), service, server),
+                       asio::detached);
+      }
+    }
+  }
+}
+
+void LeaderDuty::Publish(Instant now) {
+  bool changed = false;
+  for (auto& [service, keyspace] : keyspaces_) {
+    if (keyspace.routed != keyspace.coordinator->routed_change()) {
+      keyspace.routed = keyspace.coordinator->routed_change();
+      table_.services[service] = keyspace.coordinator->Routed();
+      changed = true;
+    }
+  }
+  if (changed) {
+    ++table_.revision;
+    hooks_.table_changed(table_);
+    SendBeat(now);
+  }
+}
+
+void LeaderDuty::SendBeat(Instant now) {
+  next_beat_ = now + kBeatInterval;
+  protocol::LeaderBeat beat;
+  beat.host = profile_.name;
+  beat.term = election_.term();
+  beat.revision = table_.revision;
+  beat.config = config_ ? config_->version() : 0;
+  beat.yielding = election_.yielding(now);
+  beat.hosts = hooks_.host_count();
+  hooks_.broadcast(beat);
+}
+
+const state::ServerRecord* LeaderDuty::FindRecord(
+    const state::ServerLife& life) const {
+  const auto found = records_.find(life.id);
+  return found != records_.end() && found->second.life == life ? &found->second
+                                                               : nullptr;
+}
+
+coordination::KeyspaceCoordinator* LeaderDuty::Find(
+    std::int64_t term,
+    const std::string& service) {
+  const auto found = keyspaces_.find(service);
+  return leading() && term == election_.term() && found != keyspaces_.end()
+             ? found->second.coordinator.get()
+             : nullptr;
+}
+
+awaitable<void> LeaderDuty::SendOrder(std::int64_t term,
+                                      std::string service,
+                                      KeyOrder order) {
+  const state::ServerRecord* record = FindRecord(order.server);
+  OrderOutcome outcome = OrderOutcome::kNotSent;
+  std::string handover;
+  const bool grant = order.kind == OrderKind::kGrant;
+  if (record != nullptr) {
+    bool sent = false;
+    HttpSendOptions options;
+    options.fields.emplace_back(platform::kServerIdField, order.server.id);
+    options.sent = &sent;
+    // Made before the awaited call: g++ 12 destroys temporaries of conditional
+    // arguments twice.
+    const std::string path(grant ? platform::kGrantPath
+                                 : platform::kReleasePath);
+    const std::string body =
+        grant ? platform::GrantBody(order.first, order.last, order.fence,
+                                    coordination::kKeyLease, order.handover)
+              : platform::ReleaseBody(order.first, order.last, order.fence);
+    const Duration timeout =
+        grant ? coordination::kOrderTimeout : kReleaseTimeout;
+    const auto reply =
+        co_await orders_.Send(record->address, http::verb::post, path, body,
+                              timeout, std::move(options));
+    if (!reply) {
+      outcome = sent ? OrderOutcome::kUnknown : OrderOutcome::kNotSent;
+    } else if (reply.value().ok()) {
+      outcome = OrderOutcome::kAccepted;
+      for (const auto& [name, value] : reply.value().fields) {
+        if (beast::iequals(name, std::string(platform::kHandoverField))) {
+          handover = value;
+        }
+      }
+    } else if (reply.value().status == 409) {
+      outcome = OrderOutcome::kRefused;
+    } else {
+      outcome = OrderOutcome::kNotSent;
+    }
+  }
+  if (outcome != OrderOutcome::kAccepted || !grant) {
+    log_.Write(LogPart::kKeys, grant ? "grant-failed" : "release-ended",
+               {{"service", std::string_view(service)},
+                {"server", std::string_view(order.server.id)},
+                {"first", static_cast<std::int64_t>(order.first)},
+                {"last", static_cast<std::int64_t>(order.last)},
+                {"fence", order.fence},
+                {"outcome", static_cast<std::int64_t>(outcome)}});
+  }
+  coordination::KeyspaceCoordinator* coordinator = Find(term, service);
+  if (coordinator == nullptr) {
+    co_return;
+  }
+  const std::uint64_t routed = coordinator->routed_change();
+  coordinator->HandleOrder(Now(), order, outcome, handover);
+  if (routed != coordinator->routed_change() || !grant) {
+    TickKeyspaces(Now());
+  }
+}
+
+// A release of keys that the server does not hold changes nothing; its answer
+// shows that orders reach the server again.
+awaitable<void> LeaderDuty::TryServer(std::int64_t term,
+                                      std::string service,
+                                      state::ServerLife server) {
+  const state::ServerRecord* record = FindRecord(server);
+  if (record == nullptr) {
+    co_return;
+  }
+  HttpSendOptions options;
+  options.fields.emplace_back(platform::kServerIdField, server.id);
+  const auto reply = co_await orders_.Send(
+      record->address, http::verb::post, std::string(platform::kReleasePath),
+      platform::ReleaseBody(0, 0, 0), coordination::kOrderTimeout,
+      std::move(options));
+  coordination::KeyspaceCoordinator* coordinator = Find(term, service);
+  if (reply && reply.value().ok() && coordinator != nullptr) {
+    coordinator->HandleAnswering(server);
+  }
+}
+
+}  // namespace mustardflow::transport
--- /dev/null
+++ b/src/transport/server_link.cc
@@ -0,0 +1,230 @@
+// Connecting, sending and reading of answers.
+
+#include "transport/server_link.h"
+
+#include <charconv>
+#include <limits>
+#include <utility>
+
+#include "platform/server_protocol.h"
+#include "transport/clocks.h"
+
+namespace mustardflow::transport {
+
+namespace {
+
+// Answers are held in memory until they are whole.
+constexpr std::size_t kMostAnswerBytes = 32 << 20;
+constexpr std::size_t kMostHeaderBytes = 64 << 10;
+
+}  // namespace
+
+ServerLink::ServerLink(asio::io_context& context, const state::Address& address)
+    : socket_(context), endpoint_(ToEndpoint(address)) {}
+
+void ServerLink::Send(std::string bytes,
+                      std::string request_id,
+                      bool answer_has_no_body,
+                      Handler handler) {
+  out_ = std::move(bytes);
+  request_id_ = std::move(request_id);
+  answer_has_no_body_ = answer_has_no_body;
+  handler_ = std::move(handler);
+  idle_closed_ = nullptr;
+  reusable_ = false;
+  NewParser();
+  if (connected_) {
+    Write();
+    Read();
+  } else if (!connecting_) {
+    Connect();
+  }
+}
+
+void ServerLink::NewParser() {
+  parser_ = std::make_unique<Parser>();
+  parser_->body_limit(kMostAnswerBytes);
+  parser_->header_limit(kMostHeaderBytes);
+  parser_->eager(true);
+  if (answer_has_no_body_) {
+    parser_->skip(true);
+  }
+}
+
+void ServerLink::Connect() {
+  connecting_ = true;
+  socket_.async_connect(
+      endpoint_, [self = shared_from_this()](const beast::error_code& error) {
+        self->connecting_ = false;
+        if (self->closed_) {
+          return;
+        }
+        if (error) {
+          self->End(LinkEnd::kNotConnected, {});
+          return;
+        }
+        self->connected_ = true;
+        beast::error_code ignored;
+        self->socket_.set_option(tcp::no_delay(true), ignored);
+        self->Write();
+        self->Read();
+      });
+}
+
+void ServerLink::Write() {
+  writing_ = true;
+  asio::async_write(
+      socket_, asio::buffer(out_),
+      [self = shared_from_this()](const beast::error_code& error, std::size_t) {
+        self->writing_ = false;
+        // A failed write shows in the read as well, after an early answer.
+        if (error && !self->closed_ && !self->reading_) {
+          self->End(LinkEnd::kBroken, {});
+        }
+      });
+}
+
+void ServerLink::Read() {
+  if (reading_ || closed_) {
+    return;
+  }
+  reading_ = true;
+  socket_.async_read_some(
+      asio::buffer(chunk_), [self = shared_from_this()](
+                                const beast::error_code& error,
+                                std::size_t size) {
+        self->reading_ = false;
+        self->HandleRead(error, size);
+      });
+}
+
+void ServerLink::HandleRead(const beast::error_code& error, std::size_t size) {
+  if (closed_) {
+    return;
+  }
+  if (!handler_) {
+    // Idle: the server has closed, or sends what nobody asked for.
+    auto idle_closed = std::move(idle_closed_);
+    Reset();
+    if (idle_closed) {
+      idle_closed();
+    }
+    return;
+  }
+  if (error) {
+    if (error == asio::error::eof && parser_->got_some()) {
+      beast::error_code eof_error;
+      parser_->put_eof(eof_error);
+      if (!eof_error && parser_->is_done() && TakeMessage()) {
+        return;
+      }
+    }
+    End(LinkEnd::kBroken, {});
+    return;
+  }
+  in_.append(chunk_.data(), size);
+  Parse();
+}
+
+void ServerLink::Parse() {
+  while (!in_.empty()) {
+    beast::error_code error;
+    const std::size_t used = parser_->put(asio::buffer(in_), error);
+    in_.erase(0, used);
+    if (error && error != http::error::need_more) {
+      End(LinkEnd::kBroken, {});
+      return;
+    }
+    if (parser_->is_done()) {
+      if (TakeMessage()) {
+        return;
+      }
+      continue;
+    }
+    if (error == http::error::need_more || used == 0) {
+      break;
+    }
+  }
+  Read();
+}
+
+bool ServerLink::TakeMessage() {
+  http::response<http::string_body>& message = parser_->get();
+  const auto id = message.find(platform::kRequestIdField);
+  const bool interim = message.result_int() < 200;
+  const bool other = id != message.end() && id->value() != request_id_;
+  if (interim || other) {
+    NewParser();
+    return false;
+  }
+  reusable_ = message.keep_alive() && in_.empty() && !writing_;
+  NoteKeepAlive(message.base());
+  ServerAnswer answer;
+  answer.status = static_cast<int>(message.result_int());
+  answer.reason = message.reason();
+  answer.body = std::move(message.body());
+  answer.fields = std::move(message.base());
+  End(LinkEnd::kAnswered, std::move(answer));
+  return true;
+}
+
+// Reads "timeout=N" out of a Keep-Alive field.
+void ServerLink::NoteKeepAlive(const http::fields& fields) {
+  const auto field = fields.find(http::field::keep_alive);
+  if (field == fields.end()) {
+    return;
+  }
+  const std::string_view text(field->value().data(), field->value().size());
+  const std::size_t position = text.find("timeout=");
+  if (position == std::string_view::npos) {
+    return;
+  }
+  const std::string_view number = text.substr(position + 8);
+  int seconds = 0;
+  const auto parsed =
+      std::from_chars(number.data(), number.data() + number.size(), seconds);
+  if (parsed.ec == std::errc() && seconds >= 0) {
+    keep_alive_ = std::chrono::seconds(seconds);
+  }
+}
+
+void ServerLink::End(LinkEnd end, ServerAnswer answer) {
+  const auto self = shared_from_this();
+  Handler handler = std::move(handler_);
+  handler_ = nullptr;
+  parser_.reset();
+  out_.clear();
+  idle_since_ = Now();
+  if (end != LinkEnd::kAnswered || !reusable_) {
+    reusable_ = false;
+    Reset();
+  }
+  if (handler) {
+    handler(end, std::move(answer));
+  }
+}
+
+void ServerLink::Abort() {
+  handler_ = nullptr;
+  Reset();
+}
+
+void ServerLink::Reset() {
+  if (closed_) {
+    return;
+  }
+  closed_ = true;
+  reusable_ = false;
+  beast::error_code ignored;
+  if (connected_) {
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+  }
+  socket_.close(ignored);
+}
+
+void ServerLink::WatchIdle(std::function<void()> closed) {
+  idle_closed_ = std::move(closed);
+  Read();
+}
+
+}  // namespace mustardflow::transport
--- /dev/null
+++ b/src/transport/server_links.cc
@@ -0,0 +1,86 @@
+// Keeping and choosing idle connections.
+
+#include "transport/server_links.h"
+
+#include <algorithm>
+
+namespace mustardflow::transport {
+
+using state::Duration;
+using state::Instant;
+using state::ServerLife;
+
+namespace {
+
+// For servers that do not say how long they keep idle connections.
+constexpr Duration kUsualIdle = std::chrono::milliseconds(4000);
+// A request that may run only once uses connections this fresh: a close of the
+// server's that crosses it would leave its outcome unknown.
+constexpr Duration kFreshIdle = std::chrono::milliseconds(3000);
+// What a server's close may take to arrive.
+constexpr Duration kCloseMargin = std::chrono::milliseconds(700);
+
+Duration LongestIdle(const ServerLink& link) {
+  if (!link.keep_alive()) {
+    return kUsualIdle;
+  }
+  return std::max(Duration(0), *link.keep_alive() - kCloseMargin);
+}
+
+}  // namespace
+
+std::shared_ptr<ServerLink> ServerLinks::Take(
+    Instant now,
+    const state::ServerRecord& server,
+    bool only_fresh) {
+  const auto found = idle_.find(server.life);
+  if (found != idle_.end()) {
+    std::vector<std::shared_ptr<ServerLink>>& links = found->second;
+    while (!links.empty()) {
+      std::shared_ptr<ServerLink> link = links.back();
+      const Duration idle = now - link->idle_since();
+      const Duration longest =
+          only_fresh ? std::min(kFreshIdle, LongestIdle(*link))
+                     : LongestIdle(*link);
+      links.pop_back();
+      if (idle < longest) {
+        return link;
+      }
+      link->Abort();
+    }
+  }
+  ++opened_;
+  return std::make_shared<ServerLink>(context_, server.address);
+}
+
+void ServerLinks::Return(const ServerLife& server,
+                         const std::shared_ptr<ServerLink>& link) {
+  if (!link->reusable()) {
+    return;
+  }
+  idle_[server].push_back(link);
+  link->WatchIdle([this, server, raw = link.get()] { Drop(server, raw); });
+}
+
+void ServerLinks::Drop(const ServerLife& server, const ServerLink* link) {
+  const auto found = idle_.find(server);
+  if (found != idle_.end()) {
+    std::erase_if(found->second,
+                  [link](const auto& entry) { return entry.get() == link; });
+  }
+}
+
+void ServerLinks::Tick(Instant now) {
+  for (auto entry = idle_.begin(); entry != idle_.end();) {
+    std::erase_if(entry->second, [now](const auto& link) {
+      const bool old = now - link->idle_since() >= LongestIdle(*link);
+      if (old) {
+        link->Abort();
+      }
+      return old;
+    });
+    entry = entry->second.empty() ? idle_.erase(entry) : std::next(entry);
+  }
+}
+
+}  // namespace mustardflow::transport
--- /dev/null
+++ b/src/transport/server_links.h
@@ -0,0 +1,47 @@
+// The idle connections to backend servers.
+
+#ifndef MUSTARDFLOW_TRANSPORT_SERVER_LINKS_H_
+#define MUSTARDFLOW_TRANSPORT_SERVER_LINKS_H_
+
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "state/server_record.h"
+#include "state/time.h"
+#include "transport/asio.h"
+#include "transport/server_link.h"
+
+namespace mustardflow::transport {
+
+class ServerLinks {
+ public:
+  explicit ServerLinks(asio::io_context& context) : context_(context) {}
+
+  // An idle connection to this life of the server, or a new one.
+  // `only_fresh` leaves out idle ones that the server may be about to close.
+  std::shared_ptr<ServerLink> Take(state::Instant now,
+                                   const state::ServerRecord& server,
+                                   bool only_fresh);
+
+  // Keeps the connection for a later request, if it can carry one.
+  void Return(const state::ServerLife& server,
+              const std::shared_ptr<ServerLink>& link);
+
+  // Closes connections that have been idle for long.
+  void Tick(state::Instant now);
+
+  // Connections opened since the start.
+  std::uint64_t opened() const { return opened_; }
+
+ private:
+  void Drop(const state::ServerLife& server, const ServerLink* link);
+
+  asio::io_context& context_;
+  std::map<state::ServerLife, std::vector<std::shared_ptr<ServerLink>>> idle_;
+  std::uint64_t opened_ = 0;
+};
+
+}  // namespace mustardflow::transport
+
+#endif  // MUSTARDFLOW_TRANSPORT_SERVER_LINKS_H_
--- /dev/null
+++ b/src/transport/store_client.cc
@@ -0,0 +1,122 @@
+// Calls to the store and their failures.
+
+#include "transport/store_client.h"
+
+#include <utility>
+
+#include "transport/clocks.h"
+
+namespace mustardflow::transport {
+
+using platform::AppendOutcome;
+using state::Duration;
+
+namespace {
+
+// An answer takes some milliseconds; slow times of the store take sixty times
+// as long.
+constexpr Duration kCallTimeout = std::chrono::milliseconds(900);
+constexpr std::size_t kMostReplyBytes = 24 << 20;
+
+}  // namespace
+
+StoreClient::StoreClient(asio::any_io_executor executor,
+                         state::Address address,
+                         EventLog& log)
+    : client_(std::move(executor), kMostReplyBytes),
+      address_(std::move(address)),
+      log_(log) {}
+
+awaitable<std::optional<HttpReply>> StoreClient::Send(platform::StoreCall call,
+                                                      Duration timeout) {
+  ++calls_;
+  const auto method = call.method == "GET" ? http::verb::get : http::verb::post;
+  const std::string target = call.target;
+  auto reply = co_await client_.Send(address_, method, std::move(call.target),
+                                     std::move(call.body), timeout);
+  const bool failed =
+      !reply || reply.value().status == 429 || reply.value().status >= 500;
+  if (failed) {
+    last_failure_ = Now();
+  }
+  if (failed != failing_) {
+    failing_ = failed;
+    log_.Write(
+        LogPart::kStore, failed ? "store-lost" : "store-regained",
+        {{"call", std::string_view(target)},
+         {"status",
+          reply ? static_cast<std::int64_t>(reply.value().status) : 0}});
+  }
+  if (!reply) {
+    co_return std::nullopt;
+  }
+  co_return std::move(reply).value();
+}
+
+awaitable<std::optional<TopicPage>> StoreClient::ReadNewest(std::string topic) {
+  TopicPage page;
+  page.whole = true;
+  std::string after;
+  bool first = true;
+  for (bool more = true; more;) {
+    const auto reply =
+        co_await Send(platform::NewestCall(topic, after), kCallTimeout);
+    if (!reply || reply->status != 200) {
+      co_return std::nullopt;
+    }
+    auto newest = platform::ParseNewestReply(reply->body);
+    if (!newest) {
+      co_return std::nullopt;
+    }
+    if (first) {
+      // Pages are no snapshot: what changes meanwhile is read again from here.
+      page.next = newest->end;
+      first = false;
+    }
+    more = newest->more && !newest->records.empty();
+    for (platform::KeyedRecord& record : newest->records) {
+      after = record.key;
+      page.records.push_back(std::move(record));
+    }
+  }
+  co_return page;
+}
+
+awaitable<std::optional<TopicPage>> StoreClient::ReadOn(std::string topic,
+                                                        std::int64_t from,
+                                                        Duration wait) {
+  const auto reply = co_await Send(platform::ReadCall(topic, from, wait),
+                                   wait + kCallTimeout);
+  if (!reply) {
+    co_return std::nullopt;
+  }
+  if (reply->status == platform::kReadGone) {
+    co_return co_await ReadNewest(std::move(topic));
+  }
+  if (reply->status != 200) {
+    co_return std::nullopt;
+  }
+  auto read = platform::ParseReadReply(reply->body, from);
+  if (!read) {
+    co_return std::nullopt;
+  }
+  TopicPage page;
+  page.next = read->records.empty() ? from : read->records.back().offset + 1;
+  page.records = std::move(read->records);
+  co_return page;
+}
+
+awaitable<AppendOutcome> StoreClient::Append(
+    std::string topic,
+    std::vector<platform::KeyedRecord> records,
+    platform::WriterMark mark,
+    std::optional<std::int64_t> at) {
+  const auto reply = co_await Send(
+      platform::AppendCall(topic, records, mark, at), kCallTimeout);
+  if (!reply) {
+    co_return AppendOutcome::kUnknown;
+  }
+  co_return platform::ParseAppendReply(reply->status, reply->body);
+}
+
+}  // namespace mustardflow::transport
