--- /dev/null
+++ b/tests/keys/key_world.cc
@@ -0,0 +1,300 @@
+// The simulation's events and its oracle.
+
+#include "tests/keys/key_world.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mustardflow::tests {
+
+using coordination::KeyOrder;
+using coordination::KeyspaceCoordinator;
+using coordination::OrderKind;
+using coordination::OrderOutcome;
+using state::Duration;
+using state::Instant;
+
+namespace {
+
+constexpr Duration kStep = std::chrono::milliseconds(10);
+// From the platform's pages: a server's clock may run this much slow.
+constexpr double kSlowestClock = 1.02;
+// The time for which a succeeded leader may go on; kLeadLease.
+constexpr Duration kFormerActs = std::chrono::seconds(10);
+
+}  // namespace
+
+KeyWorld::KeyWorld(std::uint64_t seed)
+    : random_(seed), now_(std::chrono::seconds(100)) {
+  TakeOver(true);
+}
+
+state::ShardKey KeyWorld::KeyAt(int index) {
+  return static_cast<state::ShardKey>(index * state::kShardKeyCount /
+                                      kWatched);
+}
+
+std::string KeyWorld::NameOf(int server) {
+  return "server-" + std::to_string(server);
+}
+
+Duration KeyWorld::Draw(int lowest_ms, int highest_ms) {
+  return std::chrono::milliseconds(
+      std::uniform_int_distribution<int>(lowest_ms, highest_ms)(random_));
+}
+
+bool KeyWorld::Percent(int chance) {
+  return std::uniform_int_distribution<int>(0, 99)(random_) < chance;
+}
+
+void KeyWorld::At(Instant when, std::function<void()> event) {
+  events_.emplace(when, std::move(event));
+}
+
+void KeyWorld::Advance(Duration time) {
+  const Instant end = now_ + time;
+  while (now_ < end && violation_.empty()) {
+    Step();
+  }
+}
+
+void KeyWorld::Step() {
+  now_ += kStep;
+  while (!events_.empty() && events_.begin()->first <= now_) {
+    auto event = std::move(events_.begin()->second);
+    events_.erase(events_.begin());
+    event();
+  }
+  for (std::size_t i = 0; i < leaders_.size(); ++i) {
+    RunLeader(i);
+  }
+  CheckOracle();
+}
+
+void KeyWorld::RunLeader(std::size_t index) {
+  Leader& leader = leaders_[index];
+  if (leader.acts_until && now_ >= *leader.acts_until) {
+    return;
+  }
+  GiveServers(&leader);
+  for (const KeyOrder& order : leader.coordinator->Tick(now_)) {
+    SendOrder(index, order);
+  }
+  if (leader.coordinator->record_urgent() && !leader.writing) {
+    leader.writing = true;
+    const std::uint64_t change = leader.coordinator->recorded_change();
+    state::ServiceRanges ranges = leader.coordinator->Recorded();
+    // The store refuses the writes of a leader that has been succeeded.
+    At(now_ + Draw(2, 20), [this, index, change, ranges = std::move(ranges)] {
+      Leader& writer = leaders_[index];
+      writer.writing = false;
+      if (store_up_ && index + 1 == leaders_.size()) {
+        stored_ = ranges;
+        writer.coordinator->HandleRecorded(change);
+      }
+    });
+  }
+}
+
+
+void KeyWorld::GiveServers(Leader* leader) {
+  std::vector<coordination::KeyServer> servers;
+  for (int i = 0; i < kServers; ++i) {
+    const Server& server = servers_[static_cast<std::size_t>(i)];
+    if (server.listed) {
+      servers.push_back(
+          {{NameOf(i), server.born}, 6.0, !server.draining});
+    }
+  }
+  leader->coordinator->SetServers(now_, std::move(servers));
+}
+
+void KeyWorld::SendOrder(std::size_t index, const KeyOrder& order) {
+  const int target = order.server.id.back() - '0';
+  const Instant sent = now_;
+  const auto answer = [this, index, order](Instant when, OrderOutcome outcome) {
+    At(when, [this, index, order, outcome] {
+      Leader& leader = leaders_[index];
+      if (!leader.acts_until || now_ < *leader.acts_until) {
+        leader.coordinator->HandleOrder(now_, order, outcome, "");
+      }
+    });
+  };
+  const auto given_up = sent + coordination::kOrderTimeout;
+  const Server& server = servers_[static_cast<std::size_t>(target)];
+  const bool cut =
+      leaders_[index].cut[static_cast<std::size_t>(target)] || !server.up ||
+      server.born != order.server.born;
+  if (cut || Percent(faults_.refused)) {
+    answer(sent + Draw(1, 200), OrderOutcome::kNotSent);
+    return;
+  }
+  if (Percent(faults_.lost)) {
+    answer(given_up, OrderOutcome::kUnknown);
+    return;
+  }
+  const Instant arrives = sent + Draw(1, 200);
+  if (order.kind == OrderKind::kGrant && Percent(faults_.late)) {
+    answer(given_up, OrderOutcome::kUnknown);
+    At(arrives + Draw(2000, 12000),
+       [this, order, arrives] { Apply(order, arrives); });
+    return;
+  }
+  const bool lose_answer = Percent(faults_.answer_lost);
+  const Instant answered = arrives + Draw(1, 90);
+  At(arrives, [this, order, arrives, lose_answer, answer, answered, given_up] {
+    const bool accepted = Apply(order, arrives);
+    if (lose_answer) {
+      answer(std::max(given_up, now_), OrderOutcome::kUnknown);
+    } else {
+      answer(answered,
+             accepted ? OrderOutcome::kAccepted : OrderOutcome::kRefused);
+    }
+  });
+}
+
+bool KeyWorld::Apply(const KeyOrder& order, Instant arrived) {
+  Server& server =
+      servers_[static_cast<std::size_t>(order.server.id.back() - '0')];
+  if (!server.up || server.born != order.server.born) {
+    return false;
+  }
+  const auto concerned = [&](int index) {
+    const std::int32_t key = KeyAt(index);
+    return key >= order.first && key <= order.last;
+  };
+  if (order.kind == OrderKind::kRelease) {
+    for (int i = 0; i < kWatched; ++i) {
+      const auto slot = static_cast<std::size_t>(i);
+      if (concerned(i)) {
+        server.lease_end[slot] = Instant();
+        server.seen[slot] = std::max(server.seen[slot], order.fence);
+      }
+    }
+    return true;
+  }
+  for (int i = 0; i < kWatched; ++i) {
+    if (concerned(i) &&
+        server.seen[static_cast<std::size_t>(i)] > order.fence) {
+      return false;
+    }
+  }
+  const Instant end =
+      arrived + Duration(static_cast<Duration::rep>(
+                    static_cast<double>(coordination::kKeyLease.count()) *
+                    kSlowestClock));
+  for (int i = 0; i < kWatched; ++i) {
+    if (!concerned(i)) {
+      continue;
+    }
+    const auto slot = static_cast<std::size_t>(i);
+    server.seen[slot] = order.fence;
+    server.lease_end[slot] = std::max(server.lease_end[slot], end);
+    if (end <= now_) {
+      continue;
+    }
+    if (highest_holder_[slot] != order.server &&
+        order.fence <= highest_fence_[slot]) {
+      violation_ = "fence " + std::to_string(order.fence) + " at " +
+                   order.server.id + " is not above that of " +
+                   highest_holder_[slot].id;
+    }
+    if (order.fence >= highest_fence_[slot]) {
+      highest_fence_[slot] = order.fence;
+      highest_holder_[slot] = order.server;
+    }
+  }
+  return true;
+}
+
+void KeyWorld::CheckOracle() {
+  for (int i = 0; i < kWatched; ++i) {
+    int holders = 0;
+    for (const Server& server : servers_) {
+      if (server.up && server.lease_end[static_cast<std::size_t>(i)] > now_) {
+        ++holders;
+      }
+    }
+    if (holders > 1 && violation_.empty()) {
+      violation_ = "key " + std::to_string(KeyAt(i)) + " has " +
+                   std::to_string(holders) + " holders";
+    }
+  }
+}
+
+int KeyWorld::HolderOf(state::ShardKey key) const {
+  int nearest = 0;
+  for (int i = 0; i < kWatched; ++i) {
+    if (KeyAt(i) <= key) {
+      nearest = i;
+    }
+  }
+  for (int i = 0; i < kServers; ++i) {
+    const Server& server = servers_[static_cast<std::size_t>(i)];
+    if (server.up &&
+        server.lease_end[static_cast<std::size_t>(nearest)] > now_) {
+      return i;
+    }
+  }
+  return -1;
+}
+
+int KeyWorld::held() const {
+  int count = 0;
+  for (int i = 0; i < kWatched; ++i) {
+    count += HolderOf(KeyAt(i)) >= 0 ? 1 : 0;
+  }
+  return count;
+}
+
+void KeyWorld::Kill(int server) {
+  Server& killed = servers_[static_cast<std::size_t>(server)];
+  killed.up = false;
+  killed.lease_end = {};
+  killed.seen = {};
+}
+
+void KeyWorld::Restart(int server) {
+  Kill(server);
+  Server& started = servers_[static_cast<std::size_t>(server)];
+  started.up = true;
+  ++started.born;
+}
+
+void KeyWorld::SetListed(int server, bool listed) {
+  servers_[static_cast<std::size_t>(server)].listed = listed;
+}
+
+void KeyWorld::SetDraining(int server, bool draining) {
+  servers_[static_cast<std::size_t>(server)].draining = draining;
+}
+
+void KeyWorld::CutNewest(int server, bool cut) {
+  leaders_.back().cut[static_cast<std::size_t>(server)] = cut;
+}
+
+void KeyWorld::TakeOver(bool stop_former) {
+  const Instant former_end = stop_former ? now_ : now_ + kFormerActs;
+  for (Leader& leader : leaders_) {
+    if (!leader.acts_until || *leader.acts_until > former_end) {
+      leader.acts_until = former_end;
+    }
+  }
+  Leader leader;
+  leader.term = static_cast<std::int64_t>(leaders_.size()) + 1;
+  // A successor does not know whether its predecessor has stopped.
+  leader.coordinator = std::make_unique<KeyspaceCoordinator>(
+      now_, leader.term, stored_, now_ + kFormerActs);
+  leaders_.push_back(std::move(leader));
+}
+
+void KeyWorld::AddLoad(state::ShardKey key, double requests) {
+  for (int i = 0; i < 50; ++i) {
+    leaders_.back().coordinator->load().Add(
+        static_cast<state::ShardKey>(
+            std::min<int>(key + i * 7, state::kShardKeyCount - 1)),
+        requests / 50);
+  }
+}
+
+}  // namespace mustardflow::tests
--- /dev/null
+++ b/tests/keys/keyspace_cases_test.cc
@@ -0,0 +1,122 @@
+// Single cases of granting keys.
+
+#include <array>
+#include <catch2/catch.hpp>
+#include <set>
+#include <string>
+
+#include "tests/keys/key_world.h"
+
+namespace mustardflow::tests {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+}  // namespace
+
+TEST_CASE("a new service is dealt to all its servers") {
+  KeyWorld world(1);
+  world.Advance(milliseconds(600));
+  CHECK(world.held() == KeyWorld::kWatched);
+  std::array<int, KeyWorld::kServers> held{};
+  for (int i = 0; i < 16; ++i) {
+    ++held[static_cast<std::size_t>(
+        world.HolderOf(static_cast<state::ShardKey>(i * 4096)))];
+  }
+  for (const int count : held) {
+    CHECK(count == 4);
+  }
+}
+
+TEST_CASE("a dead server's keys are served again within about a lease",
+          "[O2]") {
+  KeyWorld world(2);
+  world.Advance(seconds(2));
+  world.Kill(1);
+  world.Advance(milliseconds(3300));
+  CHECK(world.held() == KeyWorld::kWatched);
+  CHECK(world.violation().empty());
+}
+
+TEST_CASE("a server that starts anew gets keys without a wait", "[O8]") {
+  KeyWorld world(3);
+  world.Advance(seconds(2));
+  world.Restart(1);
+  world.Advance(milliseconds(600));
+  CHECK(world.held() == KeyWorld::kWatched);
+  CHECK(world.violation().empty());
+}
+
+TEST_CASE("a draining server hands its keys over and never holds them again") {
+  KeyWorld world(4);
+  world.Advance(seconds(2));
+  world.SetDraining(2, true);
+  world.Advance(milliseconds(1500));
+  CHECK(world.held() == KeyWorld::kWatched);
+  for (int key = 0; key < state::kShardKeyCount; key += 1024) {
+    CHECK(world.HolderOf(static_cast<state::ShardKey>(key)) != 2);
+  }
+}
+
+TEST_CASE("a change of leader leaves the holders as they are") {
+  KeyWorld world(5);
+  world.Advance(seconds(2));
+  const int before = world.HolderOf(0);
+  world.TakeOver(false);
+  world.Advance(seconds(2));
+  CHECK(world.HolderOf(0) == before);
+  CHECK(world.held() == KeyWorld::kWatched);
+  CHECK(world.leader().moved_share() == 0);
+}
+
+TEST_CASE("keys of a server that the new leader cannot reach wait for the "
+          "predecessor",
+          "[O3]") {
+  KeyWorld world(6);
+  world.Advance(seconds(2));
+  world.TakeOver(false);
+  world.CutNewest(0, true);
+  world.Advance(seconds(9));
+  CHECK(world.violation().empty());
+  // The predecessor has gone on for ten seconds.
+  world.Advance(seconds(5));
+  CHECK(world.violation().empty());
+  CHECK(world.held() == KeyWorld::kWatched);
+}
+
+TEST_CASE("nothing moves while the store confirms nothing", "[O4]") {
+  KeyWorld world(7);
+  world.Advance(seconds(2));
+  world.SetStoreUp(false);
+  world.SetDraining(1, true);
+  world.Advance(seconds(5));
+  CHECK(world.held() == KeyWorld::kWatched);
+  world.SetStoreUp(true);
+  world.Advance(seconds(2));
+  for (int key = 0; key < state::kShardKeyCount; key += 1024) {
+    CHECK(world.HolderOf(static_cast<state::ShardKey>(key)) != 1);
+  }
+}
+
+TEST_CASE("load that gathers on few keys is spread", "[L2]") {
+  KeyWorld world(8);
+  world.Advance(seconds(1));
+  for (int i = 0; i < 40; ++i) {
+    world.AddLoad(1000, 40);
+    world.Advance(milliseconds(100));
+  }
+  // The busy keys lie from 1000 to 1343, in what was one server's range.
+  const auto ranges = world.leader().Routed();
+  std::set<std::string> holders;
+  for (const state::OwnedRange& range : ranges) {
+    if (range.first <= 1343 && range.last >= 1000) {
+      holders.insert(range.holder.id);
+    }
+  }
+  CHECK(holders.size() >= 3);
+  CHECK(world.violation().empty());
+}
+
+}  // namespace mustardflow::tests
--- /dev/null
+++ b/tests/keys/keyspace_fuzz_test.cc
@@ -0,0 +1,118 @@
+// Stateful fuzzing of the grants of keys.
+
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <vector>
+
+#include "tests/keys/key_world.h"
+
+namespace mustardflow::tests {
+
+namespace {
+
+// One thing that happens, with two small numbers that say to what and how much.
+struct Happening {
+  int kind = 0;
+  int which = 0;
+  int amount = 0;
+};
+
+std::ostream& operator<<(std::ostream& stream, const Happening& happening) {
+  return stream << happening.kind << '/' << happening.which << '/'
+                << happening.amount;
+}
+
+void Play(KeyWorld& world, const Happening& happening) {
+  const int server = happening.which % KeyWorld::kServers;
+  switch (happening.kind) {
+    case 0:
+      world.Kill(server);
+      break;
+    case 1:
+      world.Restart(server);
+      break;
+    case 2:
+      world.SetListed(server, happening.amount % 2 == 0);
+      break;
+    case 3:
+      world.SetDraining(server, happening.amount % 2 == 0);
+      break;
+    case 4:
+      world.CutNewest(server, happening.amount % 3 != 0);
+      break;
+    case 5:
+      world.SetStoreUp(happening.amount % 3 != 0);
+      break;
+    case 6:
+      world.TakeOver(happening.amount % 3 == 0);
+      break;
+    case 7:
+      world.AddLoad(static_cast<state::ShardKey>(happening.amount * 650), 400);
+      break;
+    case 8:
+      world.SetFaults({happening.amount % 4 == 0 ? 30 : 0,
+                       happening.amount % 4 == 1 ? 30 : 0,
+                       happening.amount % 4 == 2 ? 40 : 5,
+                       happening.amount % 4 == 3 ? 50 : 5});
+      break;
+    default:
+      world.SetFaults({});
+      break;
+  }
+}
+
+}  // namespace
+
+TEST_CASE("each key has one holder and rising fences, whatever happens",
+          "[O1][O3][O5][O7][O8][O12][O13]") {
+  const auto small = rc::gen::inRange(0, 100);
+  const auto happening = rc::gen::build<Happening>(
+      rc::gen::set(&Happening::kind, rc::gen::inRange(0, 10)),
+      rc::gen::set(&Happening::which, small),
+      rc::gen::set(&Happening::amount, small));
+  const bool holds = rc::check([&] {
+    KeyWorld world(*rc::gen::arbitrary<std::uint64_t>());
+    world.Advance(std::chrono::seconds(1));
+    const auto happenings =
+        *rc::gen::container<std::vector<Happening>>(happening);
+    for (const Happening& next : happenings) {
+      Play(world, next);
+      world.Advance(std::chrono::milliseconds(10 + next.amount * 12));
+      RC_ASSERT(world.violation() == "");
+    }
+  });
+  REQUIRE(holds);
+}
+
+TEST_CASE("when trouble ends, all keys are served again") {
+  const bool holds = rc::check([] {
+    KeyWorld world(*rc::gen::arbitrary<std::uint64_t>());
+    world.Advance(std::chrono::seconds(1));
+    const auto kinds = *rc::gen::container<std::vector<int>>(
+        rc::gen::inRange(0, 100));
+    for (const int kind : kinds) {
+      Play(world, {kind % 10, kind / 3, kind});
+      world.Advance(std::chrono::milliseconds(10 + kind * 7));
+    }
+    world.SetFaults({});
+    world.SetStoreUp(true);
+    for (int i = 0; i < KeyWorld::kServers; ++i) {
+      world.SetListed(i, true);
+      world.SetDraining(i, false);
+      world.CutNewest(i, false);
+      world.Restart(i);
+    }
+    // A predecessor may go on for ten seconds, its leases for three more.
+    world.Advance(std::chrono::seconds(15));
+    RC_ASSERT(world.violation() == "");
+    // Balancing may be moving a key at one moment, but not at each.
+    for (int i = 0; i < 100 && world.held() < KeyWorld::kWatched; ++i) {
+      world.Advance(std::chrono::milliseconds(10));
+    }
+    RC_ASSERT(world.held() == KeyWorld::kWatched);
+  });
+  REQUIRE(holds);
+}
+
+}  // namespace mustardflow::tests
--- /dev/null
+++ b/tests/keys/leader_election_test.cc
@@ -0,0 +1,157 @@
+// Phases of the election, with the answers that a store and hosts give.
+
+#include <catch2/catch.hpp>
+#include <optional>
+#include <variant>
+
+#include "coordination/leader_election.h"
+
+namespace mustardflow::tests {
+
+namespace {
+
+using coordination::LeaderElection;
+using coordination::LedgerHead;
+using coordination::WriteOutcome;
+using state::Instant;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Ticks every 20 ms and returns the first action of the kind, if it comes
+// within `time`.
+template <typename Action>
+std::optional<Action> Await(LeaderElection& election,
+                            Instant* now,
+                            state::Duration time) {
+  const Instant end = *now + time;
+  while (*now < end) {
+    *now += milliseconds(20);
+    for (const auto& action : election.Tick(*now)) {
+      if (const auto* found = std::get_if<Action>(&action)) {
+        return *found;
+      }
+    }
+  }
+  return std::nullopt;
+}
+
+// Brings the election to its claim on a ledger with this head.
+std::optional<coordination::ClaimTerm> ReachClaim(LeaderElection& election,
+                                                  Instant* now,
+                                                  const LedgerHead& head) {
+  if (!Await<coordination::ReadLedger>(election, now, seconds(3))) {
+    return std::nullopt;
+  }
+  election.HandleLedger(*now, head);
+  return Await<coordination::ClaimTerm>(election, now, milliseconds(100));
+}
+
+}  // namespace
+
+TEST_CASE("on an empty ledger the first term is claimed and led") {
+  Instant now(seconds(10));
+  LeaderElection election(now, "a", 0);
+  const auto claim = ReachClaim(election, &now, {0, "", 0, 0});
+  REQUIRE(claim);
+  CHECK(claim->term == 1);
+  election.HandleWrite(now, now, WriteOutcome::kDone);
+  CHECK(Await<coordination::BeginLeading>(election, &now, seconds(1)));
+  CHECK(election.leading());
+}
+
+TEST_CASE("a host that hears beats claims nothing") {
+  Instant now(seconds(10));
+  LeaderElection election(now, "a", 0);
+  for (int i = 0; i < 50; ++i) {
+    election.HandleBeat(now, 3, false);
+    CHECK_FALSE(
+        Await<coordination::AskHosts>(election, &now, milliseconds(200)));
+  }
+}
+
+TEST_CASE("a host that others tell of the leader claims nothing", "[O10]") {
+  Instant now(seconds(10));
+  LeaderElection election(now, "a", 0);
+  REQUIRE(Await<coordination::AskHosts>(election, &now, seconds(2)));
+  election.HandleHostView(now, 2, milliseconds(100));
+  CHECK_FALSE(
+      Await<coordination::ReadLedger>(election, &now, milliseconds(700)));
+}
+
+TEST_CASE("a host that reaches no other leaves a living leader alone",
+          "[O3]") {
+  Instant now(seconds(10));
+  LeaderElection election(now, "a", 0);
+  for (int beat = 0; beat < 6; ++beat) {
+    REQUIRE(Await<coordination::ReadLedger>(election, &now, seconds(3)));
+    election.HandleLedger(now, LedgerHead{2, "b", beat, 9});
+    CHECK_FALSE(
+        Await<coordination::ClaimTerm>(election, &now, milliseconds(100)));
+  }
+}
+
+TEST_CASE("a host that reaches no other claims when the ledger stands still") {
+  Instant now(seconds(10));
+  LeaderElection election(now, "a", 0);
+  bool claimed = false;
+  for (int i = 0; i < 5 && !claimed; ++i) {
+    claimed = ReachClaim(election, &now, {2, "b", 7, 9}).has_value();
+  }
+  CHECK(claimed);
+}
+
+TEST_CASE("a claim whose answer is lost is found in the ledger", "[O5]") {
+  Instant now(seconds(10));
+  LeaderElection election(now, "a", 0);
+  const auto claim = ReachClaim(election, &now, {0, "", 0, 0});
+  REQUIRE(claim);
+  election.HandleWrite(now, now, WriteOutcome::kUnknown);
+  REQUIRE(Await<coordination::ReadLedger>(election, &now, seconds(1)));
+  election.HandleLedger(now, LedgerHead{claim->term, "a", 0, 1});
+  CHECK(Await<coordination::BeginLeading>(election, &now, seconds(1)));
+}
+
+TEST_CASE("a lost race is no term", "[O7]") {
+  Instant now(seconds(10));
+  LeaderElection election(now, "a", 0);
+  REQUIRE(ReachClaim(election, &now, {0, "", 0, 0}));
+  election.HandleWrite(now, now, WriteOutcome::kConflict);
+  CHECK_FALSE(election.leading());
+}
+
+TEST_CASE("a leader stops when it is fenced, succeeded, or without proof") {
+  Instant now(seconds(10));
+  LeaderElection election(now, "a", 0);
+  REQUIRE(ReachClaim(election, &now, {0, "", 0, 0}));
+  election.HandleWrite(now, now, WriteOutcome::kDone);
+  REQUIRE(Await<coordination::BeginLeading>(election, &now, seconds(1)));
+
+  SECTION("fenced") {
+    REQUIRE(Await<coordination::RenewTerm>(election, &now, seconds(2)));
+    election.HandleWrite(now, now, WriteOutcome::kFenced);
+    CHECK(Await<coordination::StopLeading>(election, &now, seconds(1)));
+  }
+  SECTION("succeeded") {
+    election.HandleBeat(now, 2, false);
+    CHECK(Await<coordination::StopLeading>(election, &now, seconds(1)));
+  }
+  SECTION("without proof") {
+    const Instant proven = now;
+    REQUIRE(Await<coordination::RenewTerm>(election, &now, seconds(2)));
+    election.HandleWrite(now, now, WriteOutcome::kUnknown);
+    CHECK(Await<coordination::StopLeading>(election, &now, seconds(20)));
+    CHECK(now - proven <= coordination::kLeadLease + milliseconds(40));
+  }
+  CHECK_FALSE(election.leading());
+}
+
+TEST_CASE("a leader that yields is succeeded without a silence") {
+  Instant now(seconds(10));
+  LeaderElection election(now, "a", 0);
+  election.HandleBeat(now, 2, false);
+  now += milliseconds(200);
+  election.HandleBeat(now, 2, true);
+  CHECK(Await<coordination::ReadLedger>(election, &now, milliseconds(400)));
+}
+
+}  // namespace mustardflow::tests
