store: Let followers read only what the leader announces

Change: the leader's beats carry how far it has read and how old that is; followers read at once what matters, and by themselves when it grows old.

--- a/src/coordination/server_pool.cc
+++ b/src/coordination/server_pool.cc
@@ -86,7 +86,7 @@
   if (other_life) {
     server = ServerState();
   }
-  if (fresh || other_life || server.gone ||
+  if (fresh || other_life || server.gone || server.doubtful ||
       server.record.draining != record.draining ||
       (record.warmup_left.count() > 0) != (now < server.cold_until)) {
     ++change_;
@@ -101,8 +101,9 @@
 
 void ServerPool::SetDoubtful(const std::string& id) {
   const auto found = servers_.find(id);
-  if (found != servers_.end()) {
+  if (found != servers_.end() && !found->second.doubtful) {
     found->second.doubtful = true;
+    ++change_;
   }
 }
 
--- a/src/protocol/host_messages.cc
+++ b/src/protocol/host_messages.cc
@@ -17,7 +17,9 @@
             {"host", beat.host},
             {"term", beat.term},
             {"revision", beat.revision},
-            {"config", beat.config},
+            {"operators", beat.progress.operators},
+            {"servers", beat.progress.servers},
+            {"age_us", beat.progress.age.count()},
             {"yielding", beat.yielding},
             {"hosts", beat.hosts}};
   }
@@ -57,7 +59,10 @@
     beat.host = std::move(host);
     beat.term = object.at("term").to_number<std::int64_t>();
     beat.revision = object.at("revision").to_number<std::int64_t>();
-    beat.config = object.at("config").to_number<std::int64_t>();
+    beat.progress.operators = object.at("operators").to_number<std::int64_t>();
+    beat.progress.servers = object.at("servers").to_number<std::int64_t>();
+    beat.progress.age =
+        state::Duration(object.at("age_us").to_number<std::int64_t>());
     beat.yielding = object.at("yielding").as_bool();
     beat.hosts = object.at("hosts").to_number<std::size_t>();
     return beat;
--- a/src/protocol/host_messages.h
+++ b/src/protocol/host_messages.h
@@ -17,14 +17,22 @@
 
 namespace mustardflow::protocol {
 
+// How far the leader has read the store, so that others need not ask.
+struct ReadProgress {
+  // Offsets after the last records that mattered.
+  std::int64_t operators = 0;
+  std::int64_t servers = 0;
+  // How old the leader's last reading is.
+  state::Duration age{0};
+};
+
 // The leader tells that it leads, several times a second and at each change of
 // the table.
 struct LeaderBeat {
   std::string host;
   std::int64_t term = 0;
   std::int64_t revision = 0;
-  // The newest configuration that the leader knows.
-  std::int64_t config = 0;
+  ReadProgress progress;
   // The leader asks to be succeeded.
   bool yielding = false;
   // Hosts that take part at present.
--- a/src/transport/entry_host.cc
+++ b/src/transport/entry_host.cc
@@ -31,9 +31,6 @@
 constexpr Duration kPeerMemory = std::chrono::seconds(60);
 constexpr Duration kHostCountMemory = std::chrono::seconds(20);
 constexpr Duration kPeerCallTimeout = std::chrono::milliseconds(300);
-// The leader needs quicker news of servers than the others.
-constexpr Duration kLeaderServerInterval = std::chrono::milliseconds(350);
-constexpr Duration kUsualServerInterval = std::chrono::milliseconds(700);
 // From the stop signal: until new connections have found other hosts, until
 // idle connections are closed, and before the grace ends.
 constexpr Duration kStopAcceptAfter = std::chrono::milliseconds(2800);
@@ -84,7 +81,8 @@
               },
               [this](const std::set<std::string>& zones) {
                 pool_.SetEvacuated(zones);
-              }}),
+              },
+              [this] { leader_.AnnounceProgress(); }}),
       leader_(context.get_executor(),
               profile_,
               claim_,
@@ -98,6 +96,7 @@
                [this](state::OwnershipTable table) {
                  SetTable(std::move(table));
                },
+               [this] { return watch_.Progress(Now()); },
                [this] { return view_.hosts; }}),
       relay_(context,
              profile_,
@@ -201,6 +200,7 @@
 void EntryHost::HandleTick() {
   const Instant now = Now();
   relay_.Tick(now);
+  watch_.Tick(now, leader_.leading());
   if (registered_) {
     leader_.Tick(now);
   }
@@ -219,8 +219,6 @@
     next_slow_tick_ = now + kSlowTick;
     callers_.Tick(now);
     NoteHostCount(now, HostCount());
-    watch_.SetServerInterval(leader_.leading() ? kLeaderServerInterval
-                                               : kUsualServerInterval);
     log_.Flush(now);
   }
   if (stopping_since_) {
@@ -295,11 +293,13 @@
                            const protocol::LeaderBeat& beat) {
   const Instant now = Now();
   leader_.HandleBeat(now, beat);
-  watch_.HandleVersionHint(beat.config);
   if (beat.term < leader_.term() || leader_.leading()) {
     return;
   }
   leader_endpoint_ = from;
+  if (!beat.yielding) {
+    watch_.HandleProgress(now, beat.progress);
+  }
   NoteHostCount(now, beat.hosts);
   const bool newer =
       beat.term > view_.table.term ||
--- a/src/transport/leader_duty.cc
+++ b/src/transport/leader_duty.cc
@@ -492,7 +492,7 @@
   beat.host = profile_.name;
   beat.term = election_.term();
   beat.revision = table_.revision;
-  beat.config = config_ ? config_->version() : 0;
+  beat.progress = hooks_.progress();
   beat.yielding = election_.yielding(now);
   beat.hosts = hooks_.host_count();
   hooks_.broadcast(beat);
--- a/src/transport/leader_duty.h
+++ b/src/transport/leader_duty.h
@@ -33,6 +33,8 @@
     std::function<void(const protocol::HostMessage&)> broadcast;
     // The table that hosts route by has changed.
     std::function<void(state::OwnershipTable)> table_changed;
+    // How far this host has read the store.
+    std::function<protocol::ReadProgress()> progress;
     // The number of hosts that take part.
     std::function<std::size_t()> host_count;
   };
@@ -58,6 +60,9 @@
   // Handles what is due; call about every 20 ms.
   void Tick(state::Instant now);
 
+  // Tells the others at once what has changed.
+  void AnnounceProgress() { next_beat_ = state::Instant(); }
+
   // Asks to be succeeded, since the host is about to stop.
   void Yield() { election_.Yield(); }
 
--- a/src/transport/store_watch.cc
+++ b/src/transport/store_watch.cc
@@ -17,12 +17,22 @@
 
 namespace {
 
-// A reading of the operators' topic waits this long for a record. Short, since
-// a connection that has gone silent is only noticed at its end.
+// The leader's reading of the operators' topic waits this long for a record.
+// Short, since a connection that has gone silent is only noticed at its end.
 constexpr Duration kOperatorWait = std::chrono::milliseconds(1200);
+// Pauses between readings: the leader's, those of a host that hears no leader,
+// and those of one that does.
+constexpr Duration kLeaderInterval = std::chrono::milliseconds(350);
+constexpr Duration kAloneInterval = std::chrono::milliseconds(700);
+constexpr Duration kTrustingInterval = std::chrono::milliseconds(4000);
 // Successive configurations are read together within this time.
 constexpr Duration kOperatorPause = std::chrono::milliseconds(120);
 constexpr Duration kRetryPause = std::chrono::milliseconds(300);
+// A leader's progress counts for this long, and only if the leader itself has
+// read within this time: what leaves has to be known within two seconds.
+constexpr Duration kTrustTime = std::chrono::milliseconds(600);
+constexpr Duration kMostProgressAge = std::chrono::milliseconds(700);
+constexpr Duration kNeverRead = std::chrono::hours(1);
 
 awaitable<void> Pause(asio::any_io_executor executor, Duration duration) {
   asio::steady_timer timer(executor, duration);
@@ -41,38 +51,88 @@
       pool_(pool),
       log_(log),
       hooks_(std::move(hooks)),
-      operator_timer_(executor) {}
+      operators_(executor),
+      servers_(executor) {}
 
 void StoreWatch::Start() {
   asio::co_spawn(executor_, FollowOperators(), asio::detached);
   asio::co_spawn(executor_, FollowServers(), asio::detached);
 }
 
-void StoreWatch::HandleVersionHint(std::int64_t version) {
-  hinted_version_ = std::max(hinted_version_, version);
+void StoreWatch::HandleProgress(Instant now,
+                                const protocol::ReadProgress& progress) {
+  operators_.announced = progress.operators;
+  servers_.announced = progress.servers;
+  if (progress.age <= kMostProgressAge) {
+    trusted_until_ = now + kTrustTime;
+  }
+}
+
+protocol::ReadProgress StoreWatch::Progress(Instant now) const {
+  const bool failing = operators_.failing || servers_.failing;
+  return {operators_.mattered, servers_.mattered,
+          failing ? kNeverRead : now - servers_.read_at};
+}
+
+void StoreWatch::Tick(Instant now, bool leading) {
+  leading_ = leading;
+  RemoveGone(now);
+  const Duration alone = leading ? kLeaderInterval : kAloneInterval;
+  if (ReadingDue(now, servers_, alone)) {
+    servers_.timer.cancel();
+  }
+  if (ReadingDue(now, operators_, leading ? Duration(0) : alone)) {
+    operators_.timer.cancel();
+  }
+}
+
+bool StoreWatch::ReadingDue(Instant now,
+                            const Reading& reading,
+                            Duration interval) const {
+  if (!reading.paused) {
+    return false;
+  }
+  const bool trusting =
+      !leading_ && !reading.failing && reading.next && now < trusted_until_;
+  if (trusting && reading.announced > *reading.next) {
+    return true;
+  }
+  const Duration longest = trusting          ? kTrustingInterval
+                           : reading.failing ? kRetryPause
+                                             : interval;
+  return now - reading.read_at >= longest;
+}
+
+// Waits until Tick() finds the next reading due.
+awaitable<void> StoreWatch::PauseReading(Reading* reading) {
+  reading->paused = true;
+  reading->timer.expires_at(asio::steady_timer::time_point::max());
+  co_await reading->timer.async_wait(kNoThrow);
+  reading->paused = false;
 }
 
 awaitable<void> StoreWatch::FollowOperators() {
   const std::string topic(platform::kOperatorTopic);
-  std::optional<std::int64_t> next;
   while (true) {
     std::optional<TopicPage> page;
-    if (next) {
-      page = co_await store_.ReadOn(topic, *next, kOperatorWait);
+    if (operators_.next) {
+      // Only the leader waits for records; others learn of them by its beats.
+      const Duration wait = leading_ ? kOperatorWait : Duration(0);
+      page = co_await store_.ReadOn(topic, *operators_.next, wait);
     } else {
       page = co_await store_.ReadNewest(topic);
     }
-    if (!page) {
-      // What was missed may have been dropped: begins again.
-      next.reset();
-      co_await Pause(executor_, kRetryPause);
-      continue;
-    }
-    ApplyOperators(*page);
-    next = page->next;
-    if (!page->records.empty()) {
+    operators_.read_at = Now();
+    operators_.failing = !page;
+    // What was missed may have been dropped: begins again.
+    operators_.next = page ? std::optional(page->next) : std::nullopt;
+    if (page && !page->records.empty()) {
+      operators_.mattered = page->next;
+      ApplyOperators(*page);
+      hooks_.progressed();
       co_await Pause(executor_, kOperatorPause);
     }
+    co_await PauseReading(&operators_);
   }
 }
 
@@ -128,26 +188,30 @@
 
 awaitable<void> StoreWatch::FollowServers() {
   const std::string topic(platform::kServerTopic);
-  std::optional<std::int64_t> next;
   while (true) {
     std::optional<TopicPage> page;
-    if (next) {
-      page = co_await store_.ReadOn(topic, *next, Duration(0));
+    if (servers_.next) {
+      page = co_await store_.ReadOn(topic, *servers_.next, Duration(0));
     } else {
       page = co_await store_.ReadNewest(topic);
     }
     const Instant now = Now();
+    servers_.read_at = now;
+    servers_.failing = !page;
+    servers_.next = page ? std::optional(page->next) : std::nullopt;
     if (page) {
       lapses_.HandleRead(now);
+      const std::uint64_t change = pool_.change();
       ApplyServers(now, *page);
-      next = page->next;
       servers_known_ = true;
+      if (pool_.change() != change) {
+        servers_.mattered = page->next;
+        hooks_.progressed();
+      }
     } else {
       lapses_.HandleFailedRead(now);
-      next.reset();
     }
-    RemoveGone(now);
-    co_await Pause(executor_, page ? server_interval_ : kRetryPause);
+    co_await PauseReading(&servers_);
   }
 }
 
--- a/src/transport/store_watch.h
+++ b/src/transport/store_watch.h
@@ -12,6 +12,7 @@
 
 #include "coordination/entry_lapses.h"
 #include "coordination/server_pool.h"
+#include "protocol/host_messages.h"
 #include "state/routing_config.h"
 #include "state/time.h"
 #include "transport/asio.h"
@@ -25,6 +26,8 @@
   struct Hooks {
     std::function<void(std::shared_ptr<const state::RoutingConfig>)> config;
     std::function<void(const std::set<std::string>&)> evacuated;
+    // Something that matters has been read.
+    std::function<void()> progressed;
   };
 
   StoreWatch(asio::any_io_executor executor,
@@ -36,21 +39,44 @@
   // Reads until the process ends.
   void Start();
 
-  // Another host knows configuration `version`.
-  void HandleVersionHint(std::int64_t version);
+  // The leader tells how far it has read. As long as it reads often, this host
+  // reads only what the leader has found to matter.
+  void HandleProgress(state::Instant now,
+                      const protocol::ReadProgress& progress);
 
-  // The pause between two readings of the servers' entries.
-  void SetServerInterval(state::Duration interval) {
-    server_interval_ = interval;
-  }
+  // Begins the readings that are due; call about every 20 ms.
+  void Tick(state::Instant now, bool leading);
+
+  protocol::ReadProgress Progress(state::Instant now) const;
 
   // Whether the servers' entries have been read.
   bool servers_known() const { return servers_known_; }
   std::uint64_t bad_entries() const { return bad_entries_; }
 
  private:
+  // A topic that is being followed.
+  struct Reading {
+    explicit Reading(asio::any_io_executor executor) : timer(executor) {}
+
+    // Ends the pause between two readings.
+    asio::steady_timer timer;
+    bool paused = false;
+    bool failing = false;
+    state::Instant read_at{};
+    // Where to read on; nothing before the first reading.
+    std::optional<std::int64_t> next;
+    // The offset after the last record that mattered.
+    std::int64_t mattered = 0;
+    // The leader's `mattered`.
+    std::int64_t announced = 0;
+  };
+
   awaitable<void> FollowOperators();
   awaitable<void> FollowServers();
+  awaitable<void> PauseReading(Reading* reading);
+  bool ReadingDue(state::Instant now,
+                  const Reading& reading,
+                  state::Duration interval) const;
   void ApplyOperators(const TopicPage& page);
   void ApplyConfig(const std::string& text);
   void ApplyServers(state::Instant now, const TopicPage& page);
@@ -63,11 +89,13 @@
   coordination::ServerPool& pool_;
   EventLog& log_;
   const Hooks hooks_;
-  asio::steady_timer operator_timer_;
+  Reading operators_;
+  Reading servers_;
+  bool leading_ = false;
+  // Until when the leader's progress stands for own readings.
+  state::Instant trusted_until_{};
   std::int64_t version_ = 0;
-  std::int64_t hinted_version_ = 0;
   std::set<std::string> evacuated_;
-  state::Duration server_interval_ = std::chrono::milliseconds(700);
   bool servers_known_ = false;
   coordination::EntryLapses lapses_;
   std::uint64_t bad_entries_ = 0;
