servers: Estimate latencies without waiting and neighbours' noise

Cause: the average answer time held waiting and passing slowness, so that a server with a hot key looked slow and its estimate counted the queue twice.

--- a/src/coordination/server_pool.cc
+++ b/src/coordination/server_pool.cc
@@ -23,18 +23,23 @@
 constexpr double kServiceStep = 0.02;
 // A server's own average fades into its service's in this time, so that one
 // that was slow is tried again.
-constexpr double kLatencyMemory = 2.0;
+constexpr double kLatencyMemory = 10.0;
 constexpr double kFailureStep = 0.25;
 constexpr double kFailureMemory = 3.0;
-// Other hosts' requests that a report counted are over after about this many
-// answer times.
+// In about this time, what a report said of other hosts' requests, and of the
+// machine's slowness, is out of date.
 constexpr double kReportMemory = 0.5;
+constexpr double kSlownessMemory = 0.25;
 // How many servers are compared; more would send all hosts to the same one.
 constexpr int kCompared = 3;
 // What the way to another zone and back adds, and how much more it may cost
 // there before the own zone is left.
 constexpr double kOtherZone = 0.015;
 constexpr double kOtherZoneLarge = 0.08;
+// How much a server counts as slower when all its slots are taken.
+constexpr double kSpread = 0.15;
+// A request that takes this multiple of the usual time shows a stall.
+constexpr double kStallFactor = 3.0;
 // A server may hold this many requests for each slot. Beyond, some drop what
 // they cannot queue without a word.
 constexpr double kMostPerSlot = 2.5;
@@ -197,19 +202,25 @@
                                          : Latency(now, server) / found->second;
 }
 
-double ServerPool::Estimate(Instant now, const ServerState& server) const {
+double ServerPool::WaitFactor(Instant now, const ServerState& server) const {
   const double slots = server.record.slots;
+  return 1 + std::max(0.0, EstimatedLoad(now, server) + 1 - slots) / slots;
+}
+
+double ServerPool::Estimate(Instant now, const ServerState& server) const {
   const double load = EstimatedLoad(now, server);
   const double latency = Latency(now, server);
-  // Requests beyond the slots wait for one of them.
-  const double waiting = std::max(0.0, load + 1 - slots);
-  double estimate = latency * (1 + waiting / slots);
+  const double report_age = Seconds(now - server.reported_at);
+  const double slowness = 1 + (server.slowness - 1) *
+                                  std::exp(-report_age / kSlownessMemory);
+  double estimate = latency * slowness * WaitFactor(now, server);
   // Spreads requests before slots are short.
-  estimate *= 1 + 0.15 * load / slots;
+  estimate *= 1 + kSpread * load / server.record.slots;
   if (!server.in_flight.empty()) {
     // A request that takes far longer than usual shows a stall.
-    const double oldest = Seconds(now - *server.in_flight.begin());
-    estimate += std::max(0.0, oldest - 3 * latency);
+    const auto& [oldest, factor] = *server.in_flight.begin();
+    estimate +=
+        std::max(0.0, Seconds(now - oldest) - kStallFactor * latency * factor);
   }
   const double age = Seconds(now - server.failures_at);
   const double failures = server.failures * std::exp(-age / kFailureMemory);
@@ -284,7 +295,7 @@
   if (server == nullptr) {
     return;
   }
-  server->in_flight.insert(now);
+  server->in_flight.emplace(now, WaitFactor(now, *server));
   server->recent.push_back(now);
   while (now - server->recent.front() > kSecond) {
     server->recent.pop_front();
@@ -299,12 +310,17 @@
   if (server == nullptr) {
     return;
   }
+  double wait_factor = 1;
   const auto entry = server->in_flight.find(sent);
   if (entry != server->in_flight.end()) {
+    wait_factor = entry->second;
     server->in_flight.erase(entry);
   }
-  const double took = Seconds(now - sent);
   const bool answered = result == ServerResult::kAnswered;
+  const double reported_slowness =
+      server->reported_at == now ? server->slowness : 1;
+  const double took =
+      Seconds(now - sent) / (wait_factor * std::max(1.0, reported_slowness));
   if (answered || (result == ServerResult::kAbandoned &&
                    took > Latency(now, *server))) {
     double& usual =
--- a/src/coordination/server_pool.h
+++ b/src/coordination/server_pool.h
@@ -111,11 +111,13 @@
     // The entry is missing for good.
     bool gone = false;
     state::Instant cold_until{};
-    // When the requests under way were sent.
-    std::multiset<state::Instant> in_flight;
+    // The requests under way: when each was sent, and by what factor waiting
+    // for a slot was expected to lengthen it.
+    std::multimap<state::Instant, double> in_flight;
     // When requests were sent in the last second, while cold.
     std::deque<state::Instant> recent;
-    // Average time of an answer, in seconds, and when it was last updated.
+    // Average time of an answer without waiting and on a calm machine, in
+    // seconds, and when it was last updated.
     double latency = 0;
     state::Instant latency_at{};
     // Average share of attempts that failed.
@@ -125,6 +127,7 @@
     int reported_load = 0;
     std::size_t in_flight_at_report = 0;
     state::Instant reported_at{};
+    // How long work takes there, as a multiple of the usual, at that moment.
     double slowness = 1;
     // No requests before this moment, after a lost connection.
     state::Instant blocked_until{};
@@ -139,7 +142,7 @@
   bool Cold(state::Instant now, const ServerState& server) const {
     return now < server.cold_until;
   }
-  // A server's answer time as a multiple of its service's average.
+  // A server's time for work as a multiple of its service's average.
   double RelativeLatency(state::Instant now, const ServerState& server) const;
   // Connections that this host may open to a server of the service.
   std::size_t ConnectionShare(const std::string& service) const;
@@ -152,6 +155,8 @@
   // Whether the limits allow another request.
   bool HasRoom(state::Instant now, const ServerState& server) const;
   std::size_t ColdShare(const std::string& service) const;
+  // By what factor waiting for a slot lengthens a request sent now.
+  double WaitFactor(state::Instant now, const ServerState& server) const;
   double EstimatedLoad(state::Instant now, const ServerState& server) const;
   // Seconds until an answer, were a request sent now.
   double Estimate(state::Instant now, const ServerState& server) const;
@@ -164,7 +169,7 @@
   std::set<std::string> evacuated_;
   std::size_t hosts_ = 1;
   std::map<std::string, ServerState> servers_;
-  // Average answer time by service, in seconds.
+  // Average of the servers' latencies by service, in seconds.
   std::map<std::string, double> service_latency_;
   std::uint64_t change_ = 1;
 };
