keys: Put a hot key on the fastest server

Cause: a key with a third of the requests fills one server; it stayed where it lay, which was a server 1.07 times as slow as the mean while others took 0.8. Change: a key that would fill a server alone becomes a slice of its own and moves, for a gain of 15 % or more, to the fastest server without such a key. Test: 'a hot key is alone on the fastest server within seconds'.

--- a/src/coordination/keyspace_coordinator.cc
+++ b/src/coordination/keyspace_coordinator.cc
@@ -3,6 +3,7 @@
 #include "coordination/keyspace_coordinator.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace mustardflow::coordination {
@@ -29,6 +30,13 @@
 // A server gives keys away above this multiple of the mean load: about two
 // standard deviations of what a server gets within the load's memory.
 constexpr double kOverloadRatio = 1.25;
+// A key is hot from this fraction of a server's fair share on, and from this
+// many requests a second: fewer are no load.
+constexpr double kHotShare = 0.8;
+constexpr double kLeastHotLoad = 5;
+// A hot key moves for this gain in speed, and not more often than this.
+constexpr double kHotMoveGain = 1.15;
+constexpr Duration kHotMoveInterval = std::chrono::milliseconds(1500);
 // The load of an idle key, as a fraction of the mean key's: idle ranges are
 // spread by their width.
 constexpr double kIdleWeight = 0.05;
@@ -43,7 +51,7 @@
                                          std::int64_t term,
                                          const ServiceRanges& recorded,
                                          Instant predecessor_end)
-    : term_(term), next_balance_(now) {
+    : term_(term), next_balance_(now), next_hot_move_(now) {
   const Instant latest = predecessor_end + kLeaseSpan;
   for (const OwnedRange& range : recorded) {
     Slice slice;
@@ -405,13 +413,80 @@
   next_balance_ = std::max(next_balance_, now);
 }
 
-void KeyspaceCoordinator::Balance(Instant /*now*/) {
+void KeyspaceCoordinator::PlaceHotKeys(Instant now) {
+  if (now < next_hot_move_) {
+    return;
+  }
+  std::size_t usable = 0;
+  for (const auto& [id, state] : servers_) {
+    if (Usable(state.server.life)) {
+      ++usable;
+    }
+  }
+  if (usable < 2) {
+    return;
+  }
+  const double fair_share = load_.total() / static_cast<double>(usable);
+  const auto hot_keys = load_.KeysAbove(
+      std::max(kLeastHotLoad, kHotShare * fair_share));
+  std::set<ServerLife> with_hot_key;
+  for (const auto& [load, key] : hot_keys) {
+    with_hot_key.insert(slices_[SliceOf(key)].holder.server);
+  }
+  for (const auto& [load, key] : hot_keys) {
+    const std::size_t index = SliceOf(key);
+    const Slice& slice = slices_[index];
+    const ServerState* holder = FindServer(slice.holder.server);
+    if (slice.phase != Phase::kSteady || slice.grant_pending ||
+        holder == nullptr) {
+      continue;
+    }
+    const ServerState* fastest = nullptr;
+    for (const auto& [id, state] : servers_) {
+      if (Usable(state.server.life) &&
+          !with_hot_key.contains(state.server.life) &&
+          (fastest == nullptr ||
+           state.server.capacity > fastest->server.capacity)) {
+        fastest = &state;
+      }
+    }
+    if (fastest != nullptr &&
+        fastest->server.capacity >= kHotMoveGain * holder->server.capacity) {
+      const ServerLife to = fastest->server.life;
+      StartMove(&slices_[IsolateKey(index, key)], to);
+      next_hot_move_ = now + kHotMoveInterval;
+      return;
+    }
+  }
+}
+
+std::size_t KeyspaceCoordinator::SliceOf(std::int32_t key) const {
+  const auto after = std::upper_bound(
+      slices_.begin(), slices_.end(), key,
+      [](std::int32_t value, const Slice& s) { return value < s.first; });
+  return static_cast<std::size_t>(after - slices_.begin()) - 1;
+}
+
+std::size_t KeyspaceCoordinator::IsolateKey(std::size_t index,
+                                            std::int32_t key) {
+  if (key < slices_[index].last) {
+    SplitAfter(index, key);
+  }
+  if (key > slices_[index].first) {
+    SplitAfter(index, key - 1);
+    ++index;
+  }
+  return index;
+}
+
+void KeyspaceCoordinator::Balance(Instant now) {
   const bool moving = std::any_of(
       slices_.begin(), slices_.end(),
       [](const Slice& slice) { return slice.phase != Phase::kSteady; });
   if (moving) {
     return;
   }
+  PlaceHotKeys(now);
   for (int move = 0; move < kMovesPerRound; ++move) {
     const std::map<ServerLife, double> loads = LoadByServer();
     double total_load = 0;
--- a/src/coordination/keyspace_coordinator.h
+++ b/src/coordination/keyspace_coordinator.h
@@ -173,6 +173,9 @@
   void StartMove(Slice* slice, const state::ServerLife& to);
   void MoveFromUnusable(state::Instant now);
   void Balance(state::Instant now);
+  // A key that would fill a server alone goes to the fastest one that has no
+  // such key; balancing then moves that server's other keys away.
+  void PlaceHotKeys(state::Instant now);
   // Moves about `amount` of load; false if no part fits.
   bool MoveLoad(const state::ServerLife& from,
                 const state::ServerLife& to,
@@ -181,6 +184,9 @@
   // without a hot key that would carry far more.
   std::int32_t CutFor(const Slice& slice, double amount, double idle) const;
   void SplitAfter(std::size_t index, std::int32_t last);
+  std::size_t SliceOf(std::int32_t key) const;
+  // Makes the key a slice of its own; returns its index.
+  std::size_t IsolateKey(std::size_t index, std::int32_t key);
   void MergeSteady();
   std::map<state::ServerLife, double> LoadByServer() const;
   state::ServerLife LeastLoaded(
@@ -205,6 +211,7 @@
   std::uint64_t confirmed_change_ = 0;
   std::uint64_t routed_change_ = 1;
   state::Instant next_balance_;
+  state::Instant next_hot_move_;
   double moved_share_ = 0;
 };
 
--- a/src/coordination/shard_load.cc
+++ b/src/coordination/shard_load.cc
@@ -2,6 +2,7 @@
 
 #include "coordination/shard_load.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace mustardflow::coordination {
@@ -46,6 +47,18 @@
   return sum;
 }
 
+std::vector<std::pair<double, state::ShardKey>> ShardLoad::KeysAbove(
+    double load) const {
+  std::vector<std::pair<double, state::ShardKey>> keys;
+  for (std::size_t key = 0; key < weights_.size(); ++key) {
+    if (weights_[key] >= load) {
+      keys.emplace_back(weights_[key], static_cast<state::ShardKey>(key));
+    }
+  }
+  std::sort(keys.rbegin(), keys.rend());
+  return keys;
+}
+
 std::int32_t ShardLoad::CutAfter(std::int32_t first,
                                  std::int32_t last,
                                  double load) const {
--- a/src/coordination/shard_load.h
+++ b/src/coordination/shard_load.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "state/ownership_table.h"
@@ -27,6 +28,9 @@
   double Of(std::int32_t first, std::int32_t last) const;
   double total() const { return total_; }
 
+  // The keys that carry at least `load` alone, the heaviest first.
+  std::vector<std::pair<double, state::ShardKey>> KeysAbove(double load) const;
+
   // The smallest key such that the keys from `first` to it carry at least
   // `load`; `last` if all carry less.
   std::int32_t CutAfter(std::int32_t first,
--- a/tests/keys/key_world.cc
+++ b/tests/keys/key_world.cc
@@ -103,7 +103,7 @@
     const Server& server = servers_[static_cast<std::size_t>(i)];
     if (server.listed) {
       servers.push_back(
-          {{NameOf(i), server.born}, 6.0, !server.draining});
+          {{NameOf(i), server.born}, server.capacity, !server.draining});
     }
   }
   leader->coordinator->SetServers(now_, std::move(servers));
@@ -273,6 +273,10 @@
   leaders_.back().cut[static_cast<std::size_t>(server)] = cut;
 }
 
+void KeyWorld::SetCapacity(int server, double capacity) {
+  servers_[static_cast<std::size_t>(server)].capacity = capacity;
+}
+
 void KeyWorld::TakeOver(bool stop_former) {
   const Instant former_end = stop_former ? now_ : now_ + kFormerActs;
   for (Leader& leader : leaders_) {
@@ -290,11 +294,14 @@
 
 void KeyWorld::AddLoad(state::ShardKey key, double requests) {
   for (int i = 0; i < 50; ++i) {
-    leaders_.back().coordinator->load().Add(
-        static_cast<state::ShardKey>(
-            std::min<int>(key + i * 7, state::kShardKeyCount - 1)),
-        requests / 50);
+    AddKeyLoad(static_cast<state::ShardKey>(
+                   std::min<int>(key + i * 7, state::kShardKeyCount - 1)),
+               requests / 50);
   }
 }
 
+void KeyWorld::AddKeyLoad(state::ShardKey key, double requests) {
+  leaders_.back().coordinator->load().Add(key, requests);
+}
+
 }  // namespace mustardflow::tests
--- a/tests/keys/key_world.h
+++ b/tests/keys/key_world.h
@@ -47,6 +47,7 @@
   // Whether the server's entry lists it, and says that it stays.
   void SetListed(int server, bool listed);
   void SetDraining(int server, bool draining);
+  void SetCapacity(int server, double capacity);
   // Cuts the newest leader, or all before it, from the server.
   void CutNewest(int server, bool cut);
   // The store confirms writes or not.
@@ -56,6 +57,8 @@
   void TakeOver(bool stop_former);
   // Much load on the keys near `key`.
   void AddLoad(state::ShardKey key, double requests);
+  // Load on one key.
+  void AddKeyLoad(state::ShardKey key, double requests);
 
   // What went wrong first; empty if nothing did.
   const std::string& violation() const { return violation_; }
@@ -73,6 +76,7 @@
     bool up = true;
     bool listed = true;
     bool draining = false;
+    double capacity = 6;
     std::int64_t born = 1;
     std::array<std::int64_t, kWatched> seen{};
     std::array<state::Instant, kWatched> lease_end{};
--- a/tests/keys/keyspace_cases_test.cc
+++ b/tests/keys/keyspace_cases_test.cc
@@ -119,4 +119,33 @@
   CHECK(world.violation().empty());
 }
 
+TEST_CASE("a hot key is alone on the fastest server within seconds", "[L2]") {
+  KeyWorld world(9);
+  for (int server = 0; server < KeyWorld::kServers; ++server) {
+    world.SetCapacity(server, server == 2 ? 10 : 6);
+  }
+  world.Advance(seconds(1));
+  constexpr state::ShardKey kHot = 300;
+  for (int i = 0; i < 30; ++i) {
+    for (int key = 50; key < state::kShardKeyCount; key += 700) {
+      world.AddKeyLoad(static_cast<state::ShardKey>(key), 0.15);
+    }
+    world.AddKeyLoad(kHot, 12);
+    world.Advance(milliseconds(100));
+  }
+  const auto ranges = world.leader().Routed();
+  const state::OwnedRange* hot = state::FindRange(ranges, kHot);
+  REQUIRE(hot != nullptr);
+  CHECK(hot->holder.id == "server-2");
+  std::int32_t others = 0;
+  for (const state::OwnedRange& range : ranges) {
+    if (range.holder.id == "server-2") {
+      others += range.last - range.first;
+    }
+  }
+  // What is left with the hot key is a small part of a fair share.
+  CHECK(others < state::kShardKeyCount / KeyWorld::kServers / 4);
+  CHECK(world.violation().empty());
+}
+
 }  // namespace mustardflow::tests
