servers: Compare six servers of a pool instead of three

Cause: with reports of load and slowness in the estimate, three random candidates of seven often left out the quick ones.

--- a/src/coordination/server_pool.cc
+++ b/src/coordination/server_pool.cc
@@ -31,7 +31,7 @@
 constexpr double kReportMemory = 0.5;
 constexpr double kSlownessMemory = 0.25;
 // How many servers are compared; more would send all hosts to the same one.
-constexpr int kCompared = 3;
+constexpr int kCompared = 6;
 // What the way to another zone and back adds, and how much more it may cost
 // there before the own zone is left.
 constexpr double kOtherZone = 0.015;
