--- a/src/coordination/entry_lapses.cc
+++ b/src/coordination/entry_lapses.cc
@@ -30,8 +30,7 @@
 }
 
 void EntryLapses::HandleMissing(Instant now, const std::string& id) {
-  const Instant due =
-      returned_ ? std::max(now, *returned_ + kGrace) : now;
+  const Instant due = returned_ ? std::max(now, *returned_ + kGrace) : now;
   due_.try_emplace(id, due);
 }
 
--- a/src/coordination/keyspace_coordinator.cc
+++ b/src/coordination/keyspace_coordinator.cc
@@ -96,8 +96,7 @@
 
 bool KeyspaceCoordinator::Ended(const ServerLife& life) const {
   const auto found = servers_.find(life.id);
-  return found != servers_.end() &&
-         found->second.server.life.born > life.born;
+  return found != servers_.end() && found->second.server.life.born > life.born;
 }
 
 void KeyspaceCoordinator::SetServers(Instant now,
@@ -135,8 +134,8 @@
   } else {
     NoteFailure(now, order.server);
   }
-  const auto slice = std::find_if(
-      slices_.begin(), slices_.end(), [&](const Slice& candidate) {
+  const auto slice =
+      std::find_if(slices_.begin(), slices_.end(), [&](const Slice& candidate) {
         return candidate.first == order.first && candidate.last == order.last;
       });
   if (slice == slices_.end()) {
@@ -280,8 +279,8 @@
         slice->former.clear();
         ChangeRecorded();
       }
-      slice->phase = slice->holder.server.id.empty() ? Phase::kSteady
-                                                     : Phase::kGranting;
+      slice->phase =
+          slice->holder.server.id.empty() ? Phase::kSteady : Phase::kGranting;
     }
   }
 }
@@ -310,8 +309,7 @@
   slice->holder.end =
       std::max(slice->holder.end, now + kOrderTimeout + kLeaseSpan);
   orders->push_back({++order_count_, OrderKind::kGrant, slice->holder.server,
-                     slice->first, slice->last, slice->fence,
-                     slice->handover});
+                     slice->first, slice->last, slice->fence, slice->handover});
 }
 
 void KeyspaceCoordinator::StartMove(Slice* slice, const ServerLife& to) {
@@ -328,8 +326,7 @@
       loads[state.server.life] = 0;
     }
   }
-  const double idle =
-      (kIdleWeight * load_.total() + 1) / state::kShardKeyCount;
+  const double idle = (kIdleWeight * load_.total() + 1) / state::kShardKeyCount;
   for (const Slice& slice : slices_) {
     const ServerLife& server =
         slice.phase == Phase::kRecording ? slice.next : slice.holder.server;
@@ -390,9 +387,8 @@
     for (std::int32_t part = 1; part < parts; ++part) {
       const Slice& rest = slices_[i];
       const std::int32_t cut =
-          load > 0
-              ? load_.CutAfter(rest.first, rest.last, load / parts)
-              : rest.first + width / parts - 1;
+          load > 0 ? load_.CutAfter(rest.first, rest.last, load / parts)
+                   : rest.first + width / parts - 1;
       if (cut >= rest.last) {
         break;
       }
@@ -400,8 +396,7 @@
       ++i;
     }
   }
-  const double idle =
-      (kIdleWeight * load_.total() + 1) / state::kShardKeyCount;
+  const double idle = (kIdleWeight * load_.total() + 1) / state::kShardKeyCount;
   for (Slice& slice : slices_) {
     if (needs_server(slice)) {
       const ServerLife to = LeastLoaded(loads);
@@ -427,8 +422,8 @@
     return;
   }
   const double fair_share = load_.total() / static_cast<double>(usable);
-  const auto hot_keys = load_.KeysAbove(
-      std::max(kLeastHotLoad, kHotShare * fair_share));
+  const auto hot_keys =
+      load_.KeysAbove(std::max(kLeastHotLoad, kHotShare * fair_share));
   std::set<ServerLife> with_hot_key;
   for (const auto& [load, key] : hot_keys) {
     with_hot_key.insert(slices_[SliceOf(key)].holder.server);
@@ -505,8 +500,8 @@
     }
     std::sort(by_ratio.rbegin(), by_ratio.rend());
     const ServerLife coldest = by_ratio.back().second;
-    const double room = mean * FindServer(coldest)->server.capacity -
-                        loads.at(coldest);
+    const double room =
+        mean * FindServer(coldest)->server.capacity - loads.at(coldest);
     bool moved = false;
     for (const auto& [ratio, life] : by_ratio) {
       const bool overloaded = ratio > kOverloadRatio * mean;
@@ -516,9 +511,9 @@
         break;
       }
       const double excess =
-          empty_target ? room
-                       : loads.at(life) -
-                             mean * FindServer(life)->server.capacity;
+          empty_target
+              ? room
+              : loads.at(life) - mean * FindServer(life)->server.capacity;
       if (MoveLoad(life, coldest, std::min(excess, room))) {
         moved = true;
         break;
@@ -540,8 +535,7 @@
   double best_load = 0;
   std::size_t largest = slices_.size();
   double largest_load = 0;
-  const double idle =
-      (kIdleWeight * load_.total() + 1) / state::kShardKeyCount;
+  const double idle = (kIdleWeight * load_.total() + 1) / state::kShardKeyCount;
   for (std::size_t i = 0; i < slices_.size(); ++i) {
     const Slice& slice = slices_[i];
     if (slice.phase != Phase::kSteady || slice.grant_pending ||
@@ -564,8 +558,8 @@
   if (largest < slices_.size() && may_split && best_load < 0.7 * amount) {
     const Slice& slice = slices_[largest];
     const std::int32_t cut = CutFor(slice, amount, idle);
-    const double prefix = load_.Of(slice.first, cut) +
-                          idle * (cut - slice.first + 1);
+    const double prefix =
+        load_.Of(slice.first, cut) + idle * (cut - slice.first + 1);
     if (cut < slice.last && prefix >= least && prefix <= most) {
       SplitAfter(largest, cut);
       StartMove(&slices_[largest], to);
@@ -616,11 +610,10 @@
   for (std::size_t i = 0; i + 1 < slices_.size();) {
     Slice& left = slices_[i];
     const Slice& right = slices_[i + 1];
-    const bool same = left.phase == Phase::kSteady &&
-                      right.phase == Phase::kSteady && left.accepted &&
-                      right.accepted && !left.grant_pending &&
-                      !right.grant_pending &&
-                      left.holder.server == right.holder.server;
+    const bool same =
+        left.phase == Phase::kSteady && right.phase == Phase::kSteady &&
+        left.accepted && right.accepted && !left.grant_pending &&
+        !right.grant_pending && left.holder.server == right.holder.server;
     if (!same) {
       ++i;
       continue;
--- a/src/coordination/keyspace_coordinator.h
+++ b/src/coordination/keyspace_coordinator.h
@@ -1,10 +1,11 @@
 // Grants the keys of one service to its backend servers.
 //
 // A key has one holder because a grant to a server is sent only after
-//   1. the store has confirmed a record that names the server for the range, and
+//   1. the store has confirmed a record that names the server for the range,
+//   and
 //   2. each server that was named before has released the range, has started
-//      anew, or its lease has run out, counted from the latest moment at which a
-//      grant of this leader or of its predecessor can have arrived.
+//      anew, or its lease has run out, counted from the latest moment at which
+//      a grant of this leader or of its predecessor can have arrived.
 // Fences carry the leader's term above a count, so they rise over all leaders.
 
 #ifndef MUSTARDFLOW_COORDINATION_KEYSPACE_COORDINATOR_H_
--- a/src/coordination/leader_election.h
+++ b/src/coordination/leader_election.h
@@ -90,8 +90,7 @@
                       std::optional<state::Duration> heard);
 
   // The answer to ReadLedger; nothing if the store did not answer.
-  void HandleLedger(state::Instant now,
-                    const std::optional<LedgerHead>& head);
+  void HandleLedger(state::Instant now, const std::optional<LedgerHead>& head);
 
   // The answer to ClaimTerm or RenewTerm, sent at `sent`.
   void HandleWrite(state::Instant now,
--- a/src/coordination/recent_maximum.h
+++ b/src/coordination/recent_maximum.h
@@ -12,8 +12,8 @@
 namespace mustardflow::coordination {
 
 // Smooths a count that must not be taken too low, such as that of the hosts
-// which share a limit: a new leader hears of the others one after the other, and
-// a host that is cut off goes on with its share.
+// which share a limit: a new leader hears of the others one after the other,
+// and a host that is cut off goes on with its share.
 class RecentMaximum {
  public:
   explicit RecentMaximum(state::Duration memory) : memory_(memory) {}
--- a/src/coordination/retry_budget.h
+++ b/src/coordination/retry_budget.h
@@ -22,6 +22,8 @@
   // Forbids retries until enough requests have been deposited again.
   void Empty() { tokens_ = 0; }
 
+  double left() const { return tokens_; }
+
   // Returns whether a retry is allowed, and if so counts it.
   bool Withdraw() {
     if (tokens_ < 1) {
--- a/src/coordination/server_pool.cc
+++ b/src/coordination/server_pool.cc
@@ -164,9 +164,9 @@
     return false;
   }
   if (Cold(now, server)) {
-    const auto in_window = std::count_if(
-        server.recent.begin(), server.recent.end(),
-        [now](Instant sent) { return now - sent <= kSecond; });
+    const auto in_window =
+        std::count_if(server.recent.begin(), server.recent.end(),
+                      [now](Instant sent) { return now - sent <= kSecond; });
     if (static_cast<std::size_t>(in_window) >=
         ColdShare(server.record.service)) {
       return false;
@@ -211,8 +211,8 @@
   const double load = EstimatedLoad(now, server);
   const double latency = Latency(now, server);
   const double report_age = Seconds(now - server.reported_at);
-  const double slowness = 1 + (server.slowness - 1) *
-                                  std::exp(-report_age / kSlownessMemory);
+  const double slowness =
+      1 + (server.slowness - 1) * std::exp(-report_age / kSlownessMemory);
   double estimate = latency * slowness * WaitFactor(now, server);
   // Spreads requests before slots are short.
   estimate *= 1 + kSpread * load / server.record.slots;
@@ -227,10 +227,9 @@
   return estimate / std::max(0.05, 1 - failures);
 }
 
-std::variant<ServerChoice, NoChoice> ServerPool::Check(
-    Instant now,
-    const ServerLife& life,
-    Duration longest) const {
+std::variant<ServerChoice, NoChoice> ServerPool::Check(Instant now,
+                                                       const ServerLife& life,
+                                                       Duration longest) const {
   const ServerState* server = Find(life);
   if (server == nullptr || Leaving(*server)) {
     return NoChoice::kNoServer;
@@ -321,11 +320,10 @@
       server->reported_at == now ? server->slowness : 1;
   const double took =
       Seconds(now - sent) / (wait_factor * std::max(1.0, reported_slowness));
-  if (answered || (result == ServerResult::kAbandoned &&
-                   took > Latency(now, *server))) {
-    double& usual =
-        service_latency_.try_emplace(server->record.service, took)
-            .first->second;
+  if (answered ||
+      (result == ServerResult::kAbandoned && took > Latency(now, *server))) {
+    double& usual = service_latency_.try_emplace(server->record.service, took)
+                        .first->second;
     usual += kServiceStep * (took - usual);
     const double before = Latency(now, *server);
     server->latency = before + kServerStep * (took - before);
@@ -343,9 +341,9 @@
   if (answered) {
     server->lost_connections = 0;
   } else if (result == ServerResult::kUnreachable) {
-    const Duration block = std::min(
-        kFirstBlock * (1 << std::min(server->lost_connections, 5)),
-        kLongestBlock);
+    const Duration block =
+        std::min(kFirstBlock * (1 << std::min(server->lost_connections, 5)),
+                 kLongestBlock);
     ++server->lost_connections;
     server->blocked_until = std::max(server->blocked_until, now + block);
     server->cold_until = std::max(server->cold_until, now + kSuspectCold);
--- a/src/coordination/server_pool.h
+++ b/src/coordination/server_pool.h
@@ -84,10 +84,9 @@
   void Remove(const std::string& id);
 
   // The server with this life, if it may get a request now.
-  std::variant<ServerChoice, NoChoice> Check(
-      state::Instant now,
-      const state::ServerLife& life,
-      state::Duration longest) const;
+  std::variant<ServerChoice, NoChoice> Check(state::Instant now,
+                                             const state::ServerLife& life,
+                                             state::Duration longest) const;
 
   std::variant<ServerChoice, NoChoice> Choose(
       state::Instant now,
@@ -134,9 +133,7 @@
     int lost_connections = 0;
   };
 
-  const std::map<std::string, ServerState>& servers() const {
-    return servers_;
-  }
+  const std::map<std::string, ServerState>& servers() const { return servers_; }
   // Whether the server is to get no new work: leaving, gone or evacuated.
   bool Leaving(const ServerState& server) const;
   bool Cold(state::Instant now, const ServerState& server) const {
--- a/src/platform/operator_config.cc
+++ b/src/platform/operator_config.cc
@@ -86,8 +86,7 @@
   rules.warmup = PeriodMember(value, "warmup").value_or(rules.warmup);
   rules.cold_rate = NumberMember(value, "warmup_per_s").value_or(0);
   const json::value* sharded = Member(value, "sharded");
-  rules.keyed =
-      sharded != nullptr && sharded->is_bool() && sharded->get_bool();
+  rules.keyed = sharded != nullptr && sharded->is_bool() && sharded->get_bool();
   return rules;
 }
 
--- a/src/platform/settings_file.cc
+++ b/src/platform/settings_file.cc
@@ -104,8 +104,8 @@
   if (auto store = reader.Object("platform", Presence::kRequired)) {
     profile.store = store->Address("address");
   }
-  profile.server_heartbeat = PeriodMember(*settings, "heartbeat")
-                                 .value_or(profile.server_heartbeat);
+  profile.server_heartbeat =
+      PeriodMember(*settings, "heartbeat").value_or(profile.server_heartbeat);
   if (const json::value* limits = Member(*settings, "limits")) {
     if (const auto megabytes = NumberMember(*limits, "memory_mb")) {
       profile.memory_bytes = static_cast<std::size_t>(*megabytes * (1 << 20));
--- a/src/protocol/host_messages.cc
+++ b/src/protocol/host_messages.cc
@@ -39,9 +39,8 @@
   json::object operator()(const HostReport& report) const {
     json::object load;
     for (const auto& [service, seen] : report.load) {
-      load[service] = json::object{
-          {"requests", seen.requests},
-          {"samples", json::value_from(seen.samples)}};
+      load[service] = json::object{{"requests", seen.requests},
+                                   {"samples", json::value_from(seen.samples)}};
     }
     return {{"kind", "report"},
             {"host", report.host},
@@ -110,9 +109,12 @@
   for (const state::ServerLife& life : range.former) {
     former.push_back(EncodeLife(life));
   }
-  return {range.first,   range.last,
-          range.fence,   range.serving,
-          EncodeLife(range.holder), std::move(former)};
+  return {range.first,
+          range.last,
+          range.fence,
+          range.serving,
+          EncodeLife(range.holder),
+          std::move(former)};
 }
 
 state::OwnedRange ReadRange(const json::value& value) {
--- a/src/transport/caller_connection.cc
+++ b/src/transport/caller_connection.cc
@@ -69,9 +69,9 @@
   }
   reading_ = true;
   socket_.async_read_some(
-      asio::buffer(chunk_), [self = shared_from_this()](
-                                const beast::error_code& error,
-                                std::size_t size) {
+      asio::buffer(chunk_),
+      [self = shared_from_this()](const beast::error_code& error,
+                                  std::size_t size) {
         self->reading_ = false;
         self->HandleRead(error, size);
       });
@@ -164,11 +164,11 @@
   if (!exchange->keep_alive) {
     last_read_ = true;
   }
-  exchange->id = relay_.Start(
-      std::move(message),
-      [self = shared_from_this(), exchange](CallerAnswer answer) {
-        self->HandleAnswer(exchange, std::move(answer));
-      });
+  exchange->id =
+      relay_.Start(std::move(message),
+                   [self = shared_from_this(), exchange](CallerAnswer answer) {
+                     self->HandleAnswer(exchange, std::move(answer));
+                   });
 }
 
 void CallerConnection::Reject(int status) {
@@ -209,24 +209,23 @@
   }
   out_ = AnswerBytes(*exchange, close);
   writing_ = true;
-  asio::async_write(
-      socket_, asio::buffer(out_),
-      [self = shared_from_this(), close](const beast::error_code& error,
-                                         std::size_t) {
-        self->writing_ = false;
-        self->idle_since_ = Now();
-        if (self->closed_) {
-          return;
-        }
-        if (error) {
-          self->HandleGone();
-        } else if (close) {
-          self->Linger();
-        } else {
-          self->Flush();
-          self->Parse();
-        }
-      });
+  asio::async_write(socket_, asio::buffer(out_),
+                    [self = shared_from_this(), close](
+                        const beast::error_code& error, std::size_t) {
+                      self->writing_ = false;
+                      self->idle_since_ = Now();
+                      if (self->closed_) {
+                        return;
+                      }
+                      if (error) {
+                        self->HandleGone();
+                      } else if (close) {
+                        self->Linger();
+                      } else {
+                        self->Flush();
+                        self->Parse();
+                      }
+                    });
 }
 
 std::string CallerConnection::AnswerBytes(const Exchange& exchange,
--- a/src/transport/caller_connection.h
+++ b/src/transport/caller_connection.h
@@ -19,8 +19,7 @@
 
 namespace mustardflow::transport {
 
-class CallerConnection
-    : public std::enable_shared_from_this<CallerConnection> {
+class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
  public:
   using ClosedHandler = std::function<void(CallerConnection*)>;
 
--- a/src/transport/caller_listener.cc
+++ b/src/transport/caller_listener.cc
@@ -38,28 +38,28 @@
 }
 
 void CallerListener::Accept() {
-  acceptor_.async_accept([this](const beast::error_code& error,
-                                tcp::socket socket) {
-    if (error == asio::error::operation_aborted) {
-      return;
-    }
-    if (error) {
-      pause_.expires_after(kAcceptPause);
-      pause_.async_wait([this](const beast::error_code&) { Accept(); });
-      return;
-    }
-    if (connections_.size() < kMostConnections) {
-      auto connection = std::make_shared<CallerConnection>(
-          std::move(socket), view_, relay_, log_,
-          [this](CallerConnection* closed) { connections_.erase(closed); });
-      if (draining_) {
-        connection->Drain();
-      }
-      connections_.emplace(connection.get(), connection);
-      connection->Start();
-    }
-    Accept();
-  });
+  acceptor_.async_accept(
+      [this](const beast::error_code& error, tcp::socket socket) {
+        if (error == asio::error::operation_aborted) {
+          return;
+        }
+        if (error) {
+          pause_.expires_after(kAcceptPause);
+          pause_.async_wait([this](const beast::error_code&) { Accept(); });
+          return;
+        }
+        if (connections_.size() < kMostConnections) {
+          auto connection = std::make_shared<CallerConnection>(
+              std::move(socket), view_, relay_, log_,
+              [this](CallerConnection* closed) { connections_.erase(closed); });
+          if (draining_) {
+            connection->Drain();
+          }
+          connections_.emplace(connection.get(), connection);
+          connection->Start();
+        }
+        Accept();
+      });
 }
 
 void CallerListener::Tick(state::Instant now) {
--- a/src/transport/entry_host.cc
+++ b/src/transport/entry_host.cc
@@ -46,6 +46,11 @@
   return std::mt19937_64(seed);
 }
 
+// Uniform in [0, 1).
+double DrawFraction(std::mt19937_64& random) {
+  return std::uniform_real_distribution<double>(0, 1)(random);
+}
+
 std::string DrawClaim(std::mt19937_64& random, const std::string& host) {
   return host + "-" + std::to_string(random());
 }
@@ -68,7 +73,7 @@
       claim_(DrawClaim(random_, profile_.name)),
       pool_(profile_.zone,
             profile_.bounds,
-            [this] { return std::generate_canonical<double, 32>(random_); }),
+            [this] { return DrawFraction(random_); }),
       store_(context.get_executor(), profile_.store, log),
       watch_(context.get_executor(),
              store_,
@@ -83,27 +88,27 @@
                 pool_.SetEvacuated(zones);
               },
               [this] { leader_.AnnounceProgress(); }}),
-      leader_(context.get_executor(),
-              profile_,
-              claim_,
-              std::generate_canonical<double, 32>(random_),
-              store_,
-              pool_,
-              log,
-              {[this](const protocol::HostMessage& message) {
-                 Broadcast(message);
-               },
-               [this](state::OwnershipTable table) {
-                 SetTable(std::move(table));
-               },
-               [this] { return watch_.Progress(Now()); },
-               [this] { return view_.hosts; }}),
-      relay_(context,
-             profile_,
-             view_,
-             pool_,
-             [this] { return std::generate_canonical<double, 32>(random_); },
-             log),
+      leader_(
+          context.get_executor(),
+          profile_,
+          claim_,
+          std::generate_canonical<double, 32>(random_),
+          store_,
+          pool_,
+          log,
+          {[this](const protocol::HostMessage& message) { Broadcast(message); },
+           [this](state::OwnershipTable table) { SetTable(std::move(table)); },
+           [this] { return watch_.Progress(Now()); },
+           [this] { return view_.hosts; }}),
+      relay_(
+          context,
+          profile_,
+          view_,
+          pool_,
+          [this] { return DrawFraction(random_); },
+          log,
+             metrics_),
+      pages_(profile_, view_, pool_, leader_),
       callers_(context, profile_.callers, view_, relay_, log),
       readiness_(context.get_executor(),
                  profile_.readiness,
@@ -133,6 +138,13 @@
               {"cold_factor", profile_.bounds.cold_factor}});
   watch_.Start();
   readiness_.Start();
+  if (profile_.operators.port != 0) {
+    operators_.emplace(context_.get_executor(), profile_.operators,
+                       SmallListener(), [this](HttpRequest request) {
+                         return AnswerOperators(std::move(request));
+                       });
+    operators_->Start();
+  }
   peer_pages_.Start();
   ReceiveMessage();
   asio::co_spawn(context_.get_executor(), Register(), asio::detached);
@@ -175,14 +187,13 @@
 
 void EntryHost::NoteRegistered(const TopicPage& page) {
   for (const platform::KeyedRecord& record : page.records) {
-    const auto address = record.value ? protocol::ParseAddress(*record.value)
-                                      : std::nullopt;
+    const auto address =
+        record.value ? protocol::ParseAddress(*record.value) : std::nullopt;
     if (address && record.key != profile_.name) {
-      peers_.try_emplace(
-          record.key,
-          Peer{udp::endpoint(asio::ip::make_address(address->ip),
-                             address->port),
-               Now()});
+      peers_.try_emplace(record.key,
+                         Peer{udp::endpoint(asio::ip::make_address(address->ip),
+                                            address->port),
+                              Now()});
     }
   }
 }
@@ -306,10 +317,9 @@
       (beat.term == view_.table.term && beat.revision > view_.table.revision);
   if (newer && !fetching_table_) {
     fetching_table_ = true;
-    asio::co_spawn(
-        context_.get_executor(),
-        FetchTable({from.address().to_string(), from.port()}),
-        asio::detached);
+    asio::co_spawn(context_.get_executor(),
+                   FetchTable({from.address().to_string(), from.port()}),
+                   asio::detached);
   }
 }
 
@@ -333,8 +343,8 @@
     co_return;
   }
   for (const platform::KeyedRecord& record : page->records) {
-    auto table = record.value ? protocol::DecodeTable(*record.value)
-                              : std::nullopt;
+    auto table =
+        record.value ? protocol::DecodeTable(*record.value) : std::nullopt;
     if (!table) {
       continue;
     }
@@ -406,6 +416,56 @@
   co_return reply;
 }
 
+awaitable<HttpReply> EntryHost::AnswerOperators(HttpRequest request) {
+  const Instant now = Now();
+  if (request.path == "/metrics") {
+    co_return MetricsPage(now);
+  }
+  if (request.path == "/v1/platform/status") {
+    co_return pages_.Status(now);
+  }
+  if (request.path == "/v1/platform/owner") {
+    co_return pages_.Owner(now, request);
+  }
+  HttpReply reply;
+  reply.status = 404;
+  co_return reply;
+}
+
+HttpReply EntryHost::MetricsPage(Instant now) {
+  std::size_t blocked = 0;
+  std::size_t doubtful = 0;
+  std::size_t cold = 0;
+  for (const auto& [id, server] : pool_.servers()) {
+    blocked += !server.gone && now < server.blocked_until ? 1 : 0;
+    doubtful += !server.gone && server.doubtful ? 1 : 0;
+    cold += !server.gone && pool_.Cold(now, server) ? 1 : 0;
+  }
+  const auto seconds = [](Duration duration) {
+    return std::chrono::duration<double>(duration).count();
+  };
+  relay_.SetMetrics(now);
+  metrics_.Set("mustardflow_servers_blocked", static_cast<double>(blocked));
+  metrics_.Set("mustardflow_servers_doubtful", static_cast<double>(doubtful));
+  metrics_.Set("mustardflow_servers_cold", static_cast<double>(cold));
+  metrics_.Set("mustardflow_store_silence_seconds",
+               seconds(store_.Silence(now)));
+  metrics_.Set("mustardflow_store_calls_total",
+               static_cast<double>(store_.calls()));
+  metrics_.Set("mustardflow_leading", leader_.leading() ? 1 : 0);
+  metrics_.Set("mustardflow_leader_silence_seconds",
+               seconds(leader_.Silence(now)));
+  metrics_.Set("mustardflow_entries_unreadable_total",
+               static_cast<double>(watch_.bad_entries()));
+  metrics_.Set("mustardflow_log_lines_suppressed_total",
+               static_cast<double>(log_.suppressed()));
+  HttpReply reply;
+  reply.status = 200;
+  reply.content_type = "text/plain; version=0.0.4";
+  reply.body = metrics_.Page();
+  return reply;
+}
+
 awaitable<HttpReply> EntryHost::AnswerPeer(HttpRequest request) {
   HttpReply reply;
   if (request.path != kTablePath) {
@@ -447,8 +507,7 @@
   }
   callers_.CloseIdle();
   const bool out_of_time = since > profile_.bounds.stop_grace - kStopMargin;
-  if (out_of_time ||
-      (relay_.active() == 0 && callers_.connections() == 0)) {
+  if (out_of_time || (relay_.active() == 0 && callers_.connections() == 0)) {
     log_.Write(LogPart::kHost, "stopped",
                {{"requests", static_cast<std::int64_t>(relay_.active())}});
     log_.Flush(now);
--- a/src/transport/entry_host.h
+++ b/src/transport/entry_host.h
@@ -20,6 +20,8 @@
 #include "state/host_profile.h"
 #include "transport/asio.h"
 #include "transport/caller_listener.h"
+#include "transport/entry_metrics.h"
+#include "transport/entry_pages.h"
 #include "transport/event_log.h"
 #include "transport/http_listener.h"
 #include "transport/leader_duty.h"
@@ -69,6 +71,8 @@
   awaitable<void> FetchRecordedTable();
   void SetTable(state::OwnershipTable table);
 
+  awaitable<HttpReply> AnswerOperators(HttpRequest request);
+  HttpReply MetricsPage(state::Instant now);
   awaitable<HttpReply> AnswerReadiness(HttpRequest request);
   awaitable<HttpReply> AnswerPeer(HttpRequest request);
   bool Ready() const;
@@ -87,10 +91,14 @@
   StoreClient store_;
   StoreWatch watch_;
   LeaderDuty leader_;
+  EntryMetrics metrics_;
   RequestRelay relay_;
+  EntryPages pages_;
   CallerListener callers_;
   HttpListener readiness_;
   HttpListener peer_pages_;
+  // Not listening if the settings name no address for operators.
+  std::optional<HttpListener> operators_;
   HttpClient peer_client_;
   udp::socket peer_socket_;
   udp::endpoint sender_;
--- /dev/null
+++ b/src/transport/entry_metrics.cc
@@ -0,0 +1,84 @@
+// Names and meanings of the metrics.
+
+#include "transport/entry_metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+#include <array>
+#include <utility>
+
+namespace mustardflow::transport {
+
+namespace {
+
+const prometheus::Histogram::BucketBoundaries& LatencyBuckets() {
+  static const prometheus::Histogram::BucketBoundaries buckets = {
+      0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 2, 5};
+  return buckets;
+}
+
+constexpr std::array<std::pair<const char*, const char*>, 15> kValues = {{
+    {"mustardflow_requests_under_way", "Requests that have no answer yet."},
+    {"mustardflow_oldest_request_seconds", "Age of the oldest of them."},
+    {"mustardflow_waiting_for_owner", "Requests whose key has no server."},
+    {"mustardflow_repeats_total", "Requests sent to a server once more."},
+    {"mustardflow_repeats_left", "Repeats left in the smallest budget."},
+    {"mustardflow_store_silence_seconds",
+     "Time since the store last answered while it was asked."},
+    {"mustardflow_store_calls_total", "Calls to the platform's store."},
+    {"mustardflow_server_connections_total",
+     "Connections opened to backend servers."},
+    {"mustardflow_servers_blocked",
+     "Backend servers without a connection at present."},
+    {"mustardflow_servers_doubtful",
+     "Backend servers whose entry is missing but may come back."},
+    {"mustardflow_servers_cold", "Backend servers that are cold."},
+    {"mustardflow_leading", "1 if this host leads."},
+    {"mustardflow_leader_silence_seconds",
+     "Time since the leader was last heard; 0 at the leader."},
+    {"mustardflow_entries_unreadable_total",
+     "Entries in the store that name no server."},
+    {"mustardflow_log_lines_suppressed_total",
+     "Log lines beyond the budget of their event."},
+}};
+
+}  // namespace
+
+EntryMetrics::EntryMetrics()
+    : registry_(std::make_shared<prometheus::Registry>()),
+      request_seconds_(
+          prometheus::BuildHistogram()
+              .Name("mustardflow_request_seconds")
+              .Help("Time from a request's arrival to its end.")
+              .Register(*registry_)) {
+  for (const auto& [name, help] : kValues) {
+    values_[name] =
+        &prometheus::BuildGauge().Name(name).Help(help).Register(*registry_)
+             .Add({});
+  }
+}
+
+void EntryMetrics::ObserveRequest(const std::string& route,
+                                  const std::string& outcome,
+                                  state::Duration duration) {
+  const std::pair key(route, outcome);
+  auto found = histograms_.find(key);
+  if (found == histograms_.end()) {
+    found = histograms_
+                .emplace(key, &request_seconds_.Add(
+                                  {{"route", route}, {"outcome", outcome}},
+                                  LatencyBuckets()))
+                .first;
+  }
+  found->second->Observe(std::chrono::duration<double>(duration).count());
+}
+
+void EntryMetrics::Set(const std::string& name, double value) {
+  values_.at(name)->Set(value);
+}
+
+std::string EntryMetrics::Page() const {
+  return prometheus::TextSerializer().Serialize(registry_->Collect());
+}
+
+}  // namespace mustardflow::transport
--- a/src/transport/event_log.cc
+++ b/src/transport/event_log.cc
@@ -95,8 +95,9 @@
     second_began_ = now;
     written_.clear();
     for (const auto& [event, count] : suppressed_) {
+      const std::string_view name = event;
       AppendLine(LogPart::kHost, "lines-suppressed",
-                 {{"of", std::string_view(event)}, {"lines", count}});
+                 {{"of", name}, {"lines", count}});
     }
     suppressed_.clear();
   }
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -44,13 +44,13 @@
   HttpClient(asio::any_io_executor executor, std::size_t max_reply_bytes);
 
   // Returns the reply or the error that kept it from arriving in time.
-  awaitable<boost::outcome_v2::result<HttpReply>> Send(state::Address address,
-                                                       http::verb method,
-                                                       std::string target,
-                                                       std::string body,
-                                                       state::Duration timeout,
-                                                       HttpSendOptions options =
-                                                           HttpSendOptions());
+  awaitable<boost::outcome_v2::result<HttpReply>> Send(
+      state::Address address,
+      http::verb method,
+      std::string target,
+      std::string body,
+      state::Duration timeout,
+      HttpSendOptions options = HttpSendOptions());
 
  private:
   using Stream = std::unique_ptr<beast::tcp_stream>;
--- a/src/transport/leader_duty.cc
+++ b/src/transport/leader_duty.cc
@@ -149,12 +149,12 @@
   return opinion;
 }
 
-double LeaderDuty::moved_share() const {
-  double sum = 0;
-  for (const auto& [service, keyspace] : keyspaces_) {
-    sum += keyspace.coordinator->moved_share();
+Duration LeaderDuty::Silence(Instant now) const {
+  const auto heard = election_.heard_directly();
+  if (leading()) {
+    return Duration(0);
   }
-  return sum;
+  return heard ? Duration(now - *heard) : Duration::max();
 }
 
 void LeaderDuty::Tick(Instant now) {
@@ -275,8 +275,8 @@
     }
   }
   writer->pending = false;
-  const bool lost = outcome == AppendOutcome::kFenced ||
-                    outcome == AppendOutcome::kConflict;
+  const bool lost =
+      outcome == AppendOutcome::kFenced || outcome == AppendOutcome::kConflict;
   if (lost && writer == writer_) {
     election_.HandleFenced();
   }
@@ -462,8 +462,7 @@
     for (auto& [service, keyspace] : keyspaces_) {
       for (const state::ServerLife& server :
            keyspace.coordinator->Unanswering()) {
-        asio::co_spawn(executor_,
-                       TryServer(election_.term(), service, server),
+        asio::co_spawn(executor_, TryServer(election_.term(), service, server),
                        asio::detached);
       }
     }
--- a/src/transport/leader_duty.h
+++ b/src/transport/leader_duty.h
@@ -70,11 +70,10 @@
   // Whether no leader is heard; the table then has to be read from the store.
   bool deaf(state::Instant now) const { return election_.deaf(now); }
   std::int64_t term() const { return election_.term(); }
-  const state::OwnershipTable& table() const { return table_; }
+  // How long the leader has not been heard; 0 at the leader itself.
+  state::Duration Silence(state::Instant now) const;
   // What this host would answer to a question about the leader.
   protocol::LeaderOpinion Opinion(state::Instant now) const;
-  // The share of keys that changed hands under this leader.
-  double moved_share() const;
 
  private:
   struct Keyspace {
@@ -93,8 +92,7 @@
     std::optional<std::vector<platform::KeyedRecord>> unresolved;
   };
 
-  void Perform(state::Instant now,
-               const coordination::ElectionAction& action);
+  void Perform(state::Instant now, const coordination::ElectionAction& action);
   void BeginLeading(state::Instant now);
   void EndLeading(std::string_view reason);
   void TickKeyspaces(state::Instant now);
--- a/src/transport/request_relay.cc
+++ b/src/transport/request_relay.cc
@@ -59,10 +59,10 @@
 
 std::string FormatSeconds(Duration duration) {
   std::array<char, 32> buffer{};
-  const auto end = std::to_chars(
-      buffer.data(), buffer.data() + buffer.size(),
-      std::chrono::duration<double>(duration).count(),
-      std::chars_format::fixed, 2);
+  const auto end =
+      std::to_chars(buffer.data(), buffer.data() + buffer.size(),
+                    std::chrono::duration<double>(duration).count(),
+                    std::chars_format::fixed, 2);
   return {buffer.data(), end.ptr};
 }
 
@@ -77,12 +77,14 @@
                            const RelayView& view,
                            coordination::ServerPool& pool,
                            std::function<double()> random,
-                           EventLog& log)
+                           EventLog& log,
+                           EntryMetrics& metrics)
     : profile_(profile),
       view_(view),
       pool_(pool),
       random_(std::move(random)),
       log_(log),
+      metrics_(metrics),
       links_(context) {}
 
 RequestRelay::RequestId RequestRelay::Start(CallerMessage message,
@@ -93,7 +95,6 @@
   request->handler = std::move(handler);
   request->received = Now();
   requests_.emplace(request->id, request);
-  ++counts_.received;
   if (Classify(request)) {
     Budget(request->service).Deposit();
     TrySend(request);
@@ -111,14 +112,13 @@
   }
   const std::string_view target(message.target().data(),
                                 message.target().size());
-  const std::string hostname =
-      HostnameOf({message[http::field::host].data(),
-                  message[http::field::host].size()});
+  const std::string hostname = HostnameOf(
+      {message[http::field::host].data(), message[http::field::host].size()});
   request->route =
       request->config->Match(hostname, target.substr(0, target.find('?')));
   if (request->route == nullptr) {
     LogEnd(*request, "no-route", target);
-    Finish(request, {404, "Not Found", {}, ""});
+    Finish(request, "failed", {404, "Not Found", {}, ""});
     return false;
   }
   Duration allowed = request->route->timeout;
@@ -132,19 +132,17 @@
   request->service = PickService(*request->route);
   const auto rules = request->config->services().find(request->service);
   if (rules != request->config->services().end() && rules->second.keyed) {
-    const auto key =
-        ParseInteger({message[platform::kShardKeyField].data(),
-                      message[platform::kShardKeyField].size()});
+    const auto key = ParseInteger({message[platform::kShardKeyField].data(),
+                                   message[platform::kShardKeyField].size()});
     if (!key || *key < 0 || *key >= state::kShardKeyCount) {
       LogEnd(*request, "no-key", request->service);
-      Finish(request, {400, "Bad Request", {}, ""});
+      Finish(request, "failed", {400, "Bad Request", {}, ""});
       return false;
     }
     request->key = static_cast<state::ShardKey>(*key);
     samplers_.try_emplace(request->service, kSamplesPerReport)
-        .first->second.Note(
-            *request->key,
-            static_cast<std::uint64_t>(random_() * 9007199254740992.0));
+        .first->second.Note(*request->key, static_cast<std::uint64_t>(
+                                               random_() * 9007199254740992.0));
   }
   return true;
 }
@@ -358,12 +356,11 @@
   own.reason = std::move(answer.reason);
   CopyEndToEndFields(answer.fields, &own.fields);
   own.body = std::move(answer.body);
-  ++counts_.answered;
   if (own_failure || now - request->received > request->route->target_latency) {
     LogEnd(*request, own_failure ? "answered-failure" : "answered-late",
            attempt.server.life.id);
   }
-  Finish(request, std::move(own));
+  Finish(request, own_failure ? "failed" : "answered", std::move(own));
 }
 
 void RequestRelay::HandleNotRun(const RequestPtr& request,
@@ -376,12 +373,12 @@
               {"term", view_.table.term},
               {"revision", view_.table.revision}});
   if (status == 400) {
-    Finish(request, {400, "Bad Request", {}, ""});
+    Finish(request, "failed", {400, "Bad Request", {}, ""});
     return;
   }
   if (request->abandoned || !request->attempts.empty()) {
     if (request->attempts.empty()) {
-      Finish(request, {});
+      Finish(request, "abandoned", {});
     }
     return;
   }
@@ -408,7 +405,7 @@
 void RequestRelay::HandleLost(const RequestPtr& request) {
   if (request->abandoned || !request->attempts.empty()) {
     if (request->attempts.empty()) {
-      Finish(request, {});
+      Finish(request, "abandoned", {});
     }
     return;
   }
@@ -426,7 +423,7 @@
   ++request->failed_connections;
   if (request->abandoned || !request->attempts.empty()) {
     if (request->attempts.empty()) {
-      Finish(request, {});
+      Finish(request, "abandoned", {});
     }
     return;
   }
@@ -442,7 +439,7 @@
       !Budget(request.service).Withdraw()) {
     return false;
   }
-  ++counts_.repeats;
+  ++repeats_;
   return true;
 }
 
@@ -467,9 +464,9 @@
   }
   const Attempt& first = request->attempts.front();
   const Duration delay = std::max(
-      kShortestHedge, Duration(static_cast<Duration::rep>(
-                          static_cast<double>(first.expected.count()) *
-                          kHedgeFactor)));
+      kShortestHedge,
+      Duration(static_cast<Duration::rep>(
+          static_cast<double>(first.expected.count()) * kHedgeFactor)));
   if (!first.link->connected() || now - first.sent < delay ||
       now + first.expected > request->end) {
     return;
@@ -482,7 +479,6 @@
   if (found == nullptr || !WithdrawRepeat(*request)) {
     return;
   }
-  ++counts_.hedges;
   SendTo(request, *found);
 }
 
@@ -496,12 +492,12 @@
     if (!requests_.contains(request->id)) {
       continue;
     }
-    const auto slow = std::find_if(
-        request->attempts.begin(), request->attempts.end(),
-        [now](const Attempt& attempt) {
-          return !attempt.link->connected() &&
-                 now - attempt.sent >= kConnectTimeout;
-        });
+    const auto slow =
+        std::find_if(request->attempts.begin(), request->attempts.end(),
+                     [now](const Attempt& attempt) {
+                       return !attempt.link->connected() &&
+                              now - attempt.sent >= kConnectTimeout;
+                     });
     if (slow != request->attempts.end()) {
       slow->link->Abort();
       HandleEnd(request, slow, LinkEnd::kNotConnected, {});
@@ -538,13 +534,12 @@
     return;
   }
   const RequestPtr request = found->second;
-  ++counts_.abandoned;
   request->abandoned = true;
   request->handler = nullptr;
   const bool may_stop =
       request->route == nullptr || state::MayRepeat(request->route->kind);
   if (may_stop || request->attempts.empty()) {
-    Finish(request, {});
+    Finish(request, "abandoned", {});
   }
 }
 
@@ -567,12 +562,11 @@
     Refuse(request, "deadline", kUsualRetryAfter);
     return;
   }
-  ++counts_.timed_out;
   LogEnd(*request, "timed-out",
          request->attempts.empty()
              ? std::string_view("none")
              : std::string_view(request->attempts.back().server.life.id));
-  Finish(request, {504, "Gateway Timeout", {}, ""});
+  Finish(request, "timed-out", {504, "Gateway Timeout", {}, ""});
 }
 
 void RequestRelay::Refuse(const RequestPtr& request,
@@ -582,26 +576,29 @@
     FailUnknown(request, reason);
     return;
   }
-  ++counts_.refused;
   LogEnd(*request, "refused", reason);
   // Spreads the callers that come back.
   const auto after = Duration(static_cast<Duration::rep>(
       static_cast<double>(retry_after.count()) * (0.75 + 0.5 * random_())));
-  Finish(request, {503,
-                   "Service Unavailable",
-                   {{"Retry-After", FormatSeconds(after)}},
-                   ""});
+  Finish(request, "refused",
+         {503,
+          "Service Unavailable",
+          {{"Retry-After", FormatSeconds(after)}},
+          ""});
 }
 
 void RequestRelay::FailUnknown(const RequestPtr& request,
                                std::string_view reason) {
-  ++counts_.unknown;
   LogEnd(*request, "unknown", reason);
-  Finish(request, {502, "Bad Gateway", {}, ""});
+  Finish(request, "unknown", {502, "Bad Gateway", {}, ""});
 }
 
-void RequestRelay::Finish(const RequestPtr& request, CallerAnswer answer) {
+void RequestRelay::Finish(const RequestPtr& request,
+                          std::string_view outcome,
+                          CallerAnswer answer) {
   AbortAttempts(request);
+  metrics_.ObserveRequest(request->route == nullptr ? "" : request->route->name,
+                          std::string(outcome), Now() - request->received);
   requests_.erase(request->id);
   if (request->handler) {
     const AnswerHandler handler = std::move(request->handler);
@@ -626,6 +623,28 @@
        {"revision", view_.table.revision}});
 }
 
+void RequestRelay::SetMetrics(Instant now) {
+  Duration oldest{0};
+  std::size_t waiting = 0;
+  for (const auto& [id, request] : requests_) {
+    oldest = std::max<Duration>(oldest, now - request->received);
+    waiting += request->waiting_since ? 1 : 0;
+  }
+  double left = profile_.bounds.retry_slack;
+  for (const auto& [service, budget] : budgets_) {
+    left = std::min(left, budget.left());
+  }
+  metrics_.Set("mustardflow_requests_under_way",
+               static_cast<double>(requests_.size()));
+  metrics_.Set("mustardflow_oldest_request_seconds",
+               std::chrono::duration<double>(oldest).count());
+  metrics_.Set("mustardflow_waiting_for_owner", static_cast<double>(waiting));
+  metrics_.Set("mustardflow_repeats_total", static_cast<double>(repeats_));
+  metrics_.Set("mustardflow_repeats_left", left);
+  metrics_.Set("mustardflow_server_connections_total",
+               static_cast<double>(links_.opened()));
+}
+
 std::map<std::string, coordination::LoadReport> RequestRelay::TakeLoad() {
   std::map<std::string, coordination::LoadReport> load;
   for (auto& [service, sampler] : samplers_) {
--- a/src/transport/request_relay.h
+++ b/src/transport/request_relay.h
@@ -21,6 +21,7 @@
 #include "state/ownership_table.h"
 #include "state/routing_config.h"
 #include "transport/asio.h"
+#include "transport/entry_metrics.h"
 #include "transport/event_log.h"
 #include "transport/server_links.h"
 
@@ -44,18 +45,6 @@
   std::size_t hosts = 1;
 };
 
-// Counts since the start of the process.
-struct RelayCounts {
-  std::uint64_t received = 0;
-  std::uint64_t answered = 0;
-  std::uint64_t refused = 0;
-  std::uint64_t unknown = 0;
-  std::uint64_t timed_out = 0;
-  std::uint64_t abandoned = 0;
-  std::uint64_t repeats = 0;
-  std::uint64_t hedges = 0;
-};
-
 class RequestRelay {
  public:
   using AnswerHandler = std::function<void(CallerAnswer)>;
@@ -67,7 +56,8 @@
                const RelayView& view,
                coordination::ServerPool& pool,
                std::function<double()> random,
-               EventLog& log);
+               EventLog& log,
+               EntryMetrics& metrics);
 
   // Takes a whole request. `handler` is called once, perhaps at once, unless
   // Abandon() comes first.
@@ -83,8 +73,8 @@
   void HandleTableChange(state::Instant now);
 
   std::size_t active() const { return requests_.size(); }
-  const RelayCounts& counts() const { return counts_; }
-  ServerLinks& links() { return links_; }
+  // Sets the values that this part knows.
+  void SetMetrics(state::Instant now);
 
   // What was asked of each keyed service since the last call.
   std::map<std::string, coordination::LoadReport> TakeLoad();
@@ -161,7 +151,10 @@
               state::Duration retry_after);
   void FailUnknown(const RequestPtr& request, std::string_view reason);
   void HandleDeadline(const RequestPtr& request);
-  void Finish(const RequestPtr& request, CallerAnswer answer);
+  // Ends the request; `outcome` is one of the words of EntryMetrics.
+  void Finish(const RequestPtr& request,
+              std::string_view outcome,
+              CallerAnswer answer);
   void LogEnd(const Request& request,
               std::string_view event,
               std::string_view reason);
@@ -171,6 +164,7 @@
   coordination::ServerPool& pool_;
   const std::function<double()> random_;
   EventLog& log_;
+  EntryMetrics& metrics_;
   ServerLinks links_;
   RequestId last_id_ = 0;
   std::map<RequestId, RequestPtr> requests_;
@@ -180,7 +174,7 @@
   std::map<std::string, coordination::LoadSampler> samplers_;
   // Per route: the credit of each service of a split.
   std::map<std::string, std::map<std::string, double>> split_credit_;
-  RelayCounts counts_;
+  std::uint64_t repeats_ = 0;
 };
 
 }  // namespace mustardflow::transport
--- a/src/transport/server_link.cc
+++ b/src/transport/server_link.cc
@@ -90,9 +90,9 @@
   }
   reading_ = true;
   socket_.async_read_some(
-      asio::buffer(chunk_), [self = shared_from_this()](
-                                const beast::error_code& error,
-                                std::size_t size) {
+      asio::buffer(chunk_),
+      [self = shared_from_this()](const beast::error_code& error,
+                                  std::size_t size) {
         self->reading_ = false;
         self->HandleRead(error, size);
       });
--- a/src/transport/server_links.cc
+++ b/src/transport/server_links.cc
@@ -29,19 +29,18 @@
 
 }  // namespace
 
-std::shared_ptr<ServerLink> ServerLinks::Take(
-    Instant now,
-    const state::ServerRecord& server,
-    bool only_fresh) {
+std::shared_ptr<ServerLink> ServerLinks::Take(Instant now,
+                                              const state::ServerRecord& server,
+                                              bool only_fresh) {
   const auto found = idle_.find(server.life);
   if (found != idle_.end()) {
     std::vector<std::shared_ptr<ServerLink>>& links = found->second;
     while (!links.empty()) {
       std::shared_ptr<ServerLink> link = links.back();
       const Duration idle = now - link->idle_since();
-      const Duration longest =
-          only_fresh ? std::min(kFreshIdle, LongestIdle(*link))
-                     : LongestIdle(*link);
+      const Duration longest = only_fresh
+                                   ? std::min(kFreshIdle, LongestIdle(*link))
+                                   : LongestIdle(*link);
       links.pop_back();
       if (idle < longest) {
         return link;
--- a/src/transport/store_client.cc
+++ b/src/transport/store_client.cc
@@ -36,16 +36,12 @@
                                      std::move(call.body), timeout);
   const bool failed =
       !reply || reply.value().status == 429 || reply.value().status >= 500;
-  if (failed) {
-    last_failure_ = Now();
-  }
-  if (failed != failing_) {
-    failing_ = failed;
-    log_.Write(
-        LogPart::kStore, failed ? "store-lost" : "store-regained",
-        {{"call", std::string_view(target)},
-         {"status",
-          reply ? static_cast<std::int64_t>(reply.value().status) : 0}});
+  if (failed != failing_since_.has_value()) {
+    failing_since_ = failed ? std::optional(Now()) : std::nullopt;
+    log_.Write(LogPart::kStore, failed ? "store-lost" : "store-regained",
+               {{"call", std::string_view(target)},
+                {"status",
+                 reply ? static_cast<std::int64_t>(reply.value().status) : 0}});
   }
   if (!reply) {
     co_return std::nullopt;
@@ -85,8 +81,8 @@
 awaitable<std::optional<TopicPage>> StoreClient::ReadOn(std::string topic,
                                                         std::int64_t from,
                                                         Duration wait) {
-  const auto reply = co_await Send(platform::ReadCall(topic, from, wait),
-                                   wait + kCallTimeout);
+  const auto reply =
+      co_await Send(platform::ReadCall(topic, from, wait), wait + kCallTimeout);
   if (!reply) {
     co_return std::nullopt;
   }
--- a/src/transport/store_client.h
+++ b/src/transport/store_client.h
@@ -47,8 +47,10 @@
       platform::WriterMark mark,
       std::optional<std::int64_t> at);
 
-  // When a call last failed; nothing if none has.
-  std::optional<state::Instant> last_failure() const { return last_failure_; }
+  // For how long the store has answered no call; 0 while it answers.
+  state::Duration Silence(state::Instant now) const {
+    return failing_since_ ? now - *failing_since_ : state::Duration(0);
+  }
   std::uint64_t calls() const { return calls_; }
 
  private:
@@ -58,8 +60,7 @@
   HttpClient client_;
   const state::Address address_;
   EventLog& log_;
-  std::optional<state::Instant> last_failure_;
-  bool failing_ = false;
+  std::optional<state::Instant> failing_since_;
   std::uint64_t calls_ = 0;
 };
 
--- a/src/transport/store_watch.cc
+++ b/src/transport/store_watch.cc
@@ -137,8 +137,8 @@
 }
 
 void StoreWatch::ApplyOperators(const TopicPage& page) {
-  std::set<std::string> evacuated = page.whole ? std::set<std::string>()
-                                               : evacuated_;
+  std::set<std::string> evacuated =
+      page.whole ? std::set<std::string>() : evacuated_;
   const std::string* config = nullptr;
   for (const platform::KeyedRecord& record : page.records) {
     if (record.key == platform::kConfigKey) {
@@ -240,8 +240,7 @@
   pool_.SetDoubtful(id);
 }
 
-void StoreWatch::ApplyEntry(Instant now,
-                            const platform::KeyedRecord& record) {
+void StoreWatch::ApplyEntry(Instant now, const platform::KeyedRecord& record) {
   if (!record.value) {
     if (pool_.servers().contains(record.key)) {
       HandleMissing(now, record.key);
@@ -275,8 +274,7 @@
 
 void StoreWatch::RemoveGone(Instant now) {
   for (const std::string& id : lapses_.TakeGone(now)) {
-    log_.Write(LogPart::kServers, "gone",
-               {{"server", std::string_view(id)}});
+    log_.Write(LogPart::kServers, "gone", {{"server", std::string_view(id)}});
     pool_.Remove(id);
   }
 }
--- a/tests/keys/key_world.cc
+++ b/tests/keys/key_world.cc
@@ -30,8 +30,7 @@
 }
 
 state::ShardKey KeyWorld::KeyAt(int index) {
-  return static_cast<state::ShardKey>(index * state::kShardKeyCount /
-                                      kWatched);
+  return static_cast<state::ShardKey>(index * state::kShardKeyCount / kWatched);
 }
 
 std::string KeyWorld::NameOf(int server) {
@@ -96,7 +95,6 @@
   }
 }
 
-
 void KeyWorld::GiveServers(Leader* leader) {
   std::vector<coordination::KeyServer> servers;
   for (int i = 0; i < kServers; ++i) {
@@ -122,9 +120,8 @@
   };
   const auto given_up = sent + coordination::kOrderTimeout;
   const Server& server = servers_[static_cast<std::size_t>(target)];
-  const bool cut =
-      leaders_[index].cut[static_cast<std::size_t>(target)] || !server.up ||
-      server.born != order.server.born;
+  const bool cut = leaders_[index].cut[static_cast<std::size_t>(target)] ||
+                   !server.up || server.born != order.server.born;
   if (cut || Percent(faults_.refused)) {
     answer(sent + Draw(1, 200), OrderOutcome::kNotSent);
     return;
--- a/tests/keys/keyspace_cases_test.cc
+++ b/tests/keys/keyspace_cases_test.cc
@@ -71,9 +71,10 @@
   CHECK(world.leader().moved_share() == 0);
 }
 
-TEST_CASE("keys of a server that the new leader cannot reach wait for the "
-          "predecessor",
-          "[O3]") {
+TEST_CASE(
+    "keys of a server that the new leader cannot reach wait for the "
+    "predecessor",
+    "[O3]") {
   KeyWorld world(6);
   world.Advance(seconds(2));
   world.TakeOver(false);
--- a/tests/keys/keyspace_fuzz_test.cc
+++ b/tests/keys/keyspace_fuzz_test.cc
@@ -89,8 +89,8 @@
   const bool holds = rc::check([] {
     KeyWorld world(*rc::gen::arbitrary<std::uint64_t>());
     world.Advance(std::chrono::seconds(1));
-    const auto kinds = *rc::gen::container<std::vector<int>>(
-        rc::gen::inRange(0, 100));
+    const auto kinds =
+        *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 100));
     for (const int kind : kinds) {
       Play(world, {kind % 10, kind / 3, kind});
       world.Advance(std::chrono::milliseconds(10 + kind * 7));
--- a/tests/keys/leader_election_test.cc
+++ b/tests/keys/leader_election_test.cc
@@ -78,8 +78,7 @@
       Await<coordination::ReadLedger>(election, &now, milliseconds(700)));
 }
 
-TEST_CASE("a host that reaches no other leaves a living leader alone",
-          "[O3]") {
+TEST_CASE("a host that reaches no other leaves a living leader alone", "[O3]") {
   Instant now(seconds(10));
   LeaderElection election(now, "a", 0);
   for (int beat = 0; beat < 6; ++beat) {
--- /dev/null
+++ b/tests/platform/operator_config_test.cc
@@ -0,0 +1,93 @@
+// The operators' configuration, whole and damaged.
+
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "platform/operator_config.h"
+
+namespace mustardflow::tests {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+const std::string kConfig = R"({
+  "version": 7,
+  "routes": {
+    "split": {"hostname": "Shop.Example", "path_prefix": "/a/",
+              "type": "idempotent", "timeout": "800ms",
+              "target_latency": "0.3s", "priority": 2, "max_attempts": 2,
+              "traffic_split": [{"service": "one", "weight": 90},
+                                {"service": "two", "weight": 10}]},
+    "deep": {"hostname": "shop.example", "path_prefix": "/a/b/",
+             "type": "non_idempotent", "timeout": "1000ms",
+             "target_latency": "400ms", "service": "two"},
+    "odd": {"hostname": "shop.example", "path_prefix": "/c/",
+            "type": "never heard of", "service": "one"},
+    "bad": {"hostname": 5, "path_prefix": "/d/", "service": "one"}
+  },
+  "services": {
+    "one": {"max_connections": 110, "warmup": "3s", "warmup_per_s": 19.0,
+            "sharded": true, "warm": "2s"},
+    "two": {"max_connections": 90}
+  },
+  "limits": {"max_header_bytes": 1000, "max_body_bytes": 2000,
+             "header_timeout": "3000ms", "idle_timeout": "15s"}
+})";
+
+}  // namespace
+
+TEST_CASE("a configuration is read, and a bad route is left out") {
+  protocol::Findings findings;
+  const auto config = platform::ParseOperatorConfig(kConfig, &findings);
+  REQUIRE(config);
+  CHECK(config->version() == 7);
+  CHECK(config->routes().size() == 3);
+  REQUIRE(findings.list().size() == 1);
+  CHECK(findings.list().front().place == "/routes/bad");
+  CHECK(config->services().at("one").keyed);
+  CHECK(config->services().at("one").cold_rate == 19.0);
+  CHECK_FALSE(config->services().at("two").keyed);
+  CHECK(config->limits().header_bytes == 1000);
+  CHECK(config->limits().idle_timeout == std::chrono::seconds(15));
+}
+
+TEST_CASE("the longest prefix of the host's routes wins") {
+  protocol::Findings findings;
+  const auto config = platform::ParseOperatorConfig(kConfig, &findings);
+  REQUIRE(config);
+  const state::Route* split = config->Match("shop.example", "/a/x");
+  REQUIRE(split != nullptr);
+  CHECK(split->name == "split");
+  CHECK(split->services.size() == 2);
+  CHECK(split->timeout == milliseconds(800));
+  CHECK(split->target_latency == milliseconds(300));
+  const state::Route* deep = config->Match("shop.example", "/a/b/c");
+  REQUIRE(deep != nullptr);
+  CHECK(deep->name == "deep");
+  CHECK_FALSE(state::MayRepeat(deep->kind));
+  CHECK(config->Match("shop.example", "/z/") == nullptr);
+  CHECK(config->Match("other.example", "/a/x") == nullptr);
+}
+
+TEST_CASE("a kind that is not known may not repeat") {
+  protocol::Findings findings;
+  const auto config = platform::ParseOperatorConfig(kConfig, &findings);
+  REQUIRE(config);
+  const state::Route* odd = config->Match("shop.example", "/c/");
+  REQUIRE(odd != nullptr);
+  CHECK_FALSE(state::MayRepeat(odd->kind));
+}
+
+TEST_CASE("what is no configuration gives none") {
+  for (const char* text :
+       {"", "{", "[]", "{}", R"({"version":1})", R"({"routes":{}})",
+        R"({"version":"1","routes":{}})", R"({"version":1,"routes":[]})"}) {
+    protocol::Findings findings;
+    INFO(text);
+    CHECK(platform::ParseOperatorConfig(text, &findings) == nullptr);
+    CHECK_FALSE(findings.empty());
+  }
+}
+
+}  // namespace mustardflow::tests
--- /dev/null
+++ b/tests/platform/settings_file_test.cc
@@ -0,0 +1,58 @@
+// The platform's settings file.
+
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "platform/settings_file.h"
+
+namespace mustardflow::tests {
+
+namespace {
+
+const std::string kSettings = R"({
+  "node_name": "edge-north-1", "zone": "north", "ip": "10.1.0.18",
+  "bind_addresses": {"frontend": "10.1.0.18:8381", "ready": "10.1.0.18:8388",
+                     "control_plane": "10.1.0.18:8382"},
+  "internal_ports": [7200, 7215], "heartbeat": "870ms",
+  "limits": {"memory_mb": 260},
+  "bounds": ["retry_budget_ratio=0.2", "retry_budget_slack=56",
+             "warmup_overage=1.5", "warmup_slack=5", "grace=6s",
+             "hold_max=10000ms", "unheard_of=1", "no figure", "grace=soon"],
+  "platform": {"address": "10.200.1.7:8384"},
+  "something_new": [1, 2, 3]
+})";
+
+}  // namespace
+
+TEST_CASE("the settings file is read, and what is new in it ignored") {
+  protocol::Findings findings;
+  const auto profile = platform::ParseSettingsFile(kSettings, &findings);
+  REQUIRE(profile);
+  CHECK(profile->name == "edge-north-1");
+  CHECK(profile->callers == state::Address{"10.1.0.18", 8381});
+  CHECK(profile->readiness == state::Address{"10.1.0.18", 8388});
+  CHECK(profile->operators == state::Address{"10.1.0.18", 8382});
+  CHECK(profile->peer_port == 7200);
+  CHECK(profile->store == state::Address{"10.200.1.7", 8384});
+  CHECK(profile->server_heartbeat == std::chrono::milliseconds(870));
+  CHECK(profile->bounds.retry_slack == 56);
+  CHECK(profile->bounds.cold_slack == 5);
+  CHECK(profile->bounds.stop_grace == std::chrono::seconds(6));
+}
+
+TEST_CASE("all that is missing in the settings is found at once") {
+  protocol::Findings findings;
+  CHECK_FALSE(platform::ParseSettingsFile(
+      R"({"node_name":"a","ip":"1.2.3.4","bind_addresses":{"ready":"x"}})",
+      &findings));
+  CHECK(findings.Report("local.json") ==
+        "local.json: /zone: missing; add the field\n"
+        "local.json: /bind_addresses/frontend: missing; add the field\n"
+        "local.json: /bind_addresses/ready: \"x\" is not an IP number with a "
+        "port; write for example 192.0.2.7:8080\n"
+        "local.json: /internal_ports: names no port; give the first and the "
+        "last free port\n"
+        "local.json: /platform: missing; add the field\n");
+}
+
+}  // namespace mustardflow::tests
--- /dev/null
+++ b/tests/platform/store_protocol_test.cc
@@ -0,0 +1,139 @@
+// Calls of the store and their replies.
+
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "platform/server_protocol.h"
+#include "platform/store_protocol.h"
+#include "platform/wire_values.h"
+
+namespace mustardflow::tests {
+
+using platform::AppendOutcome;
+using platform::KeyedRecord;
+
+namespace {
+
+using namespace std::string_literals;  // NOLINT(google-build-using-namespace)
+
+// A reply to a read: the end, the first offset, then what was appended.
+std::string ReadBody(const std::string& records) {
+  return "\0\0\0\0\0\0\0\x09"s + "\0\0\0\0\0\0\0\x02"s + records;
+}
+
+}  // namespace
+
+TEST_CASE("an append names topic, writer and condition") {
+  const auto call = platform::AppendCall(
+      "keyed.x", {{"k", "value", 0}, {"gone", std::nullopt, 0}}, {"w", 7, 12},
+      840);
+  CHECK(call.method == "POST");
+  CHECK(call.target ==
+        "/log-append?topic=keyed.x&part=0&producer=w&epoch=7&seq=12&at=840");
+  CHECK(call.body == "\0\0\0\x07\x01kvalue\0\0\0\x05\x04gone"s);
+}
+
+TEST_CASE("what is appended is read again") {
+  const bool holds = rc::check([](const std::vector<std::string>& keys,
+                                  const std::string& value) {
+    std::vector<KeyedRecord> records;
+    for (const std::string& key : keys) {
+      RC_PRE(key.size() < 256);
+      records.push_back({key, value.empty() ? std::nullopt
+                                            : std::optional(value),
+                         0});
+    }
+    const auto call = platform::AppendCall("t", records, {"w", 1, 1}, 0);
+    const auto reply = platform::ParseReadReply(ReadBody(call.body), 4);
+    RC_ASSERT(reply.has_value());
+    RC_ASSERT(reply->end == 9);
+    RC_ASSERT(reply->records.size() == records.size());
+    for (std::size_t i = 0; i < records.size(); ++i) {
+      RC_ASSERT(reply->records[i].key == records[i].key);
+      RC_ASSERT(reply->records[i].value == records[i].value);
+      RC_ASSERT(reply->records[i].offset == static_cast<std::int64_t>(4 + i));
+    }
+  });
+  REQUIRE(holds);
+}
+
+TEST_CASE("no bytes crash the reading of a reply", "[S5]") {
+  const bool holds = rc::check([](const std::string& bytes) {
+    platform::ParseReadReply(bytes, 0);
+    platform::ParseNewestReply(bytes);
+    platform::ParseAppendReply(409, bytes);
+    platform::ParseLoad(bytes);
+  });
+  REQUIRE(holds);
+}
+
+TEST_CASE("a record that is cut off is not read") {
+  const auto reply =
+      platform::ParseReadReply(ReadBody("\0\0\0\x09\x01kva"s), 4);
+  REQUIRE(reply);
+  CHECK(reply->records.empty());
+}
+
+TEST_CASE("replies to an append tell what is known") {
+  CHECK(platform::ParseAppendReply(200, R"({"offset":1,"end":2})") ==
+        AppendOutcome::kDone);
+  CHECK(platform::ParseAppendReply(412, R"({"end":2})") ==
+        AppendOutcome::kConflict);
+  CHECK(platform::ParseAppendReply(409, R"({"why":"fenced"})") ==
+        AppendOutcome::kFenced);
+  CHECK(platform::ParseAppendReply(409, R"({"why":"seq","seq":3})") ==
+        AppendOutcome::kConflict);
+  CHECK(platform::ParseAppendReply(503, "") == AppendOutcome::kRefused);
+  CHECK(platform::ParseAppendReply(429, "") == AppendOutcome::kRefused);
+  CHECK(platform::ParseAppendReply(500, "") == AppendOutcome::kUnknown);
+}
+
+TEST_CASE("the newest records are decoded") {
+  const auto reply = platform::ParseNewestReply(
+      R"({"items":[{"key":"config","value":"eyJhIjoxfQ==","offset":4},)"
+      R"({"key":"odd","value":"%%%","offset":5},{"key":7}],)"
+      R"("has_more":true,"end":6})");
+  REQUIRE(reply);
+  REQUIRE(reply->records.size() == 1);
+  CHECK(reply->records[0].value == R"({"a":1})");
+  CHECK(reply->records[0].offset == 4);
+  CHECK(reply->more);
+  CHECK(reply->end == 6);
+}
+
+TEST_CASE("grants and releases are written as the servers read them") {
+  CHECK(platform::GrantBody(4096, 8191, 12, std::chrono::seconds(4), "5c0e") ==
+        R"({"from":4096,"target":8191,"fence":12,"hold_time":"4000ms",)"
+        R"("handover":"5c0e"})");
+  CHECK(platform::ReleaseBody(4096, 8191, 12) ==
+        R"({"from":4096,"target":8191,"fence":12})");
+}
+
+TEST_CASE("load reports have three figures or four") {
+  const auto plain = platform::ParseLoad("3,0,8");
+  REQUIRE(plain);
+  CHECK(plain->running == 3);
+  CHECK(plain->slots == 8);
+  CHECK(plain->slowness == 1);
+  const auto slow = platform::ParseLoad("6, 2, 6, 250");
+  REQUIRE(slow);
+  CHECK(slow->waiting == 2);
+  CHECK(slow->slowness == 2.5);
+  CHECK_FALSE(platform::ParseLoad("3,0"));
+  CHECK_FALSE(platform::ParseLoad("3,0,0"));
+  CHECK_FALSE(platform::ParseLoad("a,b,c"));
+}
+
+TEST_CASE("periods have a number and a unit") {
+  CHECK(platform::ParsePeriod("1500ms") == std::chrono::milliseconds(1500));
+  CHECK(platform::ParsePeriod("2.5s") == std::chrono::milliseconds(2500));
+  for (const char* text : {"", "5", "ms", "5m", "-1s", "1s2", "1e99s"}) {
+    INFO(text);
+    CHECK_FALSE(platform::ParsePeriod(text));
+  }
+}
+
+}  // namespace mustardflow::tests
--- a/tests/servers/server_pool_test.cc
+++ b/tests/servers/server_pool_test.cc
@@ -133,7 +133,8 @@
 
 // Seen on hollins-gate, scale-2 --seed 864929550139: after a cut, a host used a
 // server that had left meanwhile until its entry counted as missing for good.
-TEST_CASE("a server whose entry is missing is left out while others are listed") {
+TEST_CASE(
+    "a server whose entry is missing is left out while others are listed") {
   PoolFixture fixture;
   fixture.Add("a");
   fixture.Add("b");
