keys: Deal keys when servers have settled, move more ranges at a time

Change: the first deal waits until no server has come for 0.7 s (2.5 s at most); one range for eight servers may move at a time; sums of load are kept.

--- a/src/coordination/keyspace_coordinator.cc
+++ b/src/coordination/keyspace_coordinator.cc
@@ -25,8 +25,15 @@
 // A server that fails orders for this long loses its keys.
 constexpr Duration kUnansweringAfter = std::chrono::milliseconds(650);
 constexpr Duration kBalanceInterval = std::chrono::milliseconds(500);
-// Moves in one round of balancing; each is a short pause for its keys.
-constexpr int kMovesPerRound = 3;
+// Ranges that move at the same time for balance: at least so many, and one for
+// so many servers. Each move is a short pause for its keys.
+constexpr std::size_t kLeastMoving = 3;
+constexpr std::size_t kServersPerMove = 8;
+// The first deal waits until no further server has come for this time, but not
+// longer than that: entries of servers that start together come in over a
+// second.
+constexpr Duration kSettleTime = std::chrono::milliseconds(700);
+constexpr Duration kLongestSettle = std::chrono::milliseconds(2500);
 // A server gives keys away above this multiple of the mean load: about two
 // standard deviations of what a server gets within the load's memory.
 constexpr double kOverloadRatio = 1.25;
@@ -51,7 +58,11 @@
                                          std::int64_t term,
                                          const ServiceRanges& recorded,
                                          Instant predecessor_end)
-    : term_(term), next_balance_(now), next_hot_move_(now) {
+    : term_(term),
+      servers_settled_(now),
+      began_(now),
+      next_balance_(now),
+      next_hot_move_(now) {
   const Instant latest = predecessor_end + kLeaseSpan;
   for (const OwnedRange& range : recorded) {
     Slice slice;
@@ -111,6 +122,9 @@
     const std::string id = state.server.life.id;
     next.emplace(id, std::move(state));
   }
+  if (next.size() > servers_.size()) {
+    servers_settled_ = now;
+  }
   servers_ = std::move(next);
   MoveFromUnusable(now);
 }
@@ -353,6 +367,21 @@
   return best;
 }
 
+bool KeyspaceCoordinator::FirstDeal() const {
+  return slices_.size() == 1 && slices_.front().holder.server.id.empty();
+}
+
+std::size_t KeyspaceCoordinator::Moving() const {
+  return static_cast<std::size_t>(
+      std::count_if(slices_.begin(), slices_.end(), [](const Slice& slice) {
+        return slice.phase != Phase::kSteady;
+      }));
+}
+
+std::size_t KeyspaceCoordinator::MostMoving() const {
+  return std::max(kLeastMoving, servers_.size() / kServersPerMove);
+}
+
 void KeyspaceCoordinator::MoveFromUnusable(Instant now) {
   const auto needs_server = [this](const Slice& slice) {
     const ServerLife& server =
@@ -367,8 +396,11 @@
     return;
   }
   // Deals wide ranges to several servers.
-  const bool first_deal =
-      slices_.size() == 1 && slices_.front().holder.server.id.empty();
+  const bool first_deal = FirstDeal();
+  if (first_deal && now - servers_settled_ < kSettleTime &&
+      now - began_ < kLongestSettle) {
+    return;
+  }
   for (std::size_t i = 0; i < slices_.size(); ++i) {
     const Slice& slice = slices_[i];
     if (!needs_server(slice) || slice.grant_pending ||
@@ -475,14 +507,11 @@
 }
 
 void KeyspaceCoordinator::Balance(Instant now) {
-  const bool moving = std::any_of(
-      slices_.begin(), slices_.end(),
-      [](const Slice& slice) { return slice.phase != Phase::kSteady; });
-  if (moving) {
+  if (Moving() >= MostMoving()) {
     return;
   }
   PlaceHotKeys(now);
-  for (int move = 0; move < kMovesPerRound; ++move) {
+  while (Moving() < MostMoving()) {
     const std::map<ServerLife, double> loads = LoadByServer();
     double total_load = 0;
     double total_capacity = 0;
--- a/src/coordination/keyspace_coordinator.h
+++ b/src/coordination/keyspace_coordinator.h
@@ -173,6 +173,11 @@
 
   void StartMove(Slice* slice, const state::ServerLife& to);
   void MoveFromUnusable(state::Instant now);
+  // Whether nobody holds any key yet.
+  bool FirstDeal() const;
+  // Slices that are not steady.
+  std::size_t Moving() const;
+  std::size_t MostMoving() const;
   void Balance(state::Instant now);
   // A key that would fill a server alone goes to the fastest one that has no
   // such key; balancing then moves that server's other keys away.
@@ -211,6 +216,9 @@
   std::uint64_t recorded_change_ = 1;
   std::uint64_t confirmed_change_ = 0;
   std::uint64_t routed_change_ = 1;
+  // Since when no further server has come.
+  state::Instant servers_settled_;
+  state::Instant began_;
   state::Instant next_balance_;
   state::Instant next_hot_move_;
   double moved_share_ = 0;
--- a/src/coordination/shard_load.cc
+++ b/src/coordination/shard_load.cc
@@ -17,34 +17,28 @@
 
 }  // namespace
 
-ShardLoad::ShardLoad() : weights_(state::kShardKeyCount, 0) {}
+ShardLoad::ShardLoad()
+    : weights_(state::kShardKeyCount, 0), sums_(state::kShardKeyCount + 1, 0) {}
 
 void ShardLoad::Add(state::ShardKey key, double requests) {
-  const double weight = requests / kMemorySeconds;
-  weights_[key] += static_cast<float>(weight);
-  total_ += weight;
+  weights_[key] += static_cast<float>(requests / kMemorySeconds);
 }
 
 void ShardLoad::Decay(state::Instant now) {
+  float factor = 1;
   if (decayed_) {
     const double seconds =
         std::chrono::duration<double>(now - *decayed_).count();
-    const auto factor = static_cast<float>(std::exp(-seconds / kMemorySeconds));
-    total_ = 0;
-    for (float& weight : weights_) {
-      weight = weight < kSmallestWeight ? 0 : weight * factor;
-      total_ += weight;
-    }
+    factor = static_cast<float>(std::exp(-seconds / kMemorySeconds));
   }
   decayed_ = now;
-}
-
-double ShardLoad::Of(std::int32_t first, std::int32_t last) const {
   double sum = 0;
-  for (std::int32_t key = first; key <= last; ++key) {
-    sum += weights_[static_cast<std::size_t>(key)];
+  for (std::size_t key = 0; key < weights_.size(); ++key) {
+    float& weight = weights_[key];
+    weight = weight < kSmallestWeight ? 0 : weight * factor;
+    sum += weight;
+    sums_[key + 1] = sum;
   }
-  return sum;
 }
 
 std::vector<std::pair<double, state::ShardKey>> ShardLoad::KeysAbove(
@@ -62,14 +56,11 @@
 std::int32_t ShardLoad::CutAfter(std::int32_t first,
                                  std::int32_t last,
                                  double load) const {
-  double sum = 0;
-  for (std::int32_t key = first; key < last; ++key) {
-    sum += weights_[static_cast<std::size_t>(key)];
-    if (sum >= load) {
-      return key;
-    }
-  }
-  return last;
+  const auto begin = sums_.begin() + first + 1;
+  const auto end = sums_.begin() + last + 1;
+  const auto cut = std::lower_bound(
+      begin, end, sums_[static_cast<std::size_t>(first)] + load);
+  return std::min(last, first + static_cast<std::int32_t>(cut - begin));
 }
 
 }  // namespace mustardflow::coordination
--- a/src/coordination/shard_load.h
+++ b/src/coordination/shard_load.h
@@ -13,20 +13,23 @@
 
 namespace mustardflow::coordination {
 
-// Requests a second by key, as an average that forgets. One float a key: 256 KB
-// for a service, whatever the number of keys in use.
+// Requests a second by key, as an average that forgets. One float and one
+// sum a key: 768 KB for a service, whatever the number of keys in use.
 class ShardLoad {
  public:
   ShardLoad();
 
-  // Notes requests for `key` since the last report.
+  // Notes requests for `key` since the last report. They show after Decay().
   void Add(state::ShardKey key, double requests);
   // Forgets what is old. Call at regular intervals.
   void Decay(state::Instant now);
 
   // Requests a second for the keys from `first` to `last`, inclusive.
-  double Of(std::int32_t first, std::int32_t last) const;
-  double total() const { return total_; }
+  double Of(std::int32_t first, std::int32_t last) const {
+    return sums_[static_cast<std::size_t>(last) + 1] -
+           sums_[static_cast<std::size_t>(first)];
+  }
+  double total() const { return sums_.back(); }
 
   // The keys that carry at least `load` alone, the heaviest first.
   std::vector<std::pair<double, state::ShardKey>> KeysAbove(double load) const;
@@ -39,8 +42,9 @@
 
  private:
   std::vector<float> weights_;
-  // Invariant: the sum of weights_, but for rounding.
-  double total_ = 0;
+  // Invariant: sums_[i] is the sum of the weights of the keys below i, as of the
+  // last Decay().
+  std::vector<double> sums_;
   std::optional<state::Instant> decayed_;
 };
 
