--- a/src/coordination/keyspace_coordinator.cc
+++ b/src/coordination/keyspace_coordinator.cc
@@ -372,10 +372,9 @@
 }
 
 std::size_t KeyspaceCoordinator::Moving() const {
-  return static_cast<std::size_t>(
-      std::count_if(slices_.begin(), slices_.end(), [](const Slice& slice) {
-        return slice.phase != Phase::kSteady;
-      }));
+  return static_cast<std::size_t>(std::count_if(
+      slices_.begin(), slices_.end(),
+      [](const Slice& slice) { return slice.phase != Phase::kSteady; }));
 }
 
 std::size_t KeyspaceCoordinator::MostMoving() const {
@@ -696,6 +695,7 @@
                                        slice.phase == Phase::kRecording);
     ranges.push_back(std::move(range));
   }
+  state::JoinRanges(&ranges);
   return ranges;
 }
 
--- a/src/coordination/shard_load.h
+++ b/src/coordination/shard_load.h
@@ -42,8 +42,8 @@
 
  private:
   std::vector<float> weights_;
-  // Invariant: sums_[i] is the sum of the weights of the keys below i, as of the
-  // last Decay().
+  // Invariant: sums_[i] is the sum of the weights of the keys below i, as of
+  // the last Decay().
   std::vector<double> sums_;
   std::optional<state::Instant> decayed_;
 };
--- a/src/protocol/host_messages.cc
+++ b/src/protocol/host_messages.cc
@@ -11,17 +11,106 @@
 
 namespace {
 
+json::array EncodeLife(const state::ServerLife& life) {
+  return {life.id, life.born};
+}
+
+state::ServerLife ReadLife(const json::value& value) {
+  return {std::string(value.at(0).as_string()),
+          value.at(1).to_number<std::int64_t>()};
+}
+
+// A range: first, last, fence, serving, holder, former holders.
+json::array EncodeRange(const state::OwnedRange& range) {
+  json::array former;
+  for (const state::ServerLife& life : range.former) {
+    former.push_back(EncodeLife(life));
+  }
+  return {range.first,
+          range.last,
+          range.fence,
+          range.serving,
+          EncodeLife(range.holder),
+          std::move(former)};
+}
+
+state::OwnedRange ReadRange(const json::value& value) {
+  state::OwnedRange range;
+  range.first = value.at(0).to_number<std::int32_t>();
+  range.last = value.at(1).to_number<std::int32_t>();
+  range.fence = value.at(2).to_number<std::int64_t>();
+  range.serving = value.at(3).as_bool();
+  range.holder = ReadLife(value.at(4));
+  for (const json::value& former : value.at(5).as_array()) {
+    range.former.push_back(ReadLife(former));
+  }
+  return range;
+}
+
+json::array EncodeRanges(const state::ServiceRanges& ranges) {
+  json::array list;
+  for (const state::OwnedRange& range : ranges) {
+    list.push_back(EncodeRange(range));
+  }
+  return list;
+}
+
+state::ServiceRanges ReadRanges(const json::value& list) {
+  state::ServiceRanges ranges;
+  for (const json::value& range : list.as_array()) {
+    ranges.push_back(ReadRange(range));
+  }
+  return ranges;
+}
+
+json::object EncodeNews(const BeatNews& news) {
+  json::object changes;
+  for (const auto& [service, ranges] : news.changes) {
+    changes[service] = EncodeRanges(ranges);
+  }
+  json::array entries;
+  for (const auto& [id, entry] : news.entries) {
+    entries.push_back(
+        json::array{id, entry ? json::value(*entry) : json::value(nullptr)});
+  }
+  return {{"base_revision", news.base_revision},
+          {"changes", std::move(changes)},
+          {"base_servers", news.base_servers},
+          {"entries", std::move(entries)}};
+}
+
+BeatNews ReadNews(const json::value& value) {
+  BeatNews news;
+  news.base_revision = value.at("base_revision").to_number<std::int64_t>();
+  news.base_servers = value.at("base_servers").to_number<std::int64_t>();
+  for (const auto& [service, list] : value.at("changes").as_object()) {
+    news.changes[std::string(service)] = ReadRanges(list);
+  }
+  for (const json::value& entry : value.at("entries").as_array()) {
+    const json::value& text = entry.at(1);
+    news.entries.emplace_back(
+        std::string(entry.at(0).as_string()),
+        text.is_null() ? std::nullopt
+                       : std::optional(std::string(text.as_string())));
+  }
+  return news;
+}
+
 struct MessageWriter {
   json::object operator()(const LeaderBeat& beat) const {
-    return {{"kind", "beat"},
-            {"host", beat.host},
-            {"term", beat.term},
-            {"revision", beat.revision},
-            {"operators", beat.progress.operators},
-            {"servers", beat.progress.servers},
-            {"age_us", beat.progress.age.count()},
-            {"yielding", beat.yielding},
-            {"hosts", beat.hosts}};
+    json::object object = {{"kind", "beat"},
+                           {"host", beat.host},
+                           {"term", beat.term},
+                           {"revision", beat.revision},
+                           {"operators", beat.progress.operators},
+                           {"servers", beat.progress.servers},
+                           {"age_us", beat.progress.age.count()},
+                           {"yielding", beat.yielding},
+                           {"hosts", beat.hosts}};
+    if (beat.news) {
+      object["news"] = EncodeNews(*beat.news);
+    }
+    return object;
   }
   json::object operator()(const LeaderQuestion& question) const {
     return {{"kind", "question"},
@@ -64,6 +153,9 @@
         state::Duration(object.at("age_us").to_number<std::int64_t>());
     beat.yielding = object.at("yielding").as_bool();
     beat.hosts = object.at("hosts").to_number<std::size_t>();
+    if (const json::value* news = object.if_contains("news")) {
+      beat.news = ReadNews(*news);
+    }
     return beat;
   }
   if (kind == "question") {
@@ -94,42 +186,6 @@
   return report;
 }
 
-json::array EncodeLife(const state::ServerLife& life) {
-  return {life.id, life.born};
-}
-
-state::ServerLife ReadLife(const json::value& value) {
-  return {std::string(value.at(0).as_string()),
-          value.at(1).to_number<std::int64_t>()};
-}
-
-// A range: first, last, fence, serving, holder, former holders.
-json::array EncodeRange(const state::OwnedRange& range) {
-  json::array former;
-  for (const state::ServerLife& life : range.former) {
-    former.push_back(EncodeLife(life));
-  }
-  return {range.first,
-          range.last,
-          range.fence,
-          range.serving,
-          EncodeLife(range.holder),
-          std::move(former)};
-}
-
-state::OwnedRange ReadRange(const json::value& value) {
-  state::OwnedRange range;
-  range.first = value.at(0).to_number<std::int32_t>();
-  range.last = value.at(1).to_number<std::int32_t>();
-  range.fence = value.at(2).to_number<std::int64_t>();
-  range.serving = value.at(3).as_bool();
-  range.holder = ReadLife(value.at(4));
-  for (const json::value& former : value.at(5).as_array()) {
-    range.former.push_back(ReadLife(former));
-  }
-  return range;
-}
-
 // Whether the ranges are in order and cover all keys once.
 bool CoversAllKeys(const state::ServiceRanges& ranges) {
   std::int32_t next = 0;
@@ -159,11 +215,7 @@
 std::string EncodeTable(const state::OwnershipTable& table) {
   json::object services;
   for (const auto& [service, ranges] : table.services) {
-    json::array list;
-    for (const state::OwnedRange& range : ranges) {
-      list.push_back(EncodeRange(range));
-    }
-    services[service] = std::move(list);
+    services[service] = EncodeRanges(ranges);
   }
   return json::serialize(json::object{{"term", table.term},
                                       {"revision", table.revision},
@@ -177,10 +229,7 @@
     table.term = value.at("term").to_number<std::int64_t>();
     table.revision = value.at("revision").to_number<std::int64_t>();
     for (const auto& [service, list] : value.at("services").as_object()) {
-      state::ServiceRanges ranges;
-      for (const json::value& range : list.as_array()) {
-        ranges.push_back(ReadRange(range));
-      }
+      state::ServiceRanges ranges = ReadRanges(list);
       if (!CoversAllKeys(ranges)) {
         return std::nullopt;
       }
--- a/src/protocol/host_messages.h
+++ b/src/protocol/host_messages.h
@@ -8,7 +8,9 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
+#include <vector>
 
 #include "coordination/leader_election.h"
 #include "coordination/load_sampler.h"
@@ -26,6 +28,17 @@
   state::Duration age{0};
 };
 
+// What has changed since the beat before, where that is little.
+struct BeatNews {
+  // The table's revision that the changes build on.
+  std::int64_t base_revision = 0;
+  std::map<std::string, state::ServiceRanges> changes;
+  // Entries of servers after this offset, up to ReadProgress::servers; a server
+  // without an entry is gone.
+  std::int64_t base_servers = 0;
+  std::vector<std::pair<std::string, std::optional<std::string>>> entries;
+};
+
 // The leader tells that it leads, several times a second and at each change of
 // the table.
 struct LeaderBeat {
@@ -33,6 +46,7 @@
   std::int64_t term = 0;
   std::int64_t revision = 0;
   ReadProgress progress;
+  std::optional<BeatNews> news;
   // The leader asks to be succeeded.
   bool yielding = false;
   // Hosts that take part at present.
--- a/src/state/ownership_table.cc
+++ b/src/state/ownership_table.cc
@@ -1,11 +1,73 @@
-// Look-up of a key's range.
+// Look-up of a key's range, and changes of ranges.
 
 #include "state/ownership_table.h"
 
 #include <algorithm>
+#include <set>
+#include <tuple>
+#include <utility>
 
 namespace mustardflow::state {
 
+void JoinRanges(ServiceRanges* ranges) {
+  ServiceRanges joined;
+  for (OwnedRange& range : *ranges) {
+    if (!joined.empty() && joined.back().holder == range.holder &&
+        joined.back().serving == range.serving &&
+        joined.back().former == range.former) {
+      joined.back().last = range.last;
+      joined.back().fence = std::max(joined.back().fence, range.fence);
+    } else {
+      joined.push_back(std::move(range));
+    }
+  }
+  *ranges = std::move(joined);
+}
+
+void ApplyChanges(const ServiceRanges& changes, ServiceRanges* ranges) {
+  ServiceRanges result;
+  auto change = changes.begin();
+  for (OwnedRange range : *ranges) {
+    while (range.first <= range.last) {
+      while (change != changes.end() && change->last < range.first) {
+        ++change;
+      }
+      if (change == changes.end() || change->first > range.last) {
+        result.push_back(range);
+        break;
+      }
+      if (change->first > range.first) {
+        OwnedRange kept = range;
+        kept.last = change->first - 1;
+        result.push_back(std::move(kept));
+      }
+      OwnedRange changed = *change;
+      changed.first = std::max(change->first, range.first);
+      changed.last = std::min(change->last, range.last);
+      range.first = changed.last + 1;
+      result.push_back(std::move(changed));
+    }
+  }
+  JoinRanges(&result);
+  *ranges = std::move(result);
+}
+
+ServiceRanges ChangesBetween(const ServiceRanges& before,
+                             const ServiceRanges& after) {
+  std::set<std::tuple<std::int32_t, std::int32_t, ServerLife, bool>> known;
+  for (const OwnedRange& range : before) {
+    known.emplace(range.first, range.last, range.holder, range.serving);
+  }
+  ServiceRanges changes;
+  for (const OwnedRange& range : after) {
+    if (!known.contains(
+            {range.first, range.last, range.holder, range.serving})) {
+      changes.push_back(range);
+    }
+  }
+  return changes;
+}
+
 const OwnedRange* FindRange(const ServiceRanges& ranges, ShardKey key) {
   const auto after = std::upper_bound(
       ranges.begin(), ranges.end(), static_cast<std::int32_t>(key),
--- a/src/state/ownership_table.h
+++ b/src/state/ownership_table.h
@@ -46,6 +46,17 @@
   }
 };
 
+// Joins neighbouring ranges that are the same but for their fences.
+void JoinRanges(ServiceRanges* ranges);
+
+// Replaces what `ranges` says of the keys of `changes`. The changes are in
+// order and do not overlap.
+void ApplyChanges(const ServiceRanges& changes, ServiceRanges* ranges);
+
+// The ranges of `after` that `before` does not have in the same form.
+ServiceRanges ChangesBetween(const ServiceRanges& before,
+                             const ServiceRanges& after);
+
 // The range that contains `key`, or null if the service has no ranges.
 const OwnedRange* FindRange(const ServiceRanges& ranges, ShardKey key);
 
--- a/src/transport/entry_host.cc
+++ b/src/transport/entry_host.cc
@@ -92,13 +92,14 @@
           context.get_executor(),
           profile_,
           claim_,
-          std::generate_canonical<double, 32>(random_),
+          DrawFraction(random_),
           store_,
           pool_,
           log,
           {[this](const protocol::HostMessage& message) { Broadcast(message); },
            [this](state::OwnershipTable table) { SetTable(std::move(table)); },
            [this] { return watch_.Progress(Now()); },
+           [this](protocol::BeatNews* news) { watch_.TakeEntries(news); },
            [this] { return view_.hosts; }}),
       relay_(
           context,
@@ -107,7 +108,7 @@
           pool_,
           [this] { return DrawFraction(random_); },
           log,
-             metrics_),
+          metrics_),
       pages_(profile_, view_, pool_, leader_),
       callers_(context, profile_.callers, view_, relay_, log),
       readiness_(context.get_executor(),
@@ -309,9 +310,19 @@
   }
   leader_endpoint_ = from;
   if (!beat.yielding) {
-    watch_.HandleProgress(now, beat.progress);
+    watch_.HandleProgress(now, beat);
   }
   NoteHostCount(now, beat.hosts);
+  if (beat.news && !beat.news->changes.empty() &&
+      beat.term == view_.table.term &&
+      beat.news->base_revision == view_.table.revision) {
+    state::OwnershipTable table = view_.table;
+    table.revision = beat.revision;
+    for (const auto& [service, changes] : beat.news->changes) {
+      state::ApplyChanges(changes, &table.services[service]);
+    }
+    SetTable(std::move(table));
+  }
   const bool newer =
       beat.term > view_.table.term ||
       (beat.term == view_.table.term && beat.revision > view_.table.revision);
--- a/src/transport/entry_metrics.cc
+++ b/src/transport/entry_metrics.cc
@@ -46,15 +46,16 @@
 
 EntryMetrics::EntryMetrics()
     : registry_(std::make_shared<prometheus::Registry>()),
-      request_seconds_(
-          prometheus::BuildHistogram()
-              .Name("mustardflow_request_seconds")
-              .Help("Time from a request's arrival to its end.")
-              .Register(*registry_)) {
+      request_seconds_(prometheus::BuildHistogram()
+                           .Name("mustardflow_request_seconds")
+                           .Help("Time from a request's arrival to its end.")
+                           .Register(*registry_)) {
   for (const auto& [name, help] : kValues) {
-    values_[name] =
-        &prometheus::BuildGauge().Name(name).Help(help).Register(*registry_)
-             .Add({});
+    values_[name] = &prometheus::BuildGauge()
+                         .Name(name)
+                         .Help(help)
+                         .Register(*registry_)
+                         .Add({});
   }
 }
 
--- a/src/transport/entry_pages.cc
+++ b/src/transport/entry_pages.cc
@@ -45,12 +45,12 @@
 HttpReply EntryPages::Status(state::Instant now) const {
   json::object servers;
   for (const auto& [id, server] : pool_.servers()) {
-    servers[id] = json::object{
-        {"service", server.record.service},
-        {"zone", server.record.zone},
-        {"standing", Standing(pool_, server, now)},
-        {"requests", server.in_flight.size()},
-        {"relative_latency", pool_.RelativeLatency(now, server)}};
+    servers[id] =
+        json::object{{"service", server.record.service},
+                     {"zone", server.record.zone},
+                     {"standing", Standing(pool_, server, now)},
+                     {"requests", server.in_flight.size()},
+                     {"relative_latency", pool_.RelativeLatency(now, server)}};
   }
   json::object ranges;
   for (const auto& [service, list] : view_.table.services) {
@@ -62,18 +62,17 @@
     ranges[service] = std::move(rows);
   }
   return JsonReply(
-      200, json::object{
-               {"host", profile_.name},
-               {"zone", profile_.zone},
-               {"config", view_.config ? view_.config->version() : 0},
-               {"hosts", view_.hosts},
-               {"leading", leader_.leading()},
-               {"term", leader_.term()},
-               {"hears_leader", !leader_.deaf(now)},
-               {"table_term", view_.table.term},
-               {"table_revision", view_.table.revision},
-               {"servers", std::move(servers)},
-               {"ranges", std::move(ranges)}});
+      200, json::object{{"host", profile_.name},
+                        {"zone", profile_.zone},
+                        {"config", view_.config ? view_.config->version() : 0},
+                        {"hosts", view_.hosts},
+                        {"leading", leader_.leading()},
+                        {"term", leader_.term()},
+                        {"hears_leader", !leader_.deaf(now)},
+                        {"table_term", view_.table.term},
+                        {"table_revision", view_.table.revision},
+                        {"servers", std::move(servers)},
+                        {"ranges", std::move(ranges)}});
 }
 
 HttpReply EntryPages::Owner(state::Instant now,
@@ -95,8 +94,7 @@
   const state::OwnedRange* range =
       ranges == view_.table.services.end()
           ? nullptr
-          : state::FindRange(ranges->second,
-                             static_cast<state::ShardKey>(key));
+          : state::FindRange(ranges->second, static_cast<state::ShardKey>(key));
   if (range == nullptr) {
     return JsonReply(404, json::object{{"problem", "no range is known"},
                                        {"remedy", "see /v1/platform/status"}});
--- a/src/transport/leader_duty.cc
+++ b/src/transport/leader_duty.cc
@@ -28,6 +28,11 @@
 // Sequence numbers of a term begin at one drawn from the claim, below this: two
 // hosts that claim the same term must not look like repeats.
 constexpr std::int64_t kSequenceSpan = 1 << 30;
+// Hosts fetch what does not fit into one datagram.
+constexpr std::size_t kMostBeatBytes = 1300;
+// Changes of the table are told together within this time for each host, so
+// that a large system's leader does not fill its link.
+constexpr Duration kPublishPauseEachHost = std::chrono::microseconds(400);
 constexpr Duration kBeatInterval = std::chrono::milliseconds(200);
 // A change of the record that no grant waits for is written together with
 // others within this time.
@@ -165,7 +170,7 @@
     TickKeyspaces(now);
   }
   if (leading() && now >= next_beat_) {
-    SendBeat(now);
+    SendBeat(now, {});
   }
 }
 
@@ -375,7 +380,7 @@
   if (config_) {
     TickKeyspaces(now);
   }
-  SendBeat(now);
+  SendBeat(now, {});
 }
 
 void LeaderDuty::EndLeading(std::string_view reason) {
@@ -470,22 +475,32 @@
 }
 
 void LeaderDuty::Publish(Instant now) {
+  if (now < next_publish_) {
+    return;
+  }
+  protocol::BeatNews news;
+  news.base_revision = table_.revision;
   bool changed = false;
   for (auto& [service, keyspace] : keyspaces_) {
     if (keyspace.routed != keyspace.coordinator->routed_change()) {
       keyspace.routed = keyspace.coordinator->routed_change();
-      table_.services[service] = keyspace.coordinator->Routed();
+      state::ServiceRanges ranges = keyspace.coordinator->Routed();
+      news.changes[service] =
+          state::ChangesBetween(table_.services[service], ranges);
+      table_.services[service] = std::move(ranges);
       changed = true;
     }
   }
   if (changed) {
+    next_publish_ =
+        now + kPublishPauseEachHost * static_cast<int>(hooks_.host_count());
     ++table_.revision;
     hooks_.table_changed(table_);
-    SendBeat(now);
+    SendBeat(now, std::move(news));
   }
 }
 
-void LeaderDuty::SendBeat(Instant now) {
+void LeaderDuty::SendBeat(Instant now, protocol::BeatNews news) {
   next_beat_ = now + kBeatInterval;
   protocol::LeaderBeat beat;
   beat.host = profile_.name;
@@ -494,6 +509,13 @@
   beat.progress = hooks_.progress();
   beat.yielding = election_.yielding(now);
   beat.hosts = hooks_.host_count();
+  hooks_.take_entries(&news);
+  if (!news.changes.empty() || !news.entries.empty()) {
+    beat.news = std::move(news);
+    if (protocol::EncodeMessage(beat).size() > kMostBeatBytes) {
+      beat.news.reset();
+    }
+  }
   hooks_.broadcast(beat);
 }
 
--- a/src/transport/leader_duty.h
+++ b/src/transport/leader_duty.h
@@ -35,6 +35,8 @@
     std::function<void(state::OwnershipTable)> table_changed;
     // How far this host has read the store.
     std::function<protocol::ReadProgress()> progress;
+    // Entries of servers that have mattered since the last call.
+    std::function<void(protocol::BeatNews*)> take_entries;
     // The number of hosts that take part.
     std::function<std::size_t()> host_count;
   };
@@ -99,7 +101,8 @@
   void AddKeyspaces(state::Instant now);
   void GiveServers(state::Instant now);
   void Publish(state::Instant now);
-  void SendBeat(state::Instant now);
+  // `news` is left out if it is too long for one datagram.
+  void SendBeat(state::Instant now, protocol::BeatNews news);
   state::OwnershipTable RecordedTable() const;
   const state::ServerRecord* FindRecord(const state::ServerLife& life) const;
 
@@ -148,6 +151,7 @@
   std::uint64_t pool_change_ = 0;
   state::Instant next_servers_{};
   state::Instant next_beat_{};
+  state::Instant next_publish_{};
   state::Instant next_trial_{};
   state::OwnershipTable table_;
   std::map<std::string, std::map<std::string, double>> slowness_;
--- a/src/transport/store_watch.cc
+++ b/src/transport/store_watch.cc
@@ -24,7 +24,7 @@
 // and those of one that does.
 constexpr Duration kLeaderInterval = std::chrono::milliseconds(350);
 constexpr Duration kAloneInterval = std::chrono::milliseconds(700);
-constexpr Duration kTrustingInterval = std::chrono::milliseconds(4000);
+constexpr Duration kTrustingInterval = std::chrono::milliseconds(8000);
 // Successive configurations are read together within this time.
 constexpr Duration kOperatorPause = std::chrono::milliseconds(120);
 constexpr Duration kRetryPause = std::chrono::milliseconds(300);
@@ -59,8 +59,16 @@
   asio::co_spawn(executor_, FollowServers(), asio::detached);
 }
 
-void StoreWatch::HandleProgress(Instant now,
-                                const protocol::ReadProgress& progress) {
+void StoreWatch::HandleProgress(Instant now, const protocol::LeaderBeat& beat) {
+  const protocol::ReadProgress& progress = beat.progress;
+  if (beat.news && servers_.next && !servers_.failing &&
+      beat.news->base_servers <= *servers_.next &&
+      progress.servers > *servers_.next) {
+    for (const auto& [id, entry] : beat.news->entries) {
+      ApplyEntry(now, id, entry);
+    }
+    servers_.next = progress.servers;
+  }
   operators_.announced = progress.operators;
   servers_.announced = progress.servers;
   if (progress.age <= kMostProgressAge) {
@@ -68,6 +76,13 @@
   }
 }
 
+void StoreWatch::TakeEntries(protocol::BeatNews* news) {
+  news->base_servers = told_;
+  news->entries = std::move(untold_);
+  untold_.clear();
+  told_ = servers_.mattered;
+}
+
 protocol::ReadProgress StoreWatch::Progress(Instant now) const {
   const bool failing = operators_.failing || servers_.failing;
   return {operators_.mattered, servers_.mattered,
@@ -219,7 +234,9 @@
   std::set<std::string> listed;
   for (const platform::KeyedRecord& record : page.records) {
     listed.insert(record.key);
-    ApplyEntry(now, record);
+    if (ApplyEntry(now, record.key, record.value)) {
+      untold_.emplace_back(record.key, record.value);
+    }
   }
   if (!page.whole) {
     return;
@@ -231,45 +248,44 @@
     }
   }
   for (const std::string& id : missing) {
-    HandleMissing(now, id);
+    ApplyEntry(now, id, std::nullopt);
+    untold_.emplace_back(id, std::nullopt);
   }
 }
 
-void StoreWatch::HandleMissing(Instant now, const std::string& id) {
-  lapses_.HandleMissing(now, id);
-  pool_.SetDoubtful(id);
-}
-
-void StoreWatch::ApplyEntry(Instant now, const platform::KeyedRecord& record) {
-  if (!record.value) {
-    if (pool_.servers().contains(record.key)) {
-      HandleMissing(now, record.key);
+bool StoreWatch::ApplyEntry(Instant now,
+                            const std::string& id,
+                            const std::optional<std::string>& entry) {
+  const std::uint64_t change = pool_.change();
+  if (!entry) {
+    if (pool_.servers().contains(id)) {
+      lapses_.HandleMissing(now, id);
+      pool_.SetDoubtful(id);
     }
-    return;
+    return pool_.change() != change;
   }
   std::string problem;
-  const auto entry =
-      platform::ParseServerEntry(record.key, *record.value, &problem);
-  if (!entry) {
+  const auto record = platform::ParseServerEntry(id, *entry, &problem);
+  if (!record) {
     ++bad_entries_;
     log_.Write(LogPart::kStore, "entry-unreadable",
-               {{"key", std::string_view(record.key)},
-                {"offset", record.offset},
+               {{"key", std::string_view(id)},
                 {"problem", std::string_view(problem)}});
-    return;
+    return false;
   }
-  lapses_.HandlePresent(record.key);
-  const std::uint64_t change = pool_.change();
-  pool_.Update(now, *entry);
-  if (pool_.change() != change) {
-    log_.Write(LogPart::kServers, "entry",
-               {{"server", std::string_view(record.key)},
-                {"service", std::string_view(entry->service)},
-                {"zone", std::string_view(entry->zone)},
-                {"draining", entry->draining},
-                {"cold_ms", entry->warmup_left.count() / 1000},
-                {"born", entry->life.born}});
+  lapses_.HandlePresent(id);
+  pool_.Update(now, *record);
+  if (pool_.change() == change) {
+    return false;
   }
+  log_.Write(LogPart::kServers, "entry",
+             {{"server", std::string_view(id)},
+              {"service", std::string_view(record->service)},
+              {"zone", std::string_view(record->zone)},
+              {"draining", record->draining},
+              {"cold_ms", record->warmup_left.count() / 1000},
+              {"born", record->life.born}});
+  return true;
 }
 
 void StoreWatch::RemoveGone(Instant now) {
--- a/src/transport/store_watch.h
+++ b/src/transport/store_watch.h
@@ -9,6 +9,8 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "coordination/entry_lapses.h"
 #include "coordination/server_pool.h"
@@ -41,13 +43,14 @@
 
   // The leader tells how far it has read. As long as it reads often, this host
   // reads only what the leader has found to matter.
-  void HandleProgress(state::Instant now,
-                      const protocol::ReadProgress& progress);
+  void HandleProgress(state::Instant now, const protocol::LeaderBeat& beat);
 
   // Begins the readings that are due; call about every 20 ms.
   void Tick(state::Instant now, bool leading);
 
   protocol::ReadProgress Progress(state::Instant now) const;
+  // Gives the entries that have mattered since the last call.
+  void TakeEntries(protocol::BeatNews* news);
 
   // Whether the servers' entries have been read.
   bool servers_known() const { return servers_known_; }
@@ -80,8 +83,10 @@
   void ApplyOperators(const TopicPage& page);
   void ApplyConfig(const std::string& text);
   void ApplyServers(state::Instant now, const TopicPage& page);
-  void ApplyEntry(state::Instant now, const platform::KeyedRecord& record);
-  void HandleMissing(state::Instant now, const std::string& id);
+  // Returns whether the record matters to who gets requests.
+  bool ApplyEntry(state::Instant now,
+                  const std::string& id,
+                  const std::optional<std::string>& entry);
   void RemoveGone(state::Instant now);
 
   const asio::any_io_executor executor_;
@@ -98,6 +103,9 @@
   std::set<std::string> evacuated_;
   bool servers_known_ = false;
   coordination::EntryLapses lapses_;
+  // Entries that mattered, after the offset, until the leader has told them.
+  std::int64_t told_ = 0;
+  std::vector<std::pair<std::string, std::optional<std::string>>> untold_;
   std::uint64_t bad_entries_ = 0;
 };
 
--- a/tests/platform/store_protocol_test.cc
+++ b/tests/platform/store_protocol_test.cc
@@ -42,9 +42,8 @@
     std::vector<KeyedRecord> records;
     for (const std::string& key : keys) {
       RC_PRE(key.size() < 256);
-      records.push_back({key, value.empty() ? std::nullopt
-                                            : std::optional(value),
-                         0});
+      records.push_back(
+          {key, value.empty() ? std::nullopt : std::optional(value), 0});
     }
     const auto call = platform::AppendCall("t", records, {"w", 1, 1}, 0);
     const auto reply = platform::ParseReadReply(ReadBody(call.body), 4);
