servers: Adapt to refusals, keep to preferred servers of large pools

Cause: (1) at size all hosts sent a hot key's requests to one server, which reset connections beyond its cap; (2) each host used all servers of a pool, so that connections ended before their next use; (3) hosts fetched tables at each change. Change: a window for each server, cut by refusals and lost connections, grown by answers; a host uses as many servers as its requests keep connections busy, in its zone first; changes wait for fetches; refusals with free slots are failures of the server, not overload, and a key's request may be tried there again.

--- a/src/coordination/server_pool.cc
+++ b/src/coordination/server_pool.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <utility>
 #include <variant>
 
@@ -50,6 +51,18 @@
 // A server whose connections broke may have started anew and be cold.
 constexpr Duration kSuspectCold = std::chrono::milliseconds(1500);
 constexpr Duration kSecond = std::chrono::seconds(1);
+// A refusal or a lost connection shrinks what a server gets to this part; each
+// answer adds this much, spread over the requests under way.
+constexpr double kWindowCut = 0.7;
+constexpr double kWindowStep = 0.25;
+constexpr double kLeastWindow = 0.1;
+// A host uses as many servers of a service as its requests keep connections to
+// busy at this interval, in seconds, but at least so many: idle connections end
+// after some seconds, and opening one costs a server time.
+constexpr double kKeepInterval = 3.0;
+constexpr std::size_t kLeastPreferred = 8;
+constexpr double kRateMemory = 2.0;
+constexpr double kSeedSpan = 9007199254740992.0;
 // The part of the connections and of the cold rate that is used; the rest
 // covers hosts that are not counted yet.
 constexpr double kShareInUse = 0.85;
@@ -68,7 +81,10 @@
 ServerPool::ServerPool(std::string zone,
                        state::ServiceBounds bounds,
                        std::function<double()> random)
-    : zone_(std::move(zone)), bounds_(bounds), random_(std::move(random)) {}
+    : zone_(std::move(zone)),
+      bounds_(bounds),
+      random_(std::move(random)),
+      choice_seed_(static_cast<std::uint64_t>(random_() * kSeedSpan)) {}
 
 void ServerPool::SetConfig(const state::RoutingConfig& config) {
   rules_ = config.services();
@@ -139,6 +155,11 @@
              : nullptr;
 }
 
+bool ServerPool::HasFreeSlots(const ServerLife& life) const {
+  const ServerState* server = Find(life);
+  return server != nullptr && server->reported_load < server->record.slots;
+}
+
 std::size_t ServerPool::ColdShare(const std::string& service) const {
   const auto rules = rules_.find(service);
   const double rate = rules == rules_.end() ? 0 : rules->second.cold_rate;
@@ -172,7 +193,34 @@
       return false;
     }
   }
-  return EstimatedLoad(now, server) < kMostPerSlot * server.record.slots;
+  return WithinWindow(now, server) &&
+         EstimatedLoad(now, server) < kMostPerSlot * server.record.slots;
+}
+
+bool ServerPool::WithinWindow(Instant now, const ServerState& server) const {
+  if (server.window <= 0) {
+    return true;
+  }
+  if (server.window >= 1 || server.recent.empty()) {
+    return static_cast<double>(server.in_flight.size()) <
+           std::max(1.0, server.window);
+  }
+  const double distance = Latency(now, server) * (1 / server.window - 1);
+  return server.in_flight.empty() &&
+         Seconds(now - server.recent.back()) >= distance;
+}
+
+std::size_t ServerPool::PreferredCount(Instant now,
+                                       const std::string& service) const {
+  const auto found = rates_.find(service);
+  if (found == rates_.end()) {
+    return kLeastPreferred;
+  }
+  const double faded =
+      found->second.per_second *
+      std::exp(-Seconds(now - found->second.at) / kRateMemory);
+  return std::max(kLeastPreferred,
+                  static_cast<std::size_t>(faded * kKeepInterval));
 }
 
 double ServerPool::EstimatedLoad(Instant now, const ServerState& server) const {
@@ -241,6 +289,33 @@
   return ServerChoice{server->record, expected};
 }
 
+// Leaves the servers that rank first for this host, those of its zone before
+// others. Rendezvous hashing ranks them: hosts choose differently, and the
+// choice changes little when servers come and go.
+void ServerPool::KeepPreferred(
+    Instant now,
+    const std::string& service,
+    std::vector<const ServerState*>* candidates) const {
+  const std::size_t count = PreferredCount(now, service);
+  if (candidates->size() <= count) {
+    return;
+  }
+  const auto rank = [this](const ServerState* server) {
+    const std::uint64_t hash =
+        std::hash<std::string>()(server->record.life.id) ^ choice_seed_;
+    // Mixes the bits; the multiplier is that of SplitMix64.
+    return std::pair(server->record.zone != zone_,
+                     (hash ^ (hash >> 29)) * 0xbf58476d1ce4e5b9ULL);
+  };
+  std::nth_element(candidates->begin(),
+                   candidates->begin() + static_cast<std::ptrdiff_t>(count),
+                   candidates->end(),
+                   [&rank](const ServerState* left, const ServerState* right) {
+                     return rank(left) < rank(right);
+                   });
+  candidates->resize(count);
+}
+
 std::variant<ServerChoice, NoChoice> ServerPool::Choose(
     Instant now,
     const ChoiceRequest& request) const {
@@ -264,6 +339,7 @@
     std::erase_if(candidates,
                   [](const ServerState* server) { return server->doubtful; });
   }
+  KeepPreferred(now, request.service, &candidates);
   const ServerState* best = nullptr;
   double best_cost = 0;
   double best_estimate = 0;
@@ -296,6 +372,11 @@
   }
   server->in_flight.emplace(now, WaitFactor(now, *server));
   server->recent.push_back(now);
+  Rate& rate = rates_[server->record.service];
+  rate.per_second = rate.per_second *
+                        std::exp(-Seconds(now - rate.at) / kRateMemory) +
+                    1 / kRateMemory;
+  rate.at = now;
   while (now - server->recent.front() > kSecond) {
     server->recent.pop_front();
   }
@@ -338,6 +419,24 @@
     server->failures = failures + kFailureStep * ((failed ? 1 : 0) - failures);
     server->failures_at = now;
   }
+  // A server that refuses with slots free fails in part; less work would not
+  // help it.
+  const bool has_free_slots = server->reported_at == now &&
+                              server->reported_load < server->record.slots;
+  const bool overloaded =
+      result == ServerResult::kBroken ||
+      (result == ServerResult::kRefused && !has_free_slots);
+  const auto under_way = static_cast<double>(server->in_flight.size()) + 1;
+  if (overloaded) {
+    const double window =
+        server->window > 0 ? std::min(server->window, under_way) : under_way;
+    server->window = std::max(kLeastWindow, window * kWindowCut);
+  } else if (answered && server->window > 0) {
+    server->window += kWindowStep / std::max(1.0, under_way);
+    if (server->window > kMostPerSlot * server->record.slots) {
+      server->window = 0;
+    }
+  }
   if (answered) {
     server->lost_connections = 0;
   } else if (result == ServerResult::kUnreachable) {
--- a/src/coordination/server_pool.h
+++ b/src/coordination/server_pool.h
@@ -103,6 +103,9 @@
                 int load,
                 double slowness);
 
+  // Whether the server's last report showed a free slot.
+  bool HasFreeSlots(const state::ServerLife& life) const;
+
   struct ServerState {
     state::ServerRecord record;
     // The entry is missing, and may come back.
@@ -128,6 +131,9 @@
     state::Instant reported_at{};
     // How long work takes there, as a multiple of the usual, at that moment.
     double slowness = 1;
+    // How many requests of this host the server bears at once, as refusals and
+    // lost connections show. Below 1, requests keep a distance instead.
+    double window = 0;
     // No requests before this moment, after a lost connection.
     state::Instant blocked_until{};
     int lost_connections = 0;
@@ -158,6 +164,14 @@
   // Seconds until an answer, were a request sent now.
   double Estimate(state::Instant now, const ServerState& server) const;
   double Latency(state::Instant now, const ServerState& server) const;
+  bool WithinWindow(state::Instant now, const ServerState& server) const;
+  // Leaves those that this host keeps connections to.
+  void KeepPreferred(state::Instant now,
+                     const std::string& service,
+                     std::vector<const ServerState*>* candidates) const;
+  // How many servers of the service this host's requests keep in use.
+  std::size_t PreferredCount(state::Instant now,
+                             const std::string& service) const;
 
   const std::string zone_;
   const state::ServiceBounds bounds_;
@@ -165,6 +179,14 @@
   std::map<std::string, state::ServiceRules> rules_;
   std::set<std::string> evacuated_;
   std::size_t hosts_ = 1;
+  // Requests of this host by service: a count that fades, and its last change.
+  struct Rate {
+    double per_second = 0;
+    state::Instant at{};
+  };
+  std::map<std::string, Rate> rates_;
+  // Sets the hosts' choices of preferred servers apart.
+  const std::uint64_t choice_seed_;
   std::map<std::string, ServerState> servers_;
   // Average of the servers' latencies by service, in seconds.
   std::map<std::string, double> service_latency_;
--- a/src/transport/leader_duty.cc
+++ b/src/transport/leader_duty.cc
@@ -33,6 +33,7 @@
 // Changes of the table are told together within this time for each host, so
 // that a large system's leader does not fill its link.
 constexpr Duration kPublishPauseEachHost = std::chrono::microseconds(400);
+constexpr Duration kFetchPauseEachHost = std::chrono::microseconds(3000);
 constexpr Duration kBeatInterval = std::chrono::milliseconds(200);
 // A change of the record that no grant waits for is written together with
 // others within this time.
@@ -514,6 +515,9 @@
     beat.news = std::move(news);
     if (protocol::EncodeMessage(beat).size() > kMostBeatBytes) {
       beat.news.reset();
+      // All hosts fetch now; the next change waits for them.
+      next_publish_ =
+          now + kFetchPauseEachHost * static_cast<int>(beat.hosts);
     }
   }
   hooks_.broadcast(beat);
--- a/src/transport/request_relay.cc
+++ b/src/transport/request_relay.cc
@@ -382,8 +382,11 @@
     }
     return;
   }
-  if (!WithdrawRepeat(*request)) {
-    Refuse(request, "server-refused", kUsualRetryAfter);
+  const bool full = request->key && status != 421 &&
+                    !pool_.HasFreeSlots(attempt.server.life);
+  if (full || !WithdrawRepeat(*request)) {
+    // A key has no other server.
+    Refuse(request, full ? "owner-full" : "server-refused", kUsualRetryAfter);
     return;
   }
   if (request->key) {
@@ -393,8 +396,7 @@
       WaitForOwner(request);
       return;
     }
-    // Its only owner is full.
-    Refuse(request, "owner-full", kUsualRetryAfter);
+    TrySend(request);
     return;
   }
   request->tried.insert(attempt.server.life.id);
--- a/src/transport/store_watch.cc
+++ b/src/transport/store_watch.cc
@@ -24,7 +24,7 @@
 // and those of one that does.
 constexpr Duration kLeaderInterval = std::chrono::milliseconds(350);
 constexpr Duration kAloneInterval = std::chrono::milliseconds(700);
-constexpr Duration kTrustingInterval = std::chrono::milliseconds(8000);
+constexpr Duration kTrustingInterval = std::chrono::seconds(30);
 // Successive configurations are read together within this time.
 constexpr Duration kOperatorPause = std::chrono::milliseconds(120);
 constexpr Duration kRetryPause = std::chrono::milliseconds(300);
--- a/tests/servers/server_pool_test.cc
+++ b/tests/servers/server_pool_test.cc
@@ -176,4 +176,76 @@
   CHECK(fixture.Choose());
 }
 
+// Seen on hollins-gate-grown, quiet-1: 65 hosts sent a third of the requests to
+// one server, which reset their connections.
+TEST_CASE("refusals shrink what a server gets, answers let it grow", "[L6]") {
+  PoolFixture fixture;
+  const ServerRecord server = fixture.Add("a");
+  const auto sent_in_a_second = [&](ServerResult result) {
+    int sent = 0;
+    for (int i = 0; i < 100; ++i) {
+      fixture.now() += milliseconds(10);
+      if (fixture.Choose()) {
+        const Instant when = fixture.now();
+        fixture.pool().NoteSent(when, server.life);
+        fixture.pool().NoteEnd(when + milliseconds(50), server.life, when,
+                               result);
+        ++sent;
+      }
+    }
+    return sent;
+  };
+  CHECK(sent_in_a_second(ServerResult::kAnswered) == 100);
+  sent_in_a_second(ServerResult::kRefused);
+  const int while_refusing = sent_in_a_second(ServerResult::kRefused);
+  CHECK(while_refusing <= 10);
+  CHECK(while_refusing >= 1);
+  for (int i = 0; i < 5; ++i) {
+    sent_in_a_second(ServerResult::kAnswered);
+  }
+  CHECK(sent_in_a_second(ServerResult::kAnswered) == 100);
+}
+
+// Seen on hollins-gate, scale-1: servers that shed half of their requests with
+// slots free got ever less, which served nobody.
+TEST_CASE("refusals of a server with free slots are no overload", "[L4]") {
+  PoolFixture fixture;
+  const ServerRecord server = fixture.Add("a");
+  for (int i = 0; i < 20; ++i) {
+    fixture.now() += milliseconds(200);
+    REQUIRE(fixture.Choose());
+    const Instant when = fixture.now();
+    fixture.pool().NoteSent(when, server.life);
+    fixture.now() += milliseconds(20);
+    fixture.pool().NoteLoad(fixture.now(), server.life, 2, 1);
+    fixture.pool().NoteEnd(fixture.now(), server.life, when,
+                           ServerResult::kRefused);
+  }
+  CHECK(fixture.pool().HasFreeSlots(server.life));
+  CHECK(fixture.Choose());
+}
+
+TEST_CASE("a host with few requests uses few servers of a large pool") {
+  PoolFixture fixture;
+  for (int i = 0; i < 100; ++i) {
+    fixture.Add("server-" + std::to_string(i));
+  }
+  std::set<std::string> chosen;
+  for (int i = 0; i < 200; ++i) {
+    fixture.now() += milliseconds(500);
+    const auto server = fixture.Choose();
+    REQUIRE(server);
+    chosen.insert(server->life.id);
+    fixture.pool().NoteSent(fixture.now(), server->life);
+    fixture.pool().NoteEnd(fixture.now() + milliseconds(50), server->life,
+                           fixture.now(), ServerResult::kAnswered);
+  }
+  CHECK(chosen.size() <= 8);
+  // All others are there when these leave.
+  for (const std::string& id : chosen) {
+    fixture.pool().Remove(id);
+  }
+  CHECK(fixture.Choose());
+}
+
 }  // namespace mustardflow::tests
