--- a/apps/mustardflow.cc
+++ b/apps/mustardflow.cc
@@ -8,6 +8,7 @@
 
 #include "commands.h"
 #include "protocol/object_reader.h"
+#include "trace_command.h"
 #include "version.h"
 
 namespace mustardflow::apps {
@@ -24,6 +25,7 @@
     "  host out|in HOST      take an entry host out of service or back in\n"
     "  result ID             tell what became of a change\n"
     "  watch                 repeat the status each second\n"
+    "  trace ID [FILE...]    tell a request's story from the hosts' logs\n"
     "\n"
     "Exit codes: 0 done, 1 findings, 2 usage, 3 unreachable, 4 conflict,\n"
     "5 unknown, 6 not in force everywhere yet.\n";
@@ -88,6 +90,9 @@
   if (name == "check") {
     return RunCheck(options);
   }
+  if (name == "trace") {
+    return RunTrace(options);
+  }
   const auto command = Commands().find(name);
   if (command == Commands().end()) {
     std::cerr << "mustardflow: unknown command \"" << name
--- /dev/null
+++ b/apps/trace_command.cc
@@ -0,0 +1,158 @@
+// Selecting and printing of events.
+
+#include "trace_command.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <cstdint>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string_view>
+
+namespace mustardflow::apps {
+
+namespace json = boost::json;
+
+namespace {
+
+// What happened to a server this long around a request may explain it.
+constexpr std::int64_t kContextMs = 4000;
+
+struct Event {
+  std::int64_t time_ms = 0;
+  json::object fields;
+};
+
+// Logs may carry a prefix before the object, such as a collector's time.
+std::optional<Event> ParseEvent(const std::string& line) {
+  const std::size_t begin = line.find('{');
+  if (begin == std::string::npos) {
+    return std::nullopt;
+  }
+  json::error_code error;
+  json::value value = json::parse(
+      json::string_view(line).substr(begin, line.rfind('}') - begin + 1),
+      error);
+  if (error || !value.is_object()) {
+    return std::nullopt;
+  }
+  const json::value* time = value.get_object().if_contains("time_ms");
+  if (time == nullptr || !time->is_int64()) {
+    return std::nullopt;
+  }
+  return Event{time->get_int64(), std::move(value.get_object())};
+}
+
+std::string TextOf(const Event& event, std::string_view name) {
+  const json::value* value = event.fields.if_contains(name);
+  return value != nullptr && value->is_string()
+             ? std::string(value->get_string())
+             : std::string();
+}
+
+void Print(const Event& event, std::int64_t begin_ms, std::ostream& out) {
+  const std::int64_t offset = event.time_ms - begin_ms;
+  out << (offset >= 0 ? "+" : "") << offset << " ms  "
+      << TextOf(event, "host") << "  " << TextOf(event, "part") << "  "
+      << TextOf(event, "event");
+  for (const auto& [name, value] : event.fields) {
+    if (name != "time_ms" && name != "host" && name != "part" &&
+        name != "event" && name != "id") {
+      out << "  " << name << '=';
+      if (value.is_string()) {
+        out << std::string_view(value.get_string());
+      } else {
+        out << value;
+      }
+    }
+  }
+  out << '\n';
+}
+
+}  // namespace
+
+bool TraceRequest(const std::string& id,
+                  const std::vector<std::istream*>& logs,
+                  std::ostream& out) {
+  std::vector<Event> own;
+  std::vector<Event> others;
+  for (std::istream* log : logs) {
+    for (std::string line; std::getline(*log, line);) {
+      auto event = ParseEvent(line);
+      if (!event) {
+        continue;
+      }
+      if (TextOf(*event, "id") == id) {
+        own.push_back(std::move(*event));
+      } else if (!event->fields.contains("id")) {
+        others.push_back(std::move(*event));
+      }
+    }
+  }
+  if (own.empty()) {
+    return false;
+  }
+  const auto by_time = [](const Event& left, const Event& right) {
+    return left.time_ms < right.time_ms;
+  };
+  std::stable_sort(own.begin(), own.end(), by_time);
+  std::set<std::string> servers;
+  std::set<std::string> services;
+  for (const Event& event : own) {
+    servers.insert(TextOf(event, "server"));
+    services.insert(TextOf(event, "service"));
+  }
+  servers.erase("");
+  services.erase("");
+  const std::int64_t begin_ms = own.front().time_ms;
+  const std::int64_t end_ms = own.back().time_ms;
+  std::vector<Event> story = own;
+  for (const Event& event : others) {
+    const bool near = event.time_ms >= begin_ms - kContextMs &&
+                      event.time_ms <= end_ms + kContextMs;
+    const std::string part = TextOf(event, "part");
+    const bool concerned = servers.contains(TextOf(event, "server")) ||
+                           services.contains(TextOf(event, "service"));
+    if (near && (concerned || part == "leader" || part == "store")) {
+      story.push_back(event);
+    }
+  }
+  std::stable_sort(story.begin(), story.end(), by_time);
+  for (const Event& event : story) {
+    out << (TextOf(event, "id") == id ? "* " : "  ");
+    Print(event, begin_ms, out);
+  }
+  return true;
+}
+
+ExitCode RunTrace(const CommandOptions& options) {
+  if (options.arguments.empty()) {
+    std::cerr << "mustardflow: usage: mustardflow trace ID [FILE...]\n";
+    return ExitCode::kUsage;
+  }
+  std::vector<std::unique_ptr<std::ifstream>> files;
+  std::vector<std::istream*> logs;
+  for (std::size_t i = 1; i < options.arguments.size(); ++i) {
+    files.push_back(std::make_unique<std::ifstream>(options.arguments[i]));
+    if (!*files.back()) {
+      std::cerr << options.arguments[i]
+                << ": cannot be read; give the path of a log\n";
+      return ExitCode::kUsage;
+    }
+    logs.push_back(files.back().get());
+  }
+  if (logs.empty()) {
+    logs.push_back(&std::cin);
+  }
+  if (!TraceRequest(options.arguments.front(), logs, std::cout)) {
+    std::cerr << "mustardflow: no event of " << options.arguments.front()
+              << "; requests without incident are not logged one by one\n";
+    return ExitCode::kUnknown;
+  }
+  return ExitCode::kOk;
+}
+
+}  // namespace mustardflow::apps
