--- a/apps/trace_command.cc
+++ b/apps/trace_command.cc
@@ -53,6 +53,49 @@
              : std::string();
 }
 
+std::int64_t NumberOf(const Event& event, std::string_view name) {
+  const json::value* value = event.fields.if_contains(name);
+  return value != nullptr && value->is_int64() ? value->get_int64() : -1;
+}
+
+// What a request has to do with.
+struct Concern {
+  std::set<std::string> hosts;
+  std::set<std::string> servers;
+  std::string service;
+  // -1 for none.
+  std::int64_t key = -1;
+};
+
+Concern ConcernOf(const std::vector<Event>& events) {
+  Concern concern;
+  for (const Event& event : events) {
+    concern.hosts.insert(TextOf(event, "host"));
+    // The reason of some events is a server.
+    concern.servers.insert(TextOf(event, "server"));
+    concern.servers.insert(TextOf(event, "reason"));
+    if (!TextOf(event, "service").empty()) {
+      concern.service = TextOf(event, "service");
+    }
+    concern.key = std::max(concern.key, NumberOf(event, "key"));
+  }
+  concern.servers.erase("");
+  return concern;
+}
+
+// Whether an event of no request may explain one: it is about one of its
+// servers, grants its key, or changes what its host or the leader believes.
+bool Explains(const Event& event, const Concern& concern) {
+  const std::string part = TextOf(event, "part");
+  if (part == "keys" && TextOf(event, "service") == concern.service) {
+    return NumberOf(event, "first") <= concern.key &&
+           concern.key <= NumberOf(event, "last");
+  }
+  return part == "leader" || concern.servers.contains(TextOf(event, "server")) ||
+         ((part == "store" || part == "host") &&
+          concern.hosts.contains(TextOf(event, "host")));
+}
+
 void Print(const Event& event, std::int64_t begin_ms, std::ostream& out) {
   const std::int64_t offset = event.time_ms - begin_ms;
   out << (offset >= 0 ? "+" : "") << offset << " ms  "
@@ -99,24 +142,14 @@
     return left.time_ms < right.time_ms;
   };
   std::stable_sort(own.begin(), own.end(), by_time);
-  std::set<std::string> servers;
-  std::set<std::string> services;
-  for (const Event& event : own) {
-    servers.insert(TextOf(event, "server"));
-    services.insert(TextOf(event, "service"));
-  }
-  servers.erase("");
-  services.erase("");
+  const Concern concern = ConcernOf(own);
   const std::int64_t begin_ms = own.front().time_ms;
   const std::int64_t end_ms = own.back().time_ms;
   std::vector<Event> story = own;
   for (const Event& event : others) {
     const bool near = event.time_ms >= begin_ms - kContextMs &&
                       event.time_ms <= end_ms + kContextMs;
-    const std::string part = TextOf(event, "part");
-    const bool concerned = servers.contains(TextOf(event, "server")) ||
-                           services.contains(TextOf(event, "service"));
-    if (near && (concerned || part == "leader" || part == "store")) {
+    if (near && Explains(event, concern)) {
       story.push_back(event);
     }
   }
