--- a/src/protocol/host_messages.cc
+++ b/src/protocol/host_messages.cc
@@ -133,6 +133,7 @@
     }
     return {{"kind", "report"},
             {"host", report.host},
+            {"term", report.term},
             {"load", std::move(load)},
             {"slowness", json::value_from(report.slowness)}};
   }
@@ -173,6 +174,7 @@
   }
   HostReport report;
   report.host = std::move(host);
+  report.term = object.at("term").to_number<std::int64_t>();
   for (const auto& [service, value] : object.at("load").as_object()) {
     coordination::LoadReport& load = report.load[std::string(service)];
     load.requests = value.at("requests").to_number<std::uint64_t>();
--- a/src/protocol/host_messages.h
+++ b/src/protocol/host_messages.h
@@ -70,6 +70,8 @@
 // What a host saw since its last report.
 struct HostReport {
   std::string host;
+  // The term whose leader the host follows.
+  std::int64_t term = 0;
   std::map<std::string, coordination::LoadReport> load;
   // By server id: its answer time as a multiple of its service's average.
   std::map<std::string, double> slowness;
--- a/src/transport/entry_host.cc
+++ b/src/transport/entry_host.cc
@@ -241,6 +241,7 @@
 void EntryHost::SendReport(Instant now) {
   protocol::HostReport report;
   report.host = profile_.name;
+  report.term = leader_.term();
   report.load = relay_.TakeLoad();
   for (const auto& [id, server] : pool_.servers()) {
     if (server.latency > 0 && report.load.contains(server.record.service)) {
--- a/src/transport/leader_duty.cc
+++ b/src/transport/leader_duty.cc
@@ -43,6 +43,8 @@
 // A release is answered when the work on its keys has ended.
 constexpr Duration kReleaseTimeout = std::chrono::milliseconds(2600);
 constexpr std::size_t kMostReplyBytes = 64 << 10;
+// Hosts report each 400 ms; one report may be lost.
+constexpr Duration kReportAge = std::chrono::milliseconds(900);
 // The capacity of a cold server, against a warm one.
 constexpr double kColdCapacity = 0.5;
 // The weight of a host's report on a server's speed, and the bounds of what is
@@ -121,8 +123,12 @@
   election_.HandleHostView(now, opinion.term, opinion.heard);
 }
 
-void LeaderDuty::HandleReport(Instant /*now*/,
+void LeaderDuty::HandleReport(Instant now,
                               const protocol::HostReport& report) {
+  if (leading() && report.term == election_.term() &&
+      report.host != profile_.name) {
+    reports_[report.host] = now;
+  }
   for (const auto& [service, load] : report.load) {
     const auto found = keyspaces_.find(service);
     if (found == keyspaces_.end() || load.samples.empty()) {
@@ -168,6 +174,9 @@
     Perform(now, action);
   }
   if (leading() && config_) {
+    if (election_.yielding(now)) {
+      TakeFollowersProof(now);
+    }
     TickKeyspaces(now);
   }
   if (leading() && now >= next_beat_) {
@@ -370,7 +379,19 @@
   return recorded;
 }
 
+void LeaderDuty::TakeFollowersProof(Instant now) {
+  const auto recent = static_cast<std::size_t>(std::count_if(
+      reports_.begin(), reports_.end(), [now](const auto& report) {
+        return now - report.second <= kReportAge;
+      }));
+  // This host counts as well.
+  if (2 * (recent + 1) > hooks_.host_count()) {
+    HandleProof(now - kReportAge);
+  }
+}
+
 void LeaderDuty::BeginLeading(Instant now) {
+  reports_.clear();
   writer_ = std::make_shared<TermWriter>();
   writer_->term = election_.term();
   writer_->next_sequence = FirstSequence() + 1;
--- a/src/transport/leader_duty.h
+++ b/src/transport/leader_duty.h
@@ -97,6 +97,9 @@
   void Perform(state::Instant now, const coordination::ElectionAction& action);
   // The store has confirmed a write of this term, sent at `sent`.
   void HandleProof(state::Instant sent);
+  // While the store is silent, the reports of most hosts prove as much: a
+  // successor that reaches any of them ends them, and tells this host.
+  void TakeFollowersProof(state::Instant now);
   void BeginLeading(state::Instant now);
   void EndLeading(std::string_view reason);
   void TickKeyspaces(state::Instant now);
@@ -157,6 +160,8 @@
   state::Instant next_trial_{};
   state::OwnershipTable table_;
   std::map<std::string, std::map<std::string, double>> slowness_;
+  // When each host last reported under this term.
+  std::map<std::string, state::Instant> reports_;
   // Where a server was last seen, for releases after its entry is gone.
   std::map<std::string, state::ServerRecord> records_;
 };
