--- a/apps/trace_command.cc
+++ b/apps/trace_command.cc
@@ -91,16 +91,16 @@
     return NumberOf(event, "first") <= concern.key &&
            concern.key <= NumberOf(event, "last");
   }
-  return part == "leader" || concern.servers.contains(TextOf(event, "server")) ||
+  return part == "leader" ||
+         concern.servers.contains(TextOf(event, "server")) ||
          ((part == "store" || part == "host") &&
           concern.hosts.contains(TextOf(event, "host")));
 }
 
 void Print(const Event& event, std::int64_t begin_ms, std::ostream& out) {
   const std::int64_t offset = event.time_ms - begin_ms;
-  out << (offset >= 0 ? "+" : "") << offset << " ms  "
-      << TextOf(event, "host") << "  " << TextOf(event, "part") << "  "
-      << TextOf(event, "event");
+  out << (offset >= 0 ? "+" : "") << offset << " ms  " << TextOf(event, "host")
+      << "  " << TextOf(event, "part") << "  " << TextOf(event, "event");
   for (const auto& [name, value] : event.fields) {
     if (name != "time_ms" && name != "host" && name != "part" &&
         name != "event" && name != "id") {
--- a/src/transport/leader_duty.cc
+++ b/src/transport/leader_duty.cc
@@ -123,8 +123,7 @@
   election_.HandleHostView(now, opinion.term, opinion.heard);
 }
 
-void LeaderDuty::HandleReport(Instant now,
-                              const protocol::HostReport& report) {
+void LeaderDuty::HandleReport(Instant now, const protocol::HostReport& report) {
   if (leading() && report.term == election_.term() &&
       report.host != profile_.name) {
     reports_[report.host] = now;
@@ -381,9 +380,8 @@
 
 void LeaderDuty::TakeFollowersProof(Instant now) {
   const auto recent = static_cast<std::size_t>(std::count_if(
-      reports_.begin(), reports_.end(), [now](const auto& report) {
-        return now - report.second <= kReportAge;
-      }));
+      reports_.begin(), reports_.end(),
+      [now](const auto& report) { return now - report.second <= kReportAge; }));
   // This host counts as well.
   if (2 * (recent + 1) > hooks_.host_count()) {
     HandleProof(now - kReportAge);
--- a/tests/logs/trace_test.cc
+++ b/tests/logs/trace_test.cc
@@ -51,7 +51,8 @@
     "12.5 b {\"time_ms\":1000,\"host\":\"b\",\"part\":\"servers\","
     "\"event\":\"gone\",\"server\":\"i-1\"}\n"
     "{\"time_ms\":1010,\"host\":\"a\",\"part\":\"request\","
-    "\"event\":\"attempt-lost\",\"id\":\"x\",\"server\":\"i-1\",\"age_ms\":80}\n"
+    "\"event\":\"attempt-lost\",\"id\":\"x\",\"server\":\"i-1\",\"age_ms\":80}"
+    "\n"
     "not an event\n"
     "{\"time_ms\":1011,\"host\":\"a\",\"part\":\"request\","
     "\"event\":\"unknown\",\"id\":\"y\",\"reason\":\"attempt-lost\"}\n"
@@ -94,8 +95,7 @@
   const std::string text = pipe.Read();
   CHECK(std::count(text.begin(), text.end(), '\n') == 21);
   CHECK(text.find(R"("part":"request","event":"refused",)"
-                  R"("id":"quote\" and \n","age_ms":0})") !=
-        std::string::npos);
+                  R"("id":"quote\" and \n","age_ms":0})") != std::string::npos);
   CHECK(text.find(R"("of":"refused","lines":30})") != std::string::npos);
   CHECK(log.suppressed() == 30);
 }
--- a/tests/transport/http_client_test.cc
+++ b/tests/transport/http_client_test.cc
@@ -31,9 +31,9 @@
     transport::HttpSendOptions options;
     options.sent = &sent;
     const state::Address address{"127.0.0.1", port};
-    const auto reply = co_await client.Send(
-        address, transport::http::verb::post, "/grant", "{}",
-        milliseconds(50), std::move(options));
+    const auto reply =
+        co_await client.Send(address, transport::http::verb::post, "/grant",
+                             "{}", milliseconds(50), std::move(options));
     failed = !reply;
   };
   asio::co_spawn(context, call(), asio::detached);
@@ -58,9 +58,9 @@
     transport::HttpSendOptions options;
     options.sent = &sent;
     const state::Address address{"127.0.0.1", 1};
-    const auto reply = co_await client.Send(
-        address, transport::http::verb::post, "/grant", "{}",
-        milliseconds(50), std::move(options));
+    const auto reply =
+        co_await client.Send(address, transport::http::verb::post, "/grant",
+                             "{}", milliseconds(50), std::move(options));
     failed = !reply;
   };
   asio::co_spawn(context, call(), asio::detached);
