--- a/apps/mustardflow_entry.cc
+++ b/apps/mustardflow_entry.cc
@@ -46,7 +46,12 @@
   // One thread: the argument leaves out locks.
   mustardflow::transport::asio::io_context context(1);
   mustardflow::transport::EventLog log(STDOUT_FILENO, profile->name);
-  mustardflow::transport::EntryHost host(context, std::move(*profile), log);
+  const auto reload = [path] {
+    mustardflow::protocol::Findings findings;
+    return mustardflow::platform::ParseSettingsFile(ReadFile(path), &findings);
+  };
+  mustardflow::transport::EntryHost host(context, std::move(*profile), reload,
+                                         log);
   host.Start();
   context.run();
   return 0;
--- a/src/coordination/server_pool.h
+++ b/src/coordination/server_pool.h
@@ -69,6 +69,7 @@
              state::ServiceBounds bounds,
              std::function<double()> random);
 
+  void SetBounds(const state::ServiceBounds& bounds) { bounds_ = bounds; }
   void SetConfig(const state::RoutingConfig& config);
   void SetEvacuated(std::set<std::string> zones);
   // How many hosts share the limits of cold servers and of connections.
@@ -174,7 +175,7 @@
                              const std::string& service) const;
 
   const std::string zone_;
-  const state::ServiceBounds bounds_;
+  state::ServiceBounds bounds_;
   const std::function<double()> random_;
   std::map<std::string, state::ServiceRules> rules_;
   std::set<std::string> evacuated_;
--- a/src/platform/store_protocol.h
+++ b/src/platform/store_protocol.h
@@ -30,10 +30,12 @@
 };
 
 // Topics with one partition and one record kept for each key. The operators
-// write the first, the backend servers the second, this system the third.
+// write the first, the backend servers the second, this system the others.
 inline constexpr std::string_view kOperatorTopic = "keyed.op";
 inline constexpr std::string_view kServerTopic = "keyed.servers";
 inline constexpr std::string_view kOwnershipTopic = "keyed.mustardflow";
+// One record for each host: its name and where it takes messages.
+inline constexpr std::string_view kHostTopic = "keyed.mustardflow-hosts";
 
 // Keys of the operators' topic.
 inline constexpr std::string_view kConfigKey = "config";
--- a/src/state/ownership_table.cc
+++ b/src/state/ownership_table.cc
@@ -9,6 +9,14 @@
 
 namespace mustardflow::state {
 
+void ServeRecorded(OwnershipTable* table) {
+  for (auto& [service, ranges] : table->services) {
+    for (OwnedRange& range : ranges) {
+      range.serving = !range.holder.id.empty() && range.former.empty();
+    }
+  }
+}
+
 void JoinRanges(ServiceRanges* ranges) {
   ServiceRanges joined;
   for (OwnedRange& range : *ranges) {
--- a/src/transport/entry_host.cc
+++ b/src/transport/entry_host.cc
@@ -37,7 +37,6 @@
 constexpr Duration kStopMargin = std::chrono::milliseconds(400);
 constexpr Duration kRegisterRetry = std::chrono::milliseconds(250);
 constexpr std::size_t kMostPeerReply = 4 << 20;
-constexpr std::string_view kHostTopic = "keyed.mustardflow-hosts";
 constexpr std::string_view kTablePath = "/v1/table";
 
 std::mt19937_64 SeededRandom() {
@@ -65,9 +64,11 @@
 
 EntryHost::EntryHost(asio::io_context& context,
                      state::HostProfile profile,
+                     ReloadSettings reload,
                      EventLog& log)
     : context_(context),
       profile_(std::move(profile)),
+      reload_(std::move(reload)),
       log_(log),
       random_(SeededRandom()),
       claim_(DrawClaim(random_, profile_.name)),
@@ -156,7 +157,7 @@
 }
 
 awaitable<void> EntryHost::Register() {
-  const std::string topic(kHostTopic);
+  const std::string topic(platform::kHostTopic);
   const std::string address =
       protocol::FormatAddress({profile_.ip, profile_.peer_port});
   const std::vector<platform::KeyedRecord> records(
@@ -360,11 +361,7 @@
     if (!table) {
       continue;
     }
-    for (auto& [service, ranges] : table->services) {
-      for (state::OwnedRange& range : ranges) {
-        range.serving = !range.holder.id.empty() && range.former.empty();
-      }
-    }
+    state::ServeRecorded(&*table);
     SetTable(std::move(*table));
   }
 }
@@ -496,11 +493,26 @@
     }
     if (signal == SIGTERM) {
       BeginStop();
+    } else {
+      Reload();
     }
     AwaitStopSignal();
   });
 }
 
+void EntryHost::Reload() {
+  const auto profile = reload_();
+  if (profile) {
+    profile_.bounds = profile->bounds;
+    pool_.SetBounds(profile_.bounds);
+    relay_.HandleBoundsChange();
+  }
+  log_.Write(LogPart::kHost, "reloaded",
+             {{"usable", profile.has_value()},
+              {"retry_slack", profile_.bounds.retry_slack},
+              {"cold_factor", profile_.bounds.cold_factor}});
+}
+
 void EntryHost::BeginStop() {
   if (stopping_since_) {
     return;
--- a/src/transport/entry_host.h
+++ b/src/transport/entry_host.h
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -33,8 +34,12 @@
 
 class EntryHost {
  public:
+  // Reads the settings again; nothing if they cannot be used.
+  using ReloadSettings = std::function<std::optional<state::HostProfile>()>;
+
   EntryHost(asio::io_context& context,
             state::HostProfile profile,
+            ReloadSettings reload,
             EventLog& log);
 
   void Start();
@@ -79,10 +84,14 @@
 
   void AwaitStopSignal();
   void BeginStop();
+  // Takes the bounds of the settings, which may have changed.
+  void Reload();
   void TickStop(state::Instant now);
 
   asio::io_context& context_;
-  const state::HostProfile profile_;
+  // All but the bounds is fixed for the life of the process.
+  state::HostProfile profile_;
+  const ReloadSettings reload_;
   EventLog& log_;
   std::mt19937_64 random_;
   const std::string claim_;
--- a/src/transport/leader_duty.cc
+++ b/src/transport/leader_duty.cc
@@ -241,11 +241,7 @@
   ledger_table_ = std::move(table);
   if (!leading() && ledger_table_.NewerThan(table_)) {
     state::OwnershipTable routed = ledger_table_;
-    for (auto& [service, ranges] : routed.services) {
-      for (state::OwnedRange& range : ranges) {
-        range.serving = !range.holder.id.empty() && range.former.empty();
-      }
-    }
+    state::ServeRecorded(&routed);
     hooks_.table_changed(std::move(routed));
   }
   election_.HandleLedger(Now(), head);
--- a/src/transport/request_relay.h
+++ b/src/transport/request_relay.h
@@ -69,6 +69,9 @@
   // Handles what is due; call about every 20 ms.
   void Tick(state::Instant now);
 
+  // The bounds in the profile have changed.
+  void HandleBoundsChange() { budgets_.clear(); }
+
   // The ownership table has changed.
   void HandleTableChange(state::Instant now);
 
