--- a/apps/trace_command.cc
+++ b/apps/trace_command.cc
@@ -106,7 +106,7 @@
         name != "event" && name != "id") {
       out << "  " << name << '=';
       if (value.is_string()) {
-        out << std::string_view(value.get_string());
+        out << value.get_string().c_str();
       } else {
         out << value;
       }
--- a/src/transport/entry_host.cc
+++ b/src/transport/entry_host.cc
@@ -134,8 +134,8 @@
 
 void EntryHost::Start() {
   log_.Write(LogPart::kHost, "started",
-             {{"zone", std::string_view(profile_.zone)},
-              {"claim", std::string_view(claim_)},
+             {{"zone", profile_.zone},
+              {"claim", claim_},
               {"retry_slack", profile_.bounds.retry_slack},
               {"cold_factor", profile_.bounds.cold_factor}});
   watch_.Start();
--- a/src/transport/leader_duty.cc
+++ b/src/transport/leader_duty.cc
@@ -111,7 +111,7 @@
       now < predecessor_end_) {
     predecessor_end_ = now;
     log_.Write(LogPart::kLeader, "predecessor-ended",
-               {{"predecessor", std::string_view(ledger_host_)}});
+               {{"predecessor", ledger_host_}});
     for (auto& [service, keyspace] : keyspaces_) {
       keyspace.coordinator->HandlePredecessorEnd(now);
     }
@@ -165,7 +165,10 @@
   if (leading()) {
     return Duration(0);
   }
-  return heard ? Duration(now - *heard) : Duration::max();
+  if (!heard) {
+    return Duration::max();
+  }
+  return now - *heard;
 }
 
 void LeaderDuty::Tick(Instant now) {
@@ -401,7 +404,7 @@
   table_.term = election_.term();
   log_.Write(LogPart::kLeader, "leading",
              {{"term", election_.term()},
-              {"predecessor", std::string_view(ledger_host_)},
+              {"predecessor", ledger_host_},
               {"ledger_revision", ledger_table_.revision}});
   if (config_) {
     TickKeyspaces(now);
@@ -607,8 +610,8 @@
   }
   if (outcome != OrderOutcome::kAccepted || !grant) {
     log_.Write(LogPart::kKeys, grant ? "grant-failed" : "release-ended",
-               {{"service", std::string_view(service)},
-                {"server", std::string_view(order.server.id)},
+               {{"service", service},
+                {"server", order.server.id},
                 {"first", static_cast<std::int64_t>(order.first)},
                 {"last", static_cast<std::int64_t>(order.last)},
                 {"fence", order.fence},
--- a/src/transport/request_relay.cc
+++ b/src/transport/request_relay.cc
@@ -14,7 +14,6 @@
 
 namespace mustardflow::transport {
 
-using coordination::ChoiceRequest;
 using coordination::NoChoice;
 using coordination::ServerChoice;
 using coordination::ServerResult;
@@ -292,8 +291,8 @@
                 sent ? ServerResult::kBroken : ServerResult::kUnreachable);
   request->tried.insert(attempt.server.life.id);
   log_.Write(LogPart::kRequest, sent ? "attempt-lost" : "attempt-unreachable",
-             {{"id", std::string_view(request->attempt_id)},
-              {"server", std::string_view(attempt.server.life.id)},
+             {{"id", request->attempt_id},
+              {"server", attempt.server.life.id},
               {"age_ms", Milliseconds(now - attempt.sent)}});
   if (sent) {
     request->may_have_run = true;
@@ -367,8 +366,8 @@
                                 const Attempt& attempt,
                                 int status) {
   log_.Write(LogPart::kRequest, "attempt-not-run",
-             {{"id", std::string_view(request->attempt_id)},
-              {"server", std::string_view(attempt.server.life.id)},
+             {{"id", request->attempt_id},
+              {"server", attempt.server.life.id},
               {"status", static_cast<std::int64_t>(status)},
               {"term", view_.table.term},
               {"revision", view_.table.revision}});
@@ -564,10 +563,11 @@
     Refuse(request, "deadline", kUsualRetryAfter);
     return;
   }
-  LogEnd(*request, "timed-out",
-         request->attempts.empty()
-             ? std::string_view("none")
-             : std::string_view(request->attempts.back().server.life.id));
+  std::string_view server = "none";
+  if (!request->attempts.empty()) {
+    server = request->attempts.back().server.life.id;
+  }
+  LogEnd(*request, "timed-out", server);
   Finish(request, "timed-out", {504, "Gateway Timeout", {}, ""});
 }
 
@@ -614,8 +614,8 @@
                           std::string_view reason) {
   log_.Write(
       LogPart::kRequest, event,
-      {{"id", std::string_view(request.attempt_id)},
-       {"service", std::string_view(request.service)},
+      {{"id", request.attempt_id},
+       {"service", request.service},
        {"reason", reason},
        {"age_ms", Milliseconds(Now() - request.received)},
        {"left_ms", Milliseconds(request.end - Now())},
--- a/src/transport/store_client.cc
+++ b/src/transport/store_client.cc
@@ -39,7 +39,7 @@
   if (failed != failing_since_.has_value()) {
     failing_since_ = failed ? std::optional(Now()) : std::nullopt;
     log_.Write(LogPart::kStore, failed ? "store-lost" : "store-regained",
-               {{"call", std::string_view(target)},
+               {{"call", target},
                 {"status",
                  reply ? static_cast<std::int64_t>(reply.value().status) : 0}});
   }
--- a/src/transport/store_watch.cc
+++ b/src/transport/store_watch.cc
@@ -177,8 +177,7 @@
     for (const std::string& zone : evacuated_) {
       zones += (zones.empty() ? "" : ",") + zone;
     }
-    log_.Write(LogPart::kStore, "evacuated-zones",
-               {{"zones", std::string_view(zones)}});
+    log_.Write(LogPart::kStore, "evacuated-zones", {{"zones", zones}});
     hooks_.evacuated(evacuated_);
   }
 }
@@ -188,8 +187,7 @@
   auto config = platform::ParseOperatorConfig(text, &findings);
   for (const protocol::Finding& finding : findings.list()) {
     log_.Write(LogPart::kStore, "config-finding",
-               {{"place", std::string_view(finding.place)},
-                {"problem", std::string_view(finding.problem)}});
+               {{"place", finding.place}, {"problem", finding.problem}});
   }
   if (!config || config->version() <= version_) {
     return;
@@ -269,8 +267,7 @@
   if (!record) {
     ++bad_entries_;
     log_.Write(LogPart::kStore, "entry-unreadable",
-               {{"key", std::string_view(id)},
-                {"problem", std::string_view(problem)}});
+               {{"key", id}, {"problem", problem}});
     return false;
   }
   lapses_.HandlePresent(id);
@@ -279,9 +276,9 @@
     return false;
   }
   log_.Write(LogPart::kServers, "entry",
-             {{"server", std::string_view(id)},
-              {"service", std::string_view(record->service)},
-              {"zone", std::string_view(record->zone)},
+             {{"server", id},
+              {"service", record->service},
+              {"zone", record->zone},
               {"draining", record->draining},
               {"cold_ms", record->warmup_left.count() / 1000},
               {"born", record->life.born}});
@@ -290,7 +287,7 @@
 
 void StoreWatch::RemoveGone(Instant now) {
   for (const std::string& id : lapses_.TakeGone(now)) {
-    log_.Write(LogPart::kServers, "gone", {{"server", std::string_view(id)}});
+    log_.Write(LogPart::kServers, "gone", {{"server", id}});
     pool_.Remove(id);
   }
 }
--- a/tests/servers/server_pool_test.cc
+++ b/tests/servers/server_pool_test.cc
@@ -14,7 +14,6 @@
 
 namespace {
 
-using coordination::NoChoice;
 using coordination::ServerChoice;
 using coordination::ServerPool;
 using coordination::ServerResult;
