logs: Bound the counts of dropped lines, escape the host's name, expose totals as counters

Cause: while nobody read the log, each second added a line for each event beyond the limit on pending bytes; a host name with a quotation mark broke the JSON; metrics named _total were gauges.

--- a/src/transport/entry_metrics.cc
+++ b/src/transport/entry_metrics.cc
@@ -18,19 +18,15 @@
   return buckets;
 }
 
-// Name and help text of each gauge. Totals are gauges as well, since they are
-// set from counts that other components keep.
-constexpr std::array<std::pair<const char*, const char*>, 15> kGauges = {{
+using NameAndHelp = std::pair<const char*, const char*>;
+
+constexpr std::array<NameAndHelp, 10> kGauges = {{
     {"mustardflow_requests_under_way", "Requests that have no answer yet."},
     {"mustardflow_oldest_request_seconds", "Age of the oldest of them."},
     {"mustardflow_waiting_for_owner", "Requests whose key has no server."},
-    {"mustardflow_repeats_total", "Requests sent to a server once more."},
     {"mustardflow_repeats_left", "Repeats left in the smallest budget."},
     {"mustardflow_store_silence_seconds",
      "Time since the store last answered while it was asked."},
-    {"mustardflow_store_calls_total", "Calls to the platform's store."},
-    {"mustardflow_server_connections_total",
-     "Connections opened to backend servers."},
     {"mustardflow_servers_blocked",
      "Backend servers without a connection at present."},
     {"mustardflow_servers_doubtful",
@@ -39,6 +35,14 @@
     {"mustardflow_leading", "1 if this host leads."},
     {"mustardflow_leader_silence_seconds",
      "Time since the leader was last heard; 0 at the leader."},
+}};
+
+// Set from counts that other components keep.
+constexpr std::array<NameAndHelp, 5> kCounters = {{
+    {"mustardflow_repeats_total", "Requests sent to a server once more."},
+    {"mustardflow_store_calls_total", "Calls to the platform's store."},
+    {"mustardflow_server_connections_total",
+     "Connections opened to backend servers."},
     {"mustardflow_entries_unreadable_total",
      "Entries in the store that name no server."},
     {"mustardflow_log_lines_suppressed_total",
@@ -60,6 +64,13 @@
                          .Register(*registry_)
                          .Add({});
   }
+  for (const auto& [name, help] : kCounters) {
+    counters_[name] = &prometheus::BuildCounter()
+                           .Name(name)
+                           .Help(help)
+                           .Register(*registry_)
+                           .Add({});
+  }
 }
 
 void EntryMetrics::ObserveRequest(const std::string& route,
@@ -78,6 +89,10 @@
 }
 
 void EntryMetrics::Set(const std::string& name, double value) {
+  if (const auto counter = counters_.find(name); counter != counters_.end()) {
+    counter->second->Increment(value - counter->second->Value());
+    return;
+  }
   gauges_.at(name)->Set(value);
 }
 
--- a/src/transport/entry_metrics.h
+++ b/src/transport/entry_metrics.h
@@ -3,6 +3,7 @@
 #ifndef MUSTARDFLOW_TRANSPORT_ENTRY_METRICS_H_
 #define MUSTARDFLOW_TRANSPORT_ENTRY_METRICS_H_
 
+#include <prometheus/counter.h>
 #include <prometheus/family.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
@@ -29,8 +30,8 @@
                       const std::string& outcome,
                       state::Duration duration);
 
-  // Sets a gauge. `name` must be in the list of gauges; another name throws
-  // std::out_of_range.
+  // Sets a gauge or a counter, which must not decrease. Throws
+  // std::out_of_range for a name that is neither.
   void Set(const std::string& name, double value);
 
   // Returns all metrics in the text format of Prometheus.
@@ -43,6 +44,7 @@
   std::map<std::pair<std::string, std::string>, prometheus::Histogram*>
       histograms_;
   std::map<std::string, prometheus::Gauge*> gauges_;
+  std::map<std::string, prometheus::Counter*> counters_;
 };
 
 }  // namespace mustardflow::transport
--- a/src/transport/event_log.cc
+++ b/src/transport/event_log.cc
@@ -48,7 +48,7 @@
 }  // namespace
 
 EventLog::EventLog(int descriptor, std::string host)
-    : descriptor_(descriptor), host_(std::move(host)) {
+    : descriptor_(descriptor), host_json_(boost::json::serialize(host)) {
   const int flags = ::fcntl(descriptor_, F_GETFL);
   if (flags >= 0) {
     ::fcntl(descriptor_, F_SETFL, flags | O_NONBLOCK);
@@ -76,9 +76,9 @@
                           std::initializer_list<LogField> fields) {
   pending_ += "{\"time_ms\":";
   pending_ += std::to_string(WallNow());
-  pending_ += ",\"host\":\"";
-  pending_ += host_;
-  pending_ += "\",\"part\":\"";
+  pending_ += ",\"host\":";
+  pending_ += host_json_;
+  pending_ += ",\"part\":\"";
   pending_ += kPartNames[static_cast<std::size_t>(part)];
   pending_ += "\",\"event\":\"";
   pending_ += event;
@@ -92,16 +92,22 @@
   pending_ += "}\n";
 }
 
+void EventLog::WriteSuppressed() {
+  // While the reader does not keep up, the counts add up instead.
+  for (auto entry = suppressed_.begin();
+       entry != suppressed_.end() && pending_.size() <= kMaxPendingBytes;
+       entry = suppressed_.erase(entry)) {
+    const std::string_view name = entry->first;
+    AppendLine(LogPart::kHost, "lines-suppressed",
+               {{"of", name}, {"lines", entry->second}});
+  }
+}
+
 void EventLog::Flush(state::Instant now) {
   if (now - second_start_ >= kSecond) {
     second_start_ = now;
     line_counts_.clear();
-    for (const auto& [event, count] : suppressed_) {
-      const std::string_view name = event;
-      AppendLine(LogPart::kHost, "lines-suppressed",
-                 {{"of", name}, {"lines", count}});
-    }
-    suppressed_.clear();
+    WriteSuppressed();
   }
   if (pending_.empty()) {
     return;
--- a/src/transport/event_log.h
+++ b/src/transport/event_log.h
@@ -40,7 +40,7 @@
 class EventLog {
  public:
   // Writes to `descriptor` and makes it non-blocking. Each line has the name
-  // `host`, which must not need escapes in JSON.
+  // `host`.
   EventLog(int descriptor, std::string host);
 
   // Appends a line, unless the event has reached its rate limit or too many
@@ -60,12 +60,15 @@
   void AppendLine(LogPart part,
                   std::string_view event,
                   std::initializer_list<LogField> fields);
+  // Appends the counts of dropped lines, as far as the limit on pending bytes
+  // allows.
+  void WriteSuppressed();
 
   const int descriptor_;
-  const std::string host_;
-  // Lines that are not written yet. Write() adds none beyond kMaxPendingBytes;
-  // only the counts of dropped lines, and the line that reaches the limit, may
-  // exceed it.
+  // The name of the host as a JSON string.
+  const std::string host_json_;
+  // Lines that are not written yet. None is added beyond kMaxPendingBytes; only
+  // the line that reaches the limit may exceed it.
   std::string pending_;
   // By event: the number of lines in the current second, and how many of these
   // were dropped.
