platform: Check ranges and trailing text of settings and the operators' configuration

Cause: ports, memory, max_connections, priority and path prefixes were taken unchecked, numbers with trailing text were accepted, and a host name over 255 bytes got a wrong length byte in the store.

--- a/src/platform/operator_config.cc
+++ b/src/platform/operator_config.cc
@@ -25,6 +25,11 @@
         {"download", state::RequestKind::kDownload},
     }};
 
+// Upper bounds of settings. Higher values, which no installation needs, are
+// replaced by the bound.
+constexpr std::int64_t kMaxPriority = 1000;
+constexpr std::int64_t kMaxConnections = 1000000;
+
 // Treats an unknown kind as non-idempotent, so that its requests never run more
 // than once.
 state::RequestKind KindFromName(std::string_view name) {
@@ -64,7 +69,8 @@
   const auto hostname = TextMember(value, "hostname");
   const auto prefix = TextMember(value, "path_prefix");
   route.services = ReadServices(value);
-  if (!hostname || !prefix || route.services.empty()) {
+  if (!hostname || !prefix || route.services.empty() ||
+      !prefix->starts_with('/') || !prefix->ends_with('/')) {
     return std::nullopt;
   }
   route.hostname = *hostname;
@@ -77,19 +83,22 @@
   route.timeout = PeriodMember(value, "timeout").value_or(route.timeout);
   route.target_latency =
       PeriodMember(value, "target_latency").value_or(route.target_latency);
-  route.max_attempts = static_cast<int>(std::clamp<std::int64_t>(
-      IntegerMember(value, "max_attempts").value_or(1), 1, 10));
-  route.priority =
-      static_cast<int>(IntegerMember(value, "priority").value_or(0));
+  route.max_attempts = static_cast<int>(
+      std::clamp<std::int64_t>(IntegerMember(value, "max_attempts").value_or(1),
+                               1, state::kMaxAttempts));
+  route.priority = static_cast<int>(std::clamp<std::int64_t>(
+      IntegerMember(value, "priority").value_or(0), 0, kMaxPriority));
   return route;
 }
 
 state::ServiceRules ReadService(const json::value& value) {
   state::ServiceRules rules;
-  rules.max_connections = static_cast<int>(
-      IntegerMember(value, "max_connections").value_or(rules.max_connections));
+  rules.max_connections = static_cast<int>(std::clamp<std::int64_t>(
+      IntegerMember(value, "max_connections").value_or(rules.max_connections),
+      1, kMaxConnections));
   rules.warmup = PeriodMember(value, "warmup").value_or(rules.warmup);
-  rules.cold_rate = NumberMember(value, "warmup_per_s").value_or(0);
+  rules.cold_rate =
+      std::max(0.0, NumberMember(value, "warmup_per_s").value_or(0));
   const json::value* sharded = Member(value, "sharded");
   rules.keyed = sharded != nullptr && sharded->is_bool() && sharded->get_bool();
   return rules;
--- a/src/platform/server_protocol.cc
+++ b/src/platform/server_protocol.cc
@@ -24,6 +24,9 @@
     }
     ++count;
     position = parsed.ptr;
+    if (position < end && *position != ',') {
+      return std::nullopt;
+    }
     while (position < end && (*position == ',' || *position == ' ')) {
       ++position;
     }
--- a/src/platform/server_protocol.h
+++ b/src/platform/server_protocol.h
@@ -52,7 +52,8 @@
   double slowness = 1;
 };
 
-// Parses a value of X-Server-Load. Returns nullopt if it is invalid.
+// Parses a value of X-Server-Load. Returns nullopt if it is invalid. Numbers
+// after the fourth are ignored.
 std::optional<LoadReport> ParseLoadReport(std::string_view text);
 
 // The body of a call that grants the keys from `first` to `last`, both
--- a/src/platform/settings_file.cc
+++ b/src/platform/settings_file.cc
@@ -2,9 +2,9 @@
 
 #include "platform/settings_file.h"
 
-#include <charconv>
 #include <string>
 
+#include "platform/store_protocol.h"
 #include "platform/wire_values.h"
 #include "protocol/object_reader.h"
 
@@ -20,13 +20,10 @@
                std::string_view text,
                state::ServiceBounds* bounds) {
   const auto period = ParsePeriod(text);
-  double number = 0;
-  const bool is_number =
-      std::from_chars(text.data(), text.data() + text.size(), number).ec ==
-      std::errc();
+  const auto number = ParseNumber(text);
   const auto set_number = [&](double* target) {
-    if (is_number && number >= 0) {
-      *target = number;
+    if (number && *number >= 0) {
+      *target = *number;
     }
   };
   const auto set_period = [&](state::Duration* target) {
@@ -51,6 +48,45 @@
   }
 }
 
+// Returns the first of the ports for messages between hosts, and adds a finding
+// if there is none. The port after it has to be valid as well.
+std::uint16_t ReadPeerPort(const json::value& settings,
+                           protocol::Findings* findings) {
+  constexpr std::int64_t kMaxPeerPort = 65534;
+  const json::value* ports = Member(settings, "internal_ports");
+  if (ports != nullptr && ports->is_array() && !ports->get_array().empty() &&
+      ports->get_array()[0].is_int64()) {
+    const std::int64_t port = ports->get_array()[0].get_int64();
+    if (port >= 1 && port <= kMaxPeerPort) {
+      return static_cast<std::uint16_t>(port);
+    }
+  }
+  findings->Add("/internal_ports", "names no port",
+                "give the first and the last free port");
+  return 0;
+}
+
+// Sets the resources of the host. Ignores values that are not positive.
+void ReadResources(const json::value& limits, state::HostProfile* profile) {
+  const auto read_positive = [&limits](std::string_view name, double fallback) {
+    const double value = NumberMember(limits, name).value_or(fallback);
+    return value > 0 ? value : fallback;
+  };
+  constexpr double kBytesPerMegabyte = 1 << 20;
+  constexpr double kMaxMemoryMegabytes = 1 << 24;
+  const double default_memory =
+      static_cast<double>(profile->memory_bytes) / kBytesPerMegabyte;
+  profile->memory_bytes = static_cast<std::size_t>(
+      std::min(read_positive("memory_mb", default_memory),
+               kMaxMemoryMegabytes) *
+      kBytesPerMegabyte);
+  // cpu_share is the share of one core; cpu_cores is the speed of that core
+  // relative to a reference core.
+  profile->cores =
+      read_positive("cpu_share", 1) * read_positive("cpu_cores", 1);
+  profile->link_mbps = read_positive("link_mbps", profile->link_mbps);
+}
+
 // Reads the bounds, an array of strings of the form "name=value". Ignores
 // entries of another form.
 void ReadBounds(const json::value& settings, state::ServiceBounds* bounds) {
@@ -84,6 +120,9 @@
   state::HostProfile profile;
   ObjectReader reader(*settings, "", findings);
   profile.name = reader.String("node_name", Presence::kRequired);
+  if (profile.name.size() > kMaxKeyBytes) {
+    reader.Report("node_name", "has more than 255 bytes", "shorten the name");
+  }
   profile.zone = reader.String("zone", Presence::kRequired);
   profile.ip = reader.String("ip", Presence::kRequired);
   if (auto listen = reader.Object("bind_addresses", Presence::kRequired)) {
@@ -94,30 +133,14 @@
       profile.operators = listen->Address("control_plane");
     }
   }
-  const json::value* ports = Member(*settings, "internal_ports");
-  if (ports != nullptr && ports->is_array() && !ports->get_array().empty() &&
-      ports->get_array()[0].is_int64()) {
-    profile.peer_port =
-        static_cast<std::uint16_t>(ports->get_array()[0].get_int64());
-  } else {
-    findings->Add("/internal_ports", "names no port",
-                  "give the first and the last free port");
-  }
+  profile.peer_port = ReadPeerPort(*settings, findings);
   if (auto store = reader.Object("platform", Presence::kRequired)) {
     profile.store = store->Address("address");
   }
   profile.server_heartbeat =
       PeriodMember(*settings, "heartbeat").value_or(profile.server_heartbeat);
   if (const json::value* limits = Member(*settings, "limits")) {
-    if (const auto megabytes = NumberMember(*limits, "memory_mb")) {
-      profile.memory_bytes = static_cast<std::size_t>(*megabytes * (1 << 20));
-    }
-    // cpu_share is the share of one core; cpu_cores is the speed of that core
-    // relative to a reference core.
-    const double share = NumberMember(*limits, "cpu_share").value_or(1);
-    profile.cores = share * NumberMember(*limits, "cpu_cores").value_or(1);
-    profile.link_mbps =
-        NumberMember(*limits, "link_mbps").value_or(profile.link_mbps);
+    ReadResources(*limits, &profile);
   }
   const json::value* bootstrap = Member(*settings, "bootstrap");
   profile.bootstrap =
--- a/src/platform/store_protocol.h
+++ b/src/platform/store_protocol.h
@@ -5,6 +5,7 @@
 #ifndef MUSTARDFLOW_PLATFORM_STORE_PROTOCOL_H_
 #define MUSTARDFLOW_PLATFORM_STORE_PROTOCOL_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -23,10 +24,13 @@
   std::string body;
 };
 
+// The longest key of a record.
+inline constexpr std::size_t kMaxKeyBytes = 255;
+
 // A record of a keyed topic. A record without a value deletes its key. The wire
 // format does not distinguish an empty value from a missing one.
 struct KeyedRecord {
-  // At most 255 bytes.
+  // At most kMaxKeyBytes.
   std::string key;
   std::optional<std::string> value;
   // The offset in the partition. Ignored in appended records.
--- a/src/platform/wire_values.cc
+++ b/src/platform/wire_values.cc
@@ -16,6 +16,16 @@
 
 }  // namespace
 
+std::optional<double> ParseNumber(std::string_view text) {
+  double value = 0;
+  const char* const end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, value);
+  if (parsed.ec != std::errc() || parsed.ptr != end || !std::isfinite(value)) {
+    return std::nullopt;
+  }
+  return value;
+}
+
 std::optional<state::Duration> ParsePeriod(std::string_view text) {
   double value = 0;
   const auto [end, error] =
--- a/src/platform/wire_values.h
+++ b/src/platform/wire_values.h
@@ -14,6 +14,9 @@
 
 namespace mustardflow::platform {
 
+// Returns nullopt if the text is not a finite number and nothing else.
+std::optional<double> ParseNumber(std::string_view text);
+
 // Convert between durations and numbers with the unit "ms" or "s", such as
 // "1500ms" and "2.5s". ParsePeriod returns nullopt for an invalid, negative or
 // implausibly long duration. FormatPeriod always uses "ms".
--- a/src/state/routing_config.h
+++ b/src/state/routing_config.h
@@ -28,6 +28,9 @@
   return kind != RequestKind::kNonIdempotent;
 }
 
+// Upper bound of Route::max_attempts.
+inline constexpr int kMaxAttempts = 10;
+
 // A target of a traffic split.
 struct WeightedService {
   std::string service;
@@ -47,7 +50,8 @@
   Duration timeout = std::chrono::seconds(1);
   // A response within this time meets the latency target.
   Duration target_latency = std::chrono::milliseconds(300);
-  // The maximum number of backend servers that one request may be sent to.
+  // The maximum number of backend servers that one request may be sent to;
+  // between 1 and kMaxAttempts.
   int max_attempts = 1;
   // 0 is the most urgent.
   int priority = 0;
