keys: Keep the predecessor's leases apart from this leader's own

Cause: when a leader learned that its predecessor had stopped, it also shortened the bounds on leases that it had granted itself, so a key could be granted to a second server while an unanswered grant was still valid. A lease now says whether earlier leaders may have granted it; their common end is kept once. Test: 'the predecessor's end does not shorten leases of this leader'. The case of the unreachable server now checks each second that no other server holds its keys before the predecessor's end.

--- a/src/coordination/keyspace_coordinator.cc
+++ b/src/coordination/keyspace_coordinator.cc
@@ -70,18 +70,23 @@
                                          const ServiceRanges& recorded,
                                          Instant predecessor_end)
     : term_(term),
+      predecessor_lease_end_(predecessor_end + kOrderTimeout +
+                             kMaxLeaseDuration),
       server_count_rose_at_(now),
       start_time_(now),
       next_balance_(now),
       next_hot_move_(now) {
-  const Instant latest = predecessor_end + kOrderTimeout + kMaxLeaseDuration;
   for (const OwnedRange& range : recorded) {
     Slice slice;
     slice.first = range.first;
     slice.last = range.last;
-    slice.holder = {range.holder, latest, latest};
+    slice.holder.server = range.holder;
+    slice.holder.inherited = true;
     for (const ServerIncarnation& server : range.former) {
-      slice.former.push_back({server, latest, latest});
+      Lease lease;
+      lease.server = server;
+      lease.inherited = true;
+      slice.former.push_back(std::move(lease));
     }
     slice.fence = NextFence();
     slice.phase = !slice.former.empty()      ? Phase::kEnding
@@ -185,15 +190,8 @@
 }
 
 void KeyspaceCoordinator::HandlePredecessorEnd(Instant end) {
-  const Instant latest = end + kOrderTimeout + kMaxLeaseDuration;
-  for (Slice& slice : slices_) {
-    for (Lease& lease : slice.former) {
-      lease.end = std::min(lease.end, latest);
-      lease.late_grant_end = std::min(lease.late_grant_end, latest);
-    }
-    slice.holder.end = std::min(slice.holder.end, latest);
-    slice.holder.late_grant_end = std::min(slice.holder.late_grant_end, latest);
-  }
+  predecessor_lease_end_ =
+      std::min(predecessor_lease_end_, end + kOrderTimeout + kMaxLeaseDuration);
 }
 
 void KeyspaceCoordinator::HandleOrderOutcome(Instant now,
@@ -234,6 +232,7 @@
     case OrderOutcome::kAccepted:
       slice->holder.end = now + kMaxLeaseDuration;
       slice->holder.late_grant_end = Instant();
+      slice->holder.inherited = false;
       slice->next_grant = now + kRenewInterval;
       slice->handover.clear();
       if (!slice->accepted) {
@@ -252,7 +251,6 @@
     case OrderOutcome::kUnknown:
       slice->holder.end =
           std::max(slice->lease_end_if_not_sent, now + kMaxLeaseDuration);
-      // A grant of the predecessor may still arrive later than this one.
       slice->holder.late_grant_end =
           std::max(slice->holder.late_grant_end, now + kMaxLeaseDuration);
       // Once a grant with a higher fence is accepted, the server refuses this
@@ -343,11 +341,19 @@
   const bool answers = holder != nullptr && !holder->unresponsive;
   return confirmed_change_ >= slice.awaited_change && !slice.grant_pending &&
          (!answers || !slice.former.empty() ||
-          now >= slice.holder.late_grant_end);
+          now >= LateGrantEnd(slice.holder));
+}
+
+Instant KeyspaceCoordinator::LateGrantEnd(const Lease& lease) const {
+  return lease.inherited
+             ? std::max(lease.late_grant_end, predecessor_lease_end_)
+             : lease.late_grant_end;
 }
 
 bool KeyspaceCoordinator::LeaseEnded(Instant now, const Lease& lease) const {
-  return now >= lease.end || (lease.released && now >= lease.late_grant_end);
+  const Instant end =
+      lease.inherited ? std::max(lease.end, predecessor_lease_end_) : lease.end;
+  return now >= end || (lease.released && now >= LateGrantEnd(lease));
 }
 
 void KeyspaceCoordinator::Advance(Instant now, Slice* slice) {
@@ -357,7 +363,9 @@
       moved_share_ += static_cast<double>(slice->last - slice->first + 1) /
                       state::kShardKeyCount;
     }
-    slice->holder = {slice->next, now};
+    slice->holder = Lease();
+    slice->holder.server = slice->next;
+    slice->holder.end = now;
     slice->next = {};
     slice->accepted = false;
     slice->next_grant = now;
@@ -751,6 +759,7 @@
     left.holder.end = std::max(left.holder.end, right.holder.end);
     left.holder.late_grant_end =
         std::max(left.holder.late_grant_end, right.holder.late_grant_end);
+    left.holder.inherited = left.holder.inherited || right.holder.inherited;
     left.next_grant = std::min(left.next_grant, right.next_grant);
     slices_.erase(slices_.begin() + static_cast<std::ptrdiff_t>(i) + 1);
     ChangeRouted();
--- a/src/coordination/keyspace_coordinator.h
+++ b/src/coordination/keyspace_coordinator.h
@@ -164,12 +164,14 @@
   // The lease that a server may have on a range.
   struct Lease {
     state::ServerIncarnation server;
-    // The latest moment at which the lease can expire.
+    // The latest moment at which a lease that this leader granted can expire.
     state::Instant end{};
-    // Until this moment, a grant without an answer may still arrive at the
-    // server and give it a valid lease. A release does not rule that out; an
-    // accepted grant with a higher fence does.
+    // Until this moment, a grant of this leader without an answer may still
+    // arrive at the server and give it a valid lease. A release does not rule
+    // that out; an accepted grant with a higher fence does.
     state::Instant late_grant_end{};
+    // Whether earlier leaders may have granted the lease, and may renew it.
+    bool inherited = false;
     // Whether the server has released the range.
     bool released = false;
     bool release_pending = false;
@@ -266,6 +268,8 @@
 
   // Whether `next` may become the holder of the slice.
   bool MayReplaceHolder(state::Instant now, const Slice& slice) const;
+  // Until when a grant without an answer, of any leader, may still arrive.
+  state::Instant LateGrantEnd(const Lease& lease) const;
   // Whether the lease can no longer be valid.
   bool LeaseEnded(state::Instant now, const Lease& lease) const;
   bool MayGrant(state::Instant now, const Slice& slice) const;
@@ -281,6 +285,9 @@
   void ChangeRouted() { ++routed_change_; }
 
   const std::int64_t term_;
+  // The latest moment at which a lease that an earlier leader granted can
+  // expire.
+  state::Instant predecessor_lease_end_;
   std::int64_t fence_count_ = 0;
   std::uint64_t order_count_ = 0;
   // Invariant: sorted by key; each key is in exactly one slice.
--- a/tests/keys/keyspace_cases_test.cc
+++ b/tests/keys/keyspace_cases_test.cc
@@ -84,9 +84,23 @@
     "[O3]") {
   KeyspaceSimulation simulation(6);
   simulation.Advance(seconds(2));
+  std::set<state::ShardKey> keys_of_unreachable;
+  for (int key = 0; key < state::kShardKeyCount; key += 1024) {
+    if (simulation.HolderOf(static_cast<state::ShardKey>(key)) == 0) {
+      keys_of_unreachable.insert(static_cast<state::ShardKey>(key));
+    }
+  }
+  REQUIRE_FALSE(keys_of_unreachable.empty());
   simulation.TakeOver(false);
   simulation.DisconnectNewestLeader(0, true);
-  simulation.Advance(seconds(9));
+  for (int i = 0; i < 9; ++i) {
+    simulation.Advance(seconds(1));
+    for (const state::ShardKey key : keys_of_unreachable) {
+      // No other server holds the key; the predecessor may still renew it.
+      const int holder = simulation.HolderOf(key);
+      CHECK((holder == 0 || holder == -1));
+    }
+  }
   CHECK(simulation.violation().empty());
   // The predecessor stops ten seconds after the new leader has taken over.
   simulation.Advance(seconds(5));
@@ -123,6 +137,39 @@
   }
 }
 
+// A successor that learns of its predecessor's end late must not shorten the
+// leases that it has granted itself in the meantime.
+TEST_CASE("the predecessor's end does not shorten leases of this leader",
+          "[O1]") {
+  Instant now(seconds(100));
+  state::OwnedRange range;
+  range.last = state::kShardKeyCount - 1;
+  range.holder = {"old", 1};
+  KeyspaceCoordinator coordinator(now, 2, {range}, now + seconds(10));
+  coordinator.SetServers(now, {{{"old", 1}, 6, true}, {{"new", 1}, 6, true}});
+  coordinator.HandleProof(now);
+  // The grant arrives and gives a lease until 2.5 s later, but its answer is
+  // lost.
+  const auto orders = coordinator.Tick(now);
+  REQUIRE(orders.size() == 1);
+  const Instant lease_end = now + coordination::kKeyLease;
+  now += milliseconds(300);
+  coordinator.HandleOrderOutcome(now, orders.front(), OrderOutcome::kUnknown,
+                                 "");
+  // The predecessor stopped long ago.
+  coordinator.HandlePredecessorEnd(now - seconds(20));
+  coordinator.SetServers(now, {{{"new", 1}, 6, true}});
+  while (now < lease_end) {
+    coordinator.HandleRecordConfirmed(coordinator.recorded_change());
+    coordinator.HandleProof(now);
+    for (const KeyOrder& order : coordinator.Tick(now)) {
+      CHECK(order.kind == OrderKind::kRelease);
+      coordinator.HandleOrderOutcome(now, order, OrderOutcome::kNotSent, "");
+    }
+    now += milliseconds(20);
+  }
+}
+
 // Found by the fuzzer: a server that was not listed for a while and restarted
 // had forgotten the successor's fences, so it accepted a grant of the
 // predecessor.
