--- a/src/coordination/acceptance_rate.cc
+++ b/src/coordination/acceptance_rate.cc
@@ -15,6 +15,8 @@
 // The time constant of the counts, in seconds. It is shorter than bursts and
 // periods with hot keys, which last for some seconds.
 constexpr double kDecaySeconds = 1.0;
+// The counts do not matter any more after this time without a request.
+constexpr Duration kRetention = std::chrono::seconds(10);
 // The upper bound of the retry delay.
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(10);
 
@@ -49,4 +51,8 @@
                                       std::chrono::duration<double>(seconds)));
 }
 
+bool AcceptanceRate::Decayed(Instant now) const {
+  return now - updated_at_ > kRetention;
+}
+
 }  // namespace mustardflow::coordination
--- a/src/coordination/acceptance_rate.h
+++ b/src/coordination/acceptance_rate.h
@@ -22,6 +22,9 @@
   state::Duration RetryAfter(state::Instant now,
                              state::Duration default_delay) const;
 
+  // Whether the counts have decayed so far that they no longer matter.
+  bool Decayed(state::Instant now) const;
+
  private:
   // Decays the counts to `now`.
   void Decay(state::Instant now);
--- a/src/coordination/leader_election.cc
+++ b/src/coordination/leader_election.cc
@@ -15,24 +15,29 @@
 // A host queries the other hosts after this long without a heartbeat: five
 // heartbeat intervals.
 constexpr Duration kLeaderTimeout = std::chrono::milliseconds(1000);
-// The range of the delays that spread the claims of hosts that lose contact
-// with the leader at the same moment.
-constexpr Duration kMaxStagger = std::chrono::milliseconds(300);
+// Hosts that lose contact with the leader at the same moment claim in the order
+// of their ranks. The delay for each rank is about the time in which a claim
+// succeeds and its first heartbeat arrives; the maximum applies to hosts that
+// lead only if most others are lost. The stagger separates hosts that disagree
+// about their ranks.
+constexpr Duration kDelayPerRank = std::chrono::milliseconds(30);
+constexpr Duration kMaxRankDelay = std::chrono::milliseconds(1500);
+// A weak host also waits for strong hosts that start at the same moment as
+// itself: hosts start within 0.3 s of each other.
+constexpr Duration kWeakDelay = std::chrono::milliseconds(400);
+constexpr Duration kMaxStagger = std::chrono::milliseconds(20);
 // How long a starting host waits for heartbeats before it queries the other
 // hosts.
 constexpr Duration kStartupLeaderTimeout = std::chrono::milliseconds(50);
 // Replaces kStartupLeaderTimeout when the whole system starts for the first
 // time: hosts start within 0.3 s of each other and then register.
-constexpr Duration kFirstStartLeaderTimeout = std::chrono::milliseconds(500);
-// The additional wait of a host when all others are better suited to lead. It
-// is longer than the others need to claim the term.
-constexpr Duration kMaxDisadvantageDelay = std::chrono::milliseconds(500);
+constexpr Duration kFirstStartLeaderTimeout = std::chrono::milliseconds(250);
 // How long a host waits for the replies of other hosts; several round trips.
 constexpr Duration kQueryTimeout = std::chrono::milliseconds(120);
 // A reply that names an older heartbeat is ignored.
 constexpr Duration kMaxHeartbeatAge = std::chrono::milliseconds(700);
 // A host that reaches no other host claims the term only after the ledger has
-// shown no new renewal for this long: more than two renewal intervals.
+// shown no new record for this long: more than two renewal intervals.
 constexpr Duration kLedgerIdleTimeout = std::chrono::milliseconds(2600);
 constexpr Duration kRenewInterval = std::chrono::milliseconds(1000);
 constexpr Duration kRetryInterval = std::chrono::milliseconds(250);
@@ -55,17 +60,18 @@
                                bool bootstrap)
     : claim_(std::move(claim)),
       stagger_(stagger),
+      bootstrap_(bootstrap),
       last_contact_(
           now - kLeaderTimeout +
           (bootstrap ? kFirstStartLeaderTimeout : kStartupLeaderTimeout)),
       phase_since_(now),
-      seen_renewal_at_(now),
+      seen_end_at_(now),
       last_proof_(now),
       next_renewal_(now) {}
 
 bool LeaderElection::stepping_down(Instant now) const {
-  return leading() &&
-         (step_down_requested_ || now - last_proof_ > kStoreOutageTimeout);
+  return leading() && (step_down_requested_ || hand_over_term_ == term_ ||
+                       now - last_proof_ > kStoreOutageTimeout);
 }
 
 bool LeaderElection::lost_contact(Instant now) const {
@@ -73,10 +79,27 @@
          (!last_heartbeat_ || now - *last_heartbeat_ > kLeaderTimeout);
 }
 
-Duration LeaderElection::LeaderTimeout() const {
-  const Duration stagger = Scale(kMaxStagger, stagger_) +
-                           Scale(kMaxDisadvantageDelay, disadvantage_);
-  return leader_stepping_down_ ? stagger : kLeaderTimeout + stagger;
+Duration LeaderElection::OwnDelay() const {
+  return std::min<Duration>(kMaxRankDelay,
+                            kDelayPerRank * static_cast<Duration::rep>(rank_)) +
+         (weak_ ? kWeakDelay : Duration(0)) + Scale(kMaxStagger, stagger_);
+}
+
+Duration LeaderElection::BaseTimeout() const {
+  return leader_stepping_down_ ? Duration(0) : kLeaderTimeout;
+}
+
+void LeaderElection::Join(Instant now) {
+  joined_ = true;
+  if (phase_ == Phase::kFollowing && !last_heartbeat_) {
+    last_contact_ =
+        now - kLeaderTimeout +
+        (bootstrap_ ? kFirstStartLeaderTimeout : kStartupLeaderTimeout);
+  }
+}
+
+void LeaderElection::FollowAndRetry(Instant now) {
+  Follow(now - BaseTimeout() + kRetryInterval);
 }
 
 void LeaderElection::Follow(Instant last_contact) {
@@ -126,7 +149,7 @@
     return;
   }
   if (!head) {
-    Follow(now - LeaderTimeout() + kRetryInterval);
+    FollowAndRetry(now);
     return;
   }
   if (head->term == claimed_term_ && head->claim == claim_ &&
@@ -141,13 +164,13 @@
 }
 
 void LeaderElection::DecideClaim(Instant now, const LedgerHead& head) {
-  if (head.renewal != seen_renewal_ || head.term != seen_renewal_term_) {
-    seen_renewal_ = head.renewal;
-    seen_renewal_term_ = head.term;
-    seen_renewal_at_ = now;
+  if (head.end != seen_end_) {
+    seen_end_ = head.end;
+    seen_end_at_ = now;
   }
-  const bool term_advanced = head.term > term_ && term_ > 0;
-  const bool ledger_idle = now - seen_renewal_at_ >= kLedgerIdleTimeout;
+  const bool knows_term = joined_ || term_ > 0;
+  const bool term_advanced = knows_term && head.term > term_;
+  const bool ledger_idle = now - seen_end_at_ >= kLedgerIdleTimeout;
   if (head.term > term_) {
     term_ = head.term;
     leader_stepping_down_ = false;
@@ -195,7 +218,7 @@
     phase_since_ = now;
     ledger_read_sent_ = false;
   } else {
-    Follow(now - LeaderTimeout() + kRetryInterval);
+    FollowAndRetry(now);
   }
 }
 
@@ -226,6 +249,8 @@
 void LeaderElection::HandleProof(Instant sent) {
   if (leading()) {
     last_proof_ = std::max(last_proof_, sent);
+    // Each confirmed write serves as a renewal.
+    next_renewal_ = std::max<Instant>(next_renewal_, sent + kRenewInterval);
   }
 }
 
@@ -263,7 +288,7 @@
         ledger_read_sent_ = true;
         actions.emplace_back(ReadLedger{});
       } else if (now - phase_since_ > kStoreAnswerTimeout) {
-        Follow(now - LeaderTimeout() + kRetryInterval);
+        FollowAndRetry(now);
       }
       break;
     case Phase::kClaiming:
--- a/src/coordination/leader_election.h
+++ b/src/coordination/leader_election.h
@@ -9,6 +9,7 @@
 #ifndef MUSTARDFLOW_COORDINATION_LEADER_ELECTION_H_
 #define MUSTARDFLOW_COORDINATION_LEADER_ELECTION_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -30,7 +31,8 @@
   std::int64_t term = 0;
   // Identifies the claim that won the term.
   std::string claim;
-  // The number of the leader's last renewal in this term.
+  // The number of the leader's last renewal in this term. Its other writes also
+  // show that it leads.
   std::int64_t renewal = 0;
   // The position after the last record of the ledger.
   std::int64_t end = 0;
@@ -93,9 +95,16 @@
                  double stagger,
                  bool bootstrap = false);
 
-  // Sets the fraction of the hosts that are better suited to lead. The higher
-  // it is, the longer this host delays its claim in favour of those hosts.
-  void SetDisadvantage(double fraction) { disadvantage_ = fraction; }
+  // Sets the number of hosts that are better suited to lead, and whether any of
+  // them is far better suited. This host delays its claim in favour of them.
+  void SetRank(std::size_t rank, bool weak) {
+    rank_ = rank;
+    weak_ = weak;
+  }
+
+  // This host now knows the term in the store and the other hosts, and takes
+  // part. Tick() must not be called before.
+  void Join(state::Instant now);
 
   // A heartbeat of a leader has arrived. A leader that is `stepping_down` asks
   // to be succeeded.
@@ -135,6 +144,9 @@
   bool stepping_down(state::Instant now) const;
   // This host is about to stop: asks to be succeeded and claims no term.
   void StepDown() { step_down_requested_ = true; }
+  // Asks to be succeeded in the present term, in favour of a host that is
+  // better suited to lead.
+  void HandOver() { hand_over_term_ = term_; }
   std::int64_t term() const { return term_; }
   // While leading: when the last write that the store confirmed was sent.
   state::Instant last_proof() const { return last_proof_; }
@@ -161,19 +173,28 @@
   };
 
   void Follow(state::Instant last_contact);
+  // Follows, and queries again after the retry interval and this host's delay.
+  void FollowAndRetry(state::Instant now);
+  // How long this host goes without contact before its own delay begins.
+  state::Duration BaseTimeout() const;
+  // The wait in favour of hosts that are better suited to lead.
+  state::Duration OwnDelay() const;
   void Lead(state::Instant last_proof, state::Instant next_renewal);
   // Claims the next term, or follows again if the ledger shows an active
   // leader.
   void DecideClaim(state::Instant now, const LedgerHead& head);
   void TickLeading(state::Instant now, std::vector<ElectionAction>* actions);
   // How long this host goes without contact with the leader before it queries
-  // the other hosts: kLeaderTimeout, unless the leader steps down, plus the
-  // delays from `stagger_` and `disadvantage_`.
-  state::Duration LeaderTimeout() const;
+  // the other hosts.
+  state::Duration LeaderTimeout() const { return BaseTimeout() + OwnDelay(); }
 
   const std::string claim_;
   const double stagger_;
-  double disadvantage_ = 0;
+  const bool bootstrap_;
+  std::size_t rank_ = 0;
+  bool weak_ = false;
+  // Whether term_ was read from the store since the start.
+  bool joined_ = false;
   Phase phase_ = Phase::kFollowing;
   // The highest known term.
   std::int64_t term_ = 0;
@@ -186,6 +207,9 @@
   // Whether the leader asks to be succeeded.
   bool leader_stepping_down_ = false;
   bool step_down_requested_ = false;
+  // The term of which this host, as its leader, wants to be relieved; -1 if
+  // none.
+  std::int64_t hand_over_term_ = -1;
   state::Instant phase_since_;
   // Whether any other host has replied since the last query. Also true if the
   // leader was stepping down when the query was sent.
@@ -196,11 +220,9 @@
   bool claim_sent_ = false;
   // The term of this host's last claim; 0 if there was none.
   std::int64_t claimed_term_ = 0;
-  // The number and term of the last renewal seen in the ledger, and when this
-  // host first saw them.
-  std::int64_t seen_renewal_ = -1;
-  std::int64_t seen_renewal_term_ = -1;
-  state::Instant seen_renewal_at_;
+  // The end of the ledger as last seen, and when this host first saw it there.
+  std::int64_t seen_end_ = -1;
+  state::Instant seen_end_at_;
   // While leading: when the last write that the store confirmed was sent.
   state::Instant last_proof_;
   std::int64_t renewal_count_ = 0;
--- a/src/coordination/request_flow.cc
+++ b/src/coordination/request_flow.cc
@@ -51,6 +51,7 @@
 // Late responses reduce the LateWindow limits of a service, added up over all
 // hosts, to no less than this fraction of the service's slots.
 constexpr double kMinSlotFraction = 0.6;
+constexpr Duration kPruneInterval = std::chrono::seconds(5);
 // An attempt is started only if at least this time is left until the
 // deadline.
 constexpr Duration kMinSendTime = std::chrono::milliseconds(15);
@@ -250,19 +251,27 @@
       return;
     }
     if (const auto gate = GateFor(now, *request, range->holder)) {
-      SendToGate(now, request, range->holder, *gate, actions);
+      if (WithdrawRetry(*request)) {
+        SendToGate(now, request, range->holder, *gate, actions);
+      } else {
+        Refuse(now, request, "retry-budget", kDefaultRetryAfter, actions);
+      }
       return;
     }
     by = range->holder.id;
     choice = pool_.Check(now, range->holder, max_expected);
   } else if (const ServiceState& service = services_[terms.service];
              service.window.HasRoom(service.in_flight)) {
-    choice = pool_.Choose(now, {terms.service, &request->tried, max_expected,
-                                terms.kind == state::RequestKind::kDownload});
+    choice = pool_.Choose(
+        now, {terms.service, &request->tried, max_expected, terms.large});
   }
   if (const auto* found = std::get_if<ServerChoice>(&choice)) {
     request->waiting_since.reset();
-    Send(now, request, *found, actions);
+    if (WithdrawRetry(*request)) {
+      Send(now, request, *found, actions);
+    } else {
+      Refuse(now, request, "retry-budget", kDefaultRetryAfter, actions);
+    }
     return;
   }
   const NoServerReason reason = std::get<NoServerReason>(choice);
@@ -403,18 +412,21 @@
                                const Attempt& attempt,
                                FlowActions* actions) {
   request->may_have_run = true;
+  request->failed_server = attempt.server.id;
   const RequestTerms& terms = request->terms;
+  if (!request->attempts.empty()) {
+    // The other attempt of a hedged request may still succeed.
+    return;
+  }
   if (!request->caller_disconnected && state::MayRetry(terms.kind) &&
-      !terms.key && terms.end - now > attempt.expected + kMinSendTime &&
-      WithdrawRetry(*request)) {
+      !terms.key && request->sends < terms.max_attempts &&
+      terms.end - now > attempt.expected + kMinSendTime && CanRetry(*request)) {
     request->tried.insert(attempt.server.id);
     TrySend(now, request, actions);
     return;
   }
-  End(now, request,
-      {request->id, RequestOutcome::kFailed, "", Duration(0), 0,
-       attempt.server.id},
-      actions);
+  EndWithoutSuccess(now, request, RequestOutcome::kFailed, "",
+                    attempt.server.id, actions);
 }
 
 void RequestFlow::HandleNotRun(Instant now,
@@ -442,7 +454,7 @@
   const bool not_owner = result == SendResult::kNotOwner;
   const bool full =
       terms.key && !not_owner && !pool_.HasFreeSlots(attempt.server);
-  if (full || !WithdrawRetry(*request)) {
+  if (full || !CanRetry(*request)) {
     // A keyed request cannot go to another server.
     RefuseBusy(now, request, terms.key ? attempt.server.id : terms.service,
                full ? "owner-full" : "server-refused", actions);
@@ -473,14 +485,12 @@
     return;
   }
   if (state::MayRetry(request->terms.kind) &&
-      request->sends < request->terms.max_attempts && WithdrawRetry(*request)) {
+      request->sends < request->terms.max_attempts && CanRetry(*request)) {
     TrySend(now, request, actions);
     return;
   }
-  End(now, request,
-      {request->id, RequestOutcome::kUnknown, "attempt-lost", Duration(0), 0,
-       ""},
-      actions);
+  EndWithoutSuccess(now, request, RequestOutcome::kUnknown, "attempt-lost", "",
+                    actions);
 }
 
 void RequestFlow::HandleNotConnected(Instant now,
@@ -488,6 +498,10 @@
                                      FlowActions* actions) {
   --request->sends;
   ++request->failed_connections;
+  if (request->sends > 0) {
+    Budget(request->terms.service).Refund();
+    --retries_;
+  }
   if (!request->attempts.empty()) {
     return;
   }
@@ -538,8 +552,19 @@
   return actions;
 }
 
+void RequestFlow::Prune(Instant now) {
+  std::erase_if(acceptance_rates_,
+                [now](const auto& entry) { return entry.second.Decayed(now); });
+  std::erase_if(blocked_gates_,
+                [now](const auto& entry) { return now >= entry.second; });
+}
+
 FlowActions RequestFlow::Tick(Instant now) {
   FlowActions actions;
+  if (now >= next_prune_) {
+    next_prune_ = now + kPruneInterval;
+    Prune(now);
+  }
   for (auto entry = requests_.begin(); entry != requests_.end();) {
     TickRequest(now, &(entry++)->second, &actions);
   }
@@ -590,9 +615,9 @@
     return;
   }
   request->tried.insert(first.server.id);
-  const auto choice = pool_.Choose(
-      now, {terms.service, &request->tried, MaxExpectedLatency(now, *request),
-            terms.kind == state::RequestKind::kDownload});
+  const auto choice =
+      pool_.Choose(now, {terms.service, &request->tried,
+                         MaxExpectedLatency(now, *request), terms.large});
   const auto* found = std::get_if<ServerChoice>(&choice);
   if (found == nullptr || !WithdrawRetry(*request)) {
     return;
@@ -615,8 +640,22 @@
   }
   const std::string server =
       request->attempts.empty() ? "none" : request->attempts.back().server.id;
+  EndWithoutSuccess(now, request, RequestOutcome::kTimedOut, "", server,
+                    actions);
+}
+
+void RequestFlow::EndWithoutSuccess(Instant now,
+                                    Request* request,
+                                    RequestOutcome outcome,
+                                    std::string_view reason,
+                                    std::string server,
+                                    FlowActions* actions) {
+  if (request->failed_server) {
+    outcome = RequestOutcome::kFailed;
+    server = *request->failed_server;
+  }
   End(now, request,
-      {request->id, RequestOutcome::kTimedOut, "", Duration(0), 0, server},
+      {request->id, outcome, reason, Duration(0), 0, std::move(server)},
       actions);
 }
 
@@ -637,9 +676,8 @@
                          Duration retry_after,
                          FlowActions* actions) {
   if (request->may_have_run) {
-    End(now, request,
-        {request->id, RequestOutcome::kUnknown, reason, Duration(0), 0, ""},
-        actions);
+    EndWithoutSuccess(now, request, RequestOutcome::kUnknown, reason, "",
+                      actions);
     return;
   }
   // The random factor spreads the retries of refused callers over time.
@@ -686,11 +724,19 @@
   --service.in_flight;
 }
 
+bool RequestFlow::CanRetry(const Request& request) {
+  return request.sends < std::max(2, request.terms.max_attempts) &&
+         Budget(request.terms.service).CanWithdraw();
+}
+
 bool RequestFlow::WithdrawRetry(const Request& request) {
-  if (request.sends >= std::max(2, request.terms.max_attempts) ||
-      !Budget(request.terms.service).Withdraw()) {
+  if (request.sends == 0) {
+    return true;
+  }
+  if (!CanRetry(request)) {
     return false;
   }
+  Budget(request.terms.service).Withdraw();
   ++retries_;
   return true;
 }
--- a/src/coordination/request_flow.h
+++ b/src/coordination/request_flow.h
@@ -41,6 +41,9 @@
   std::optional<state::ShardKey> key;
   state::Duration target_latency{0};
   int max_attempts = 1;
+  // Whether the body of the request or of its response is large, so that
+  // another zone costs more.
+  bool large = false;
   // Another host has forwarded the request to this host, which is the gate of
   // the server that owns the key.
   bool forwarded = false;
@@ -190,6 +193,11 @@
   std::uint64_t retries() const { return retries_; }
   // The lowest remaining retry budget of all services, in retries.
   double retries_left() const;
+  // The number of servers, services and gates with a recent refusal, request or
+  // failure.
+  std::size_t tracked_peers() const {
+    return acceptance_rates_.size() + blocked_gates_.size();
+  }
 
  private:
   // An attempt in progress.
@@ -229,6 +237,9 @@
     bool bypasses_gates = false;
     // Whether an attempt may have been run.
     bool may_have_run = false;
+    // The server whose failure response is passed on unless a later attempt
+    // succeeds.
+    std::optional<std::string> failed_server;
     // When the request began to wait for an owner of its key.
     std::optional<state::Instant> waiting_since;
     // Set when the server that the ownership table lists as the owner of the
@@ -272,6 +283,14 @@
               std::string_view reason,
               state::Duration retry_after,
               FlowActions* actions);
+  // Ends a request that may have been run: as kFailed if a server has responded
+  // with a failure, otherwise as `outcome`.
+  void EndWithoutSuccess(state::Instant now,
+                         Request* request,
+                         RequestOutcome outcome,
+                         std::string_view reason,
+                         std::string server,
+                         FlowActions* actions);
   void End(state::Instant now,
            Request* request,
            FinishRequest conclusion,
@@ -304,8 +323,14 @@
                         SendResult result,
                         std::optional<state::Duration> retry_after,
                         FlowActions* actions);
+  // Drops what has been recorded of servers and gates that are not in use any
+  // more.
+  void Prune(state::Instant now);
   Request* Find(RequestId id);
-  // Returns whether a retry is allowed, and counts it if so.
+  // Whether the request's limit of attempts and the retry budget allow a retry.
+  bool CanRetry(const Request& request);
+  // Returns whether the request may be sent now. Counts the send if it is a
+  // retry.
   bool WithdrawRetry(const Request& request);
   RetryBudget& Budget(const std::string& service);
   // The highest expected latency, from `now`, at which the request is sent.
@@ -331,6 +356,7 @@
   // and by service name for all others.
   std::map<std::string, AcceptanceRate> acceptance_rates_;
   std::uint64_t retries_ = 0;
+  state::Instant next_prune_{};
 };
 
 }  // namespace mustardflow::coordination
--- a/src/coordination/retry_budget.h
+++ b/src/coordination/retry_budget.h
@@ -29,15 +29,26 @@
   // The tokens that are left.
   double left() const { return tokens_; }
 
+  // Whether a retry is allowed.
+  bool CanWithdraw() const { return tokens_ >= 1; }
+
   // Returns whether a retry is allowed, and withdraws a token if so.
   bool Withdraw() {
-    if (tokens_ < 1) {
+    if (!CanWithdraw()) {
       return false;
     }
     tokens_ -= 1;
     return true;
   }
 
+  // Puts the token of a retry that has not reached a server back.
+  void Refund() {
+    tokens_ += 1;
+    if (tokens_ > maximum_) {
+      tokens_ = maximum_;
+    }
+  }
+
  private:
   const double per_request_;
   const double maximum_;
--- a/src/coordination/server_pool.cc
+++ b/src/coordination/server_pool.cc
@@ -40,7 +40,7 @@
 constexpr int kServersCompared = 6;
 // The cost, in seconds, that is added to the estimate for a server in another
 // zone. It covers the longer round trip and makes hosts prefer their own zone.
-// The second value is for large responses.
+// The second value is for large bodies.
 constexpr double kOtherZoneCostSeconds = 0.015;
 constexpr double kOtherZoneLargeCostSeconds = 0.08;
 // The fraction by which the estimate for a server rises when all its slots are
@@ -60,6 +60,12 @@
 // for this time.
 constexpr Duration kSuspectedColdTime = std::chrono::milliseconds(1500);
 constexpr Duration kSecond = std::chrono::seconds(1);
+// A server that is gone is remembered for this time, so that late news of it do
+// not bring it back.
+constexpr Duration kGoneRetention = std::chrono::seconds(60);
+// A new gate uses its share of a cold server's rate only after this time, in
+// which the former gate learns that it is replaced.
+constexpr Duration kGateHandoverTime = std::chrono::seconds(1);
 // A refusal or a lost connection multiplies the server's window by the decrease
 // factor. The increase is added once for each window of successful responses.
 // The window does not shrink below the minimum.
@@ -171,14 +177,34 @@
   }
 }
 
-void ServerPool::Remove(const std::string& id) {
+void ServerPool::Remove(Instant now, const std::string& id) {
   const auto found = servers_.find(id);
   if (found != servers_.end() && !found->second.gone) {
     found->second.gone = true;
+    found->second.gone_since = now;
     ++change_;
   }
 }
 
+void ServerPool::Prune(Instant now) {
+  std::erase_if(servers_, [now](const auto& entry) {
+    const ServerState& server = entry.second;
+    return server.gone && server.in_flight.empty() &&
+           now - server.gone_since > kGoneRetention;
+  });
+}
+
+void ServerPool::SetGated(Instant now,
+                          const std::map<std::string, bool>& gated) {
+  std::map<std::string, GateState> next;
+  for (const auto& [server, own] : gated) {
+    const auto before = gated_.find(server);
+    const bool kept = before != gated_.end() && before->second.own == own;
+    next[server] = {own, kept ? before->second.own_since : now};
+  }
+  gated_ = std::move(next);
+}
+
 bool ServerPool::IsOutOfService(const ServerState& server) const {
   return server.gone || server.record.draining ||
          evacuated_.contains(server.record.zone);
@@ -217,21 +243,33 @@
   return slots;
 }
 
-double ServerPool::ShareOf(double bound, const std::string& server) const {
-  const auto gated = gated_.find(server);
-  if (gated == gated_.end()) {
+std::optional<bool> ServerPool::IsGate(const std::string& server) const {
+  const auto gate = gated_.find(server);
+  return gate == gated_.end() ? std::nullopt : std::optional(gate->second.own);
+}
+
+double ServerPool::ShareOf(double bound, std::optional<bool> is_gate) const {
+  if (!is_gate) {
     return bound * kUsedShareFraction / static_cast<double>(hosts_);
   }
-  return gated->second ? bound * kGateShareFraction
-                       : bound * (kUsedShareFraction - kGateShareFraction) /
-                             static_cast<double>(hosts_);
+  return *is_gate ? bound * kGateShareFraction
+                  : bound * (kUsedShareFraction - kGateShareFraction) /
+                        static_cast<double>(hosts_);
 }
 
-std::size_t ServerPool::ColdShare(const state::ServerRecord& server) const {
+std::size_t ServerPool::ColdShare(Instant now,
+                                  const state::ServerRecord& server) const {
   const auto rules = rules_.find(server.service);
   const double rate = rules == rules_.end() ? 0 : rules->second.cold_rate;
   const double bound = rate * bounds_.cold_factor + bounds_.cold_slack;
-  return static_cast<std::size_t>(ShareOf(bound, server.incarnation.id));
+  const auto gate = gated_.find(server.incarnation.id);
+  if (gate == gated_.end()) {
+    return static_cast<std::size_t>(ShareOf(bound, std::nullopt));
+  }
+  // The former gate may not know yet that it is replaced.
+  const bool is_gate =
+      gate->second.own && now - gate->second.own_since >= kGateHandoverTime;
+  return static_cast<std::size_t>(ShareOf(bound, is_gate));
 }
 
 std::size_t ServerPool::ConnectionShare(
@@ -239,8 +277,8 @@
   const auto rules = rules_.find(server.service);
   const double bound =
       rules == rules_.end() ? 100 : rules->second.max_connections;
-  return std::max<std::size_t>(
-      1, static_cast<std::size_t>(ShareOf(bound, server.incarnation.id)));
+  return std::max<std::size_t>(1, static_cast<std::size_t>(ShareOf(
+                                      bound, IsGate(server.incarnation.id))));
 }
 
 std::optional<NoServerReason> ServerPool::FindLimit(
@@ -256,7 +294,7 @@
     const auto in_window =
         std::count_if(server.recent_sends.begin(), server.recent_sends.end(),
                       [now](Instant sent) { return now - sent <= kSecond; });
-    if (static_cast<std::size_t>(in_window) >= ColdShare(server.record)) {
+    if (static_cast<std::size_t>(in_window) >= ColdShare(now, server.record)) {
       return NoServerReason::kCold;
     }
   }
@@ -436,8 +474,8 @@
     candidates.pop_back();
     const double estimate = Estimate(now, *server);
     const double zone_cost = server->record.zone == zone_ ? 0
-                             : request.large_answer ? kOtherZoneLargeCostSeconds
-                                                    : kOtherZoneCostSeconds;
+                             : request.large ? kOtherZoneLargeCostSeconds
+                                             : kOtherZoneCostSeconds;
     if (best == nullptr || estimate + zone_cost < best_cost) {
       best = server;
       best_cost = estimate + zone_cost;
--- a/src/coordination/server_pool.h
+++ b/src/coordination/server_pool.h
@@ -80,8 +80,9 @@
   const std::set<std::string>* tried = nullptr;
   // The highest expected latency that is acceptable.
   state::Duration max_expected{0};
-  // Whether the response is large, which raises the cost of other zones.
-  bool large_answer = false;
+  // Whether the body of the request or of its response is large, which raises
+  // the cost of other zones.
+  bool large = false;
 };
 
 // Estimates the latency and the load of each server from the responses that
@@ -101,9 +102,7 @@
   // is not in the map has no gate. The gate is the host that sends all requests
   // for the server. It gets half of each limit of the server. All hosts share
   // the rest, less a margin, to send requests directly when the gate fails.
-  void SetGated(std::map<std::string, bool> gated) {
-    gated_ = std::move(gated);
-  }
+  void SetGated(state::Instant now, const std::map<std::string, bool>& gated);
   // Sets how many hosts share the connection limits and the request rates of
   // cold servers.
   void SetHostCount(std::size_t hosts) { hosts_ = hosts; }
@@ -117,7 +116,9 @@
   // Check() does not distinguish unconfirmed servers.
   void SetUnconfirmed(const std::string& id);
   // The server is gone and gets no new requests.
-  void Remove(const std::string& id);
+  void Remove(state::Instant now, const std::string& id);
+  // Forgets servers that have been gone for a while. Called about every second.
+  void Prune(state::Instant now);
 
   // Returns the server with this incarnation if it may receive a request now
   // and its expected latency is at most `max_expected`.
@@ -157,6 +158,7 @@
     bool unconfirmed = false;
     // The server is removed; its entry will not return.
     bool gone = false;
+    state::Instant gone_since{};
     // The server is cold, and its request rate is limited, until this time.
     state::Instant cold_until{};
     // The requests of this host in progress, by the time at which they were
@@ -218,10 +220,13 @@
   std::optional<NoServerReason> FindLimit(state::Instant now,
                                           const ServerState& server) const;
   // Requests per second that this host may send to a cold server.
-  std::size_t ColdShare(const state::ServerRecord& server) const;
+  std::size_t ColdShare(state::Instant now,
+                        const state::ServerRecord& server) const;
   // This host's share of a limit of the server that applies to all hosts
-  // together.
-  double ShareOf(double bound, const std::string& server) const;
+  // together. `is_gate` is nullopt if the server has no gate.
+  double ShareOf(double bound, std::optional<bool> is_gate) const;
+  // Whether this host is the gate of the server; nullopt if there is no gate.
+  std::optional<bool> IsGate(const std::string& server) const;
   // The factor by which the wait for a slot increases the response time of a
   // request that is sent at `now`.
   double WaitFactor(state::Instant now, const ServerState& server) const;
@@ -250,8 +255,14 @@
   // The zones whose servers must get no new requests.
   std::set<std::string> evacuated_;
   std::size_t hosts_ = 1;
-  // Whether this host is the server's gate, by server id.
-  std::map<std::string, bool> gated_;
+  // The gate of a server, if it has one.
+  struct GateState {
+    // Whether this host is the gate, and since when.
+    bool own = false;
+    state::Instant own_since{};
+  };
+  // By server id.
+  std::map<std::string, GateState> gated_;
   // The request rate of this host: an exponentially decaying average in
   // requests per second, and when it was last updated.
   struct Rate {
--- a/src/protocol/host_messages.cc
+++ b/src/protocol/host_messages.cc
@@ -57,6 +57,10 @@
   for (const json::value& former : value.at(5).as_array()) {
     range.former.push_back(ReadIncarnation(former));
   }
+  if (range.first < 0 || range.last < range.first ||
+      range.last >= state::kShardKeyCount) {
+    throw std::invalid_argument("not a range of keys");
+  }
   return range;
 }
 
@@ -68,37 +72,120 @@
   return list;
 }
 
+// Throws if the ranges are not in ascending order or overlap.
 state::ServiceRanges ReadRanges(const json::value& list) {
   state::ServiceRanges ranges;
   for (const json::value& range : list.as_array()) {
     ranges.push_back(ReadRange(range));
+    if (ranges.size() > 1 &&
+        ranges[ranges.size() - 2].last >= ranges.back().first) {
+      throw std::invalid_argument("ranges out of order");
+    }
   }
   return ranges;
 }
 
-// Estimated length of the JSON form of a gate, without the server id.
-constexpr std::size_t kEncodedGateBytes = 30;
+// Length of the quotation marks, colon and comma of a JSON member.
+constexpr std::size_t kMemberSyntaxBytes = 6;
 
-json::object EncodeUpdate(const HeartbeatUpdate& update) {
-  json::object changes;
-  for (const auto& [service, ranges] : update.changes) {
-    changes[service] = EncodeRanges(ranges);
+json::array EncodeAddresses(const std::vector<state::Address>& addresses) {
+  json::array list;
+  for (const state::Address& address : addresses) {
+    list.emplace_back(FormatAddress(address));
   }
-  json::object gates;
-  for (const auto& [server, address] : update.gates) {
-    gates[server] =
+  return list;
+}
+
+std::vector<state::Address> ReadAddresses(const json::value& list) {
+  std::vector<state::Address> addresses;
+  for (const json::value& address : list.as_array()) {
+    addresses.push_back(ReadAddress(address));
+  }
+  return addresses;
+}
+
+using ChangedRanges = std::map<std::string, state::ServiceRanges>;
+using ChangedGates = std::map<std::string, std::optional<state::Address>>;
+
+json::object EncodeChanges(const ChangedRanges& changes) {
+  json::object object;
+  for (const auto& [service, ranges] : changes) {
+    object[service] = EncodeRanges(ranges);
+  }
+  return object;
+}
+
+ChangedRanges ReadChanges(const json::value& object) {
+  ChangedRanges changes;
+  for (const auto& [service, list] : object.as_object()) {
+    changes[std::string(service)] = ReadRanges(list);
+  }
+  return changes;
+}
+
+json::object EncodeGates(const ChangedGates& gates) {
+  json::object object;
+  for (const auto& [server, address] : gates) {
+    object[server] =
         address ? json::value(FormatAddress(*address)) : json::value(nullptr);
   }
-  json::array entries;
-  for (const auto& [id, entry] : update.entries) {
-    entries.push_back(
+  return object;
+}
+
+ChangedGates ReadGates(const json::value& object) {
+  ChangedGates gates;
+  for (const auto& [server, address] : object.as_object()) {
+    gates[std::string(server)] =
+        address.is_null() ? std::nullopt : std::optional(ReadAddress(address));
+  }
+  return gates;
+}
+
+json::object EncodeTableUpdate(const state::TableUpdate& update) {
+  return {{"term", update.term},
+          {"base_revision", update.base_revision},
+          {"revision", update.revision},
+          {"changes", EncodeChanges(update.changes)},
+          {"gates", EncodeGates(update.gates)}};
+}
+
+state::TableUpdate ReadTableUpdate(const json::value& value) {
+  state::TableUpdate update;
+  update.term = value.at("term").to_number<std::int64_t>();
+  update.base_revision = value.at("base_revision").to_number<std::int64_t>();
+  update.revision = value.at("revision").to_number<std::int64_t>();
+  update.changes = ReadChanges(value.at("changes"));
+  update.gates = ReadGates(value.at("gates"));
+  return update;
+}
+
+json::array EncodeEntries(const std::vector<ServerEntryChange>& entries) {
+  json::array list;
+  for (const auto& [id, entry] : entries) {
+    list.push_back(
         json::array{id, entry ? json::value(*entry) : json::value(nullptr)});
   }
+  return list;
+}
+
+std::vector<ServerEntryChange> ReadEntries(const json::value& list) {
+  std::vector<ServerEntryChange> entries;
+  for (const json::value& entry : list.as_array()) {
+    const json::value& text = entry.at(1);
+    entries.emplace_back(std::string(entry.at(0).as_string()),
+                         text.is_null()
+                             ? std::nullopt
+                             : std::optional(std::string(text.as_string())));
+  }
+  return entries;
+}
+
+json::object EncodeUpdate(const HeartbeatUpdate& update) {
   return {{"base_revision", update.base_revision},
-          {"changes", std::move(changes)},
-          {"gates", std::move(gates)},
+          {"changes", EncodeChanges(update.changes)},
+          {"gates", EncodeGates(update.gates)},
           {"base_servers", update.base_server_offset},
-          {"entries", std::move(entries)},
+          {"entries", EncodeEntries(update.entries)},
           {"entry_part", update.entry_part},
           {"entry_parts", update.entry_parts}};
 }
@@ -110,20 +197,9 @@
       value.at("base_servers").to_number<std::int64_t>();
   update.entry_part = value.at("entry_part").to_number<std::int64_t>();
   update.entry_parts = value.at("entry_parts").to_number<std::int64_t>();
-  for (const auto& [service, list] : value.at("changes").as_object()) {
-    update.changes[std::string(service)] = ReadRanges(list);
-  }
-  for (const auto& [server, address] : value.at("gates").as_object()) {
-    update.gates[std::string(server)] =
-        address.is_null() ? std::nullopt : std::optional(ReadAddress(address));
-  }
-  for (const json::value& entry : value.at("entries").as_array()) {
-    const json::value& text = entry.at(1);
-    update.entries.emplace_back(
-        std::string(entry.at(0).as_string()),
-        text.is_null() ? std::nullopt
-                       : std::optional(std::string(text.as_string())));
-  }
+  update.changes = ReadChanges(value.at("changes"));
+  update.gates = ReadGates(value.at("gates"));
+  update.entries = ReadEntries(value.at("entries"));
   return update;
 }
 
@@ -131,6 +207,7 @@
   json::object operator()(const LeaderHeartbeat& heartbeat) const {
     json::object object = {{"kind", "beat"},
                            {"host", heartbeat.host},
+                           {"address", FormatAddress(heartbeat.address)},
                            {"term", heartbeat.term},
                            {"revision", heartbeat.revision},
                            {"operators", heartbeat.progress.operators},
@@ -139,6 +216,9 @@
                            {"yielding", heartbeat.stepping_down},
                            {"hosts", heartbeat.hosts},
                            {"number", heartbeat.number}};
+    if (!heartbeat.relay_to.empty()) {
+      object["relay_to"] = EncodeAddresses(heartbeat.relay_to);
+    }
     if (heartbeat.update) {
       object["news"] = EncodeUpdate(*heartbeat.update);
     }
@@ -148,6 +228,7 @@
     return {{"kind", "question"},
             {"host", query.host},
             {"claim", query.claim},
+            {"zone", query.zone},
             {"strength", query.strength}};
   }
   json::object operator()(const LeaderQueryReply& reply) const {
@@ -156,6 +237,9 @@
     if (reply.heard) {
       object["heard_us"] = reply.heard->count();
     }
+    if (reply.leader) {
+      object["leader"] = FormatAddress(*reply.leader);
+    }
     return object;
   }
   json::object operator()(const HostReport& report) const {
@@ -178,14 +262,18 @@
   }
 };
 
-// Throws if a member is missing or has the wrong type. Any kind other than
-// those compared here is read as a report.
+// Throws if a member is missing or has the wrong type, or if the kind is not
+// known.
 HostMessage ReadMessage(const json::object& object) {
   const std::string kind(object.at("kind").as_string());
   std::string host(object.at("host").as_string());
   if (kind == "beat") {
     LeaderHeartbeat heartbeat;
     heartbeat.host = std::move(host);
+    heartbeat.address = ReadAddress(object.at("address"));
+    if (const json::value* relay_to = object.if_contains("relay_to")) {
+      heartbeat.relay_to = ReadAddresses(*relay_to);
+    }
     heartbeat.term = object.at("term").to_number<std::int64_t>();
     heartbeat.revision = object.at("revision").to_number<std::int64_t>();
     heartbeat.progress.operators =
@@ -204,6 +292,7 @@
   if (kind == "question") {
     return LeaderQuery{std::move(host),
                        std::string(object.at("claim").as_string()),
+                       std::string(object.at("zone").as_string()),
                        object.at("strength").to_number<double>()};
   }
   if (kind == "opinion") {
@@ -213,8 +302,14 @@
     if (const json::value* heard = object.if_contains("heard_us")) {
       reply.heard = state::Duration(heard->to_number<std::int64_t>());
     }
+    if (const json::value* leader = object.if_contains("leader")) {
+      reply.leader = ReadAddress(*leader);
+    }
     return reply;
   }
+  if (kind != "report") {
+    throw std::invalid_argument("unknown kind of message");
+  }
   HostReport report;
   report.host = std::move(host);
   report.term = object.at("term").to_number<std::int64_t>();
@@ -227,7 +322,7 @@
     coordination::LoadReport& load = report.load[std::string(service)];
     load.requests = value.at("requests").to_number<std::uint64_t>();
     for (const json::value& sample : value.at("samples").as_array()) {
-      load.samples.push_back(sample.to_number<std::uint64_t>());
+      load.samples.push_back(sample.to_number<state::ShardKey>());
     }
   }
   for (const auto& [server, value] : object.at("slowness").as_object()) {
@@ -236,7 +331,7 @@
   return report;
 }
 
-// Returns whether the ranges are in ascending order and cover each key once.
+// Returns whether the ranges, which are in ascending order, cover each key.
 bool CoversAllKeys(const state::ServiceRanges& ranges) {
   std::int32_t next = 0;
   for (const state::OwnedRange& range : ranges) {
@@ -248,6 +343,25 @@
   return next == state::kShardKeyCount;
 }
 
+// Throws if a member is missing or has the wrong type, or if the ranges of a
+// service do not cover all keys.
+state::OwnershipTable ReadTable(const json::value& value) {
+  state::OwnershipTable table;
+  table.term = value.at("term").to_number<std::int64_t>();
+  table.revision = value.at("revision").to_number<std::int64_t>();
+  for (const auto& [service, list] : value.at("services").as_object()) {
+    state::ServiceRanges ranges = ReadRanges(list);
+    if (!CoversAllKeys(ranges)) {
+      throw std::invalid_argument("keys without a range");
+    }
+    table.services.emplace(std::string(service), std::move(ranges));
+  }
+  for (const auto& [server, address] : value.at("gates").as_object()) {
+    table.gates[std::string(server)] = ReadAddress(address);
+  }
+  return table;
+}
+
 }  // namespace
 
 std::vector<HeartbeatUpdate> SplitUpdate(const HeartbeatUpdate& update,
@@ -269,14 +383,22 @@
   bool first = true;
   for (const auto& [service, ranges] : update.changes) {
     for (const state::OwnedRange& range : ranges) {
-      extend_or_start_part(json::serialize(EncodeRange(range)).size(), first,
-                           true);
+      const std::size_t name_bytes =
+          !first && parts.back().changes.contains(service)
+              ? 0
+              : service.size() + kMemberSyntaxBytes;
+      extend_or_start_part(
+          json::serialize(EncodeRange(range)).size() + 1 + name_bytes, first,
+          true);
       parts.back().changes[service].push_back(range);
       first = false;
     }
   }
   for (const auto& [server, address] : update.gates) {
-    extend_or_start_part(server.size() + kEncodedGateBytes, first, true);
+    const std::size_t address_bytes =
+        address ? FormatAddress(*address).size() : 0;
+    extend_or_start_part(server.size() + address_bytes + kMemberSyntaxBytes,
+                         first, true);
     parts.back().gates[server] = address;
     first = false;
   }
@@ -311,14 +433,16 @@
 }
 
 std::string EncodeHostRecord(const HostRecord& record) {
-  return json::serialize(
-      json::object{{"address", record.address}, {"strength", record.strength}});
+  return json::serialize(json::object{{"address", record.address},
+                                      {"zone", record.zone},
+                                      {"strength", record.strength}});
 }
 
 std::optional<HostRecord> DecodeHostRecord(std::string_view text) {
   try {
     const json::value value = json::parse(text);
     return HostRecord{std::string(value.at("address").as_string()),
+                      std::string(value.at("zone").as_string()),
                       value.at("strength").to_number<double>()};
   } catch (const std::exception&) {
     return std::nullopt;
@@ -362,22 +486,59 @@
 }
 
 std::optional<state::OwnershipTable> DecodeTable(std::string_view text) {
+  try {
+    return ReadTable(json::parse(text));
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+std::string EncodeEntryUpdates(const std::vector<EntryUpdate>& updates) {
+  json::array list;
+  for (const EntryUpdate& update : updates) {
+    list.push_back(json::object{{"base", update.base},
+                                {"end", update.end},
+                                {"entries", EncodeEntries(update.entries)}});
+  }
+  return json::serialize(json::object{{"updates", std::move(list)}});
+}
+
+std::optional<std::vector<EntryUpdate>> DecodeEntryUpdates(
+    std::string_view text) {
+  try {
+    const json::value value = json::parse(text);
+    std::vector<EntryUpdate> updates;
+    for (const json::value& update : value.at("updates").as_array()) {
+      updates.push_back({update.at("base").to_number<std::int64_t>(),
+                         update.at("end").to_number<std::int64_t>(),
+                         ReadEntries(update.at("entries"))});
+    }
+    return updates;
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+std::string EncodeTableUpdates(const std::vector<state::TableUpdate>& updates) {
+  json::array list;
+  for (const state::TableUpdate& update : updates) {
+    list.push_back(EncodeTableUpdate(update));
+  }
+  return json::serialize(json::object{{"updates", std::move(list)}});
+}
+
+std::optional<TableReply> DecodeTableReply(std::string_view text) {
   try {
     const json::value value = json::parse(text);
-    state::OwnershipTable table;
-    table.term = value.at("term").to_number<std::int64_t>();
-    table.revision = value.at("revision").to_number<std::int64_t>();
-    for (const auto& [service, list] : value.at("services").as_object()) {
-      state::ServiceRanges ranges = ReadRanges(list);
-      if (!CoversAllKeys(ranges)) {
-        return std::nullopt;
-      }
-      table.services.emplace(std::string(service), std::move(ranges));
+    const json::value* list = value.as_object().if_contains("updates");
+    if (list == nullptr) {
+      return ReadTable(value);
     }
-    for (const auto& [server, address] : value.at("gates").as_object()) {
-      table.gates[std::string(server)] = ReadAddress(address);
+    std::vector<state::TableUpdate> updates;
+    for (const json::value& update : list->as_array()) {
+      updates.push_back(ReadTableUpdate(update));
     }
-    return table;
+    return updates;
   } catch (const std::exception&) {
     return std::nullopt;
   }
--- a/src/protocol/host_messages.h
+++ b/src/protocol/host_messages.h
@@ -46,8 +46,6 @@
   // `entries` holds the server entries that changed after this offset. All
   // parts together cover the offsets up to ReadProgress::servers.
   std::int64_t base_server_offset = 0;
-  // Server ids with the text of their entries; nullopt if the server no longer
-  // has an entry.
   std::vector<std::pair<std::string, std::optional<std::string>>> entries;
   // Index of this part among the parts that have entries, and the number of
   // these parts. Both are 0 in a part without entries.
@@ -65,8 +63,11 @@
 // Sent by the leader to all hosts several times a second and at each change of
 // the ownership table.
 struct LeaderHeartbeat {
-  // Name of the leader.
+  // Name of the leader, and its address for messages of hosts.
   std::string host;
+  state::Address address;
+  // The hosts to which the receiver passes the message on.
+  std::vector<state::Address> relay_to;
   std::int64_t term = 0;
   // Revision of the ownership table, with `update` applied.
   std::int64_t revision = 0;
@@ -82,13 +83,14 @@
 };
 
 // Asks the receiver which leader it follows. A starting host also announces
-// itself to the other hosts by this message.
+// itself to the leader by this message.
 struct LeaderQuery {
   // Name of the sender.
   std::string host;
   // Identifies the incarnation of the sending host, also in its claims.
   std::string claim;
-  // Capacity of the sender as a leader (state::Strength).
+  std::string zone;
+  // Capacity of the sender as a leader (state::LeaderCapacity).
   double strength = 0;
 };
 
@@ -102,6 +104,8 @@
   // sender leads. Nullopt if it has no contact with a leader, or if the leader
   // steps down.
   std::optional<state::Duration> heard;
+  // The address of that leader, if the sender knows one.
+  std::optional<state::Address> leader;
 };
 
 // What a host measured since its previous report. Sent to the leader.
@@ -114,8 +118,8 @@
   std::int64_t heartbeat_number = 0;
   // Load by service.
   std::map<std::string, coordination::LoadReport> load;
-  // The leader needs these four fields to choose the host as a gate. It chooses
-  // no host that is about to stop.
+  // The leader needs these four fields to choose the host as a gate or a relay.
+  // It chooses no host that is about to stop as a gate.
   std::string zone;
   double strength = 0;
   std::string forward_address;
@@ -131,9 +135,11 @@
 // Returns nullopt if `text` is not a valid message between hosts.
 std::optional<HostMessage> DecodeMessage(std::string_view text);
 
-// A host's record in the store: the address at which other hosts reach it.
+// A host's record in the store: the address at which other hosts reach it, and
+// what the leader has to know of it.
 struct HostRecord {
   std::string address;
+  std::string zone;
   double strength = 0;
 };
 
@@ -150,6 +156,28 @@
 std::string EncodeOperatorRecords(const OperatorRecords& operators);
 std::optional<OperatorRecords> DecodeOperatorRecords(std::string_view text);
 
+// The entry of a server, by server id; nullopt if it has been removed.
+using ServerEntryChange = std::pair<std::string, std::optional<std::string>>;
+
+// The entries of servers that changed between two offsets of their topic.
+struct EntryUpdate {
+  std::int64_t base = 0;
+  std::int64_t end = 0;
+  std::vector<ServerEntryChange> entries;
+};
+
+std::string EncodeEntryUpdates(const std::vector<EntryUpdate>& updates);
+std::optional<std::vector<EntryUpdate>> DecodeEntryUpdates(
+    std::string_view text);
+
+// What a host sends to another one whose ownership table is behind: the updates
+// that it lacks, or the whole table.
+using TableReply =
+    std::variant<std::vector<state::TableUpdate>, state::OwnershipTable>;
+
+std::string EncodeTableUpdates(const std::vector<state::TableUpdate>& updates);
+std::optional<TableReply> DecodeTableReply(std::string_view text);
+
 std::string EncodeTable(const state::OwnershipTable& table);
 // Also returns nullopt if the ranges of a service do not cover all keys once.
 std::optional<state::OwnershipTable> DecodeTable(std::string_view text);
--- a/src/state/ownership_table.cc
+++ b/src/state/ownership_table.cc
@@ -60,6 +60,20 @@
   *ranges = std::move(result);
 }
 
+void ApplyUpdate(const TableUpdate& update, OwnershipTable* table) {
+  table->revision = update.revision;
+  for (const auto& [service, changes] : update.changes) {
+    ApplyChanges(changes, &table->services[service]);
+  }
+  for (const auto& [server, gate] : update.gates) {
+    if (gate) {
+      table->gates[server] = *gate;
+    } else {
+      table->gates.erase(server);
+    }
+  }
+}
+
 ServiceRanges DiffRanges(const ServiceRanges& before,
                          const ServiceRanges& after) {
   std::set<std::tuple<std::int32_t, std::int32_t, ServerIncarnation, bool>>
--- a/src/state/ownership_table.h
+++ b/src/state/ownership_table.h
@@ -56,6 +56,21 @@
   }
 };
 
+// A change of the ownership table from one revision to the next.
+struct TableUpdate {
+  std::int64_t term = 0;
+  // The revisions before and after the change.
+  std::int64_t base_revision = 0;
+  std::int64_t revision = 0;
+  // Changed ranges by service.
+  std::map<std::string, ServiceRanges> changes;
+  // Changed gates by server id; nullopt if the server no longer has a gate.
+  std::map<std::string, std::optional<Address>> gates;
+};
+
+// Applies an update whose term and base revision are those of the table.
+void ApplyUpdate(const TableUpdate& update, OwnershipTable* table);
+
 // Sets `serving` of the ranges of a table that was read from the store, which
 // does not keep `serving`: a range is served if it has a holder and no previous
 // holders.
--- a/src/transport/caller_connection.cc
+++ b/src/transport/caller_connection.cc
@@ -126,11 +126,7 @@
     if (parser_->is_header_done() && exchanges_.empty() && !writing_ &&
         beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
       parser_->get().erase(http::field::expect);
-      static constexpr std::string_view kContinue =
-          "HTTP/1.1 100 Continue\r\n\r\n";
-      asio::async_write(socket_, asio::buffer(kContinue),
-                        [self = shared_from_this()](const beast::error_code&,
-                                                    std::size_t) {});
+      WriteContinue();
     }
     if (error == http::error::need_more || used == 0) {
       break;
@@ -143,6 +139,24 @@
   }
 }
 
+void CallerConnection::WriteContinue() {
+  static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+  writing_ = true;
+  asio::async_write(
+      socket_, asio::buffer(kContinue),
+      [self = shared_from_this()](const beast::error_code& error, std::size_t) {
+        self->writing_ = false;
+        if (self->closed_) {
+          return;
+        }
+        if (error) {
+          self->HandleDisconnect();
+        } else {
+          self->WriteNextAnswer();
+        }
+      });
+}
+
 int CallerConnection::CheckHeader() const {
   const auto& message = parser_->get();
   if (message.version() != 11 && message.version() != 10) {
--- a/src/transport/caller_connection.h
+++ b/src/transport/caller_connection.h
@@ -69,6 +69,8 @@
   void HandleRead(const beast::error_code& error, std::size_t size);
   void Parse();
   void ResetParser();
+  // Asks the caller for the body of the arriving request.
+  void WriteContinue();
   // Returns the status for an invalid request line or header, or 0 if both are
   // valid.
   int CheckHeader() const;
--- a/src/transport/entry_host.cc
+++ b/src/transport/entry_host.cc
@@ -27,13 +27,8 @@
 // Interval of reading the table from the store while this host has lost contact
 // with the leader.
 constexpr Duration kTableReadInterval = std::chrono::milliseconds(1000);
-// A host that has not been heard for this long is not counted among the hosts
-// that share the limits. The time is long because a host that has lost contact
-// with the others goes on using its share.
-constexpr Duration kPeerExpiry = std::chrono::seconds(60);
 // The host count in use is the maximum over this time.
 constexpr Duration kHostCountWindow = std::chrono::seconds(20);
-constexpr Duration kPeerCallTimeout = std::chrono::milliseconds(300);
 // After the stop signal, requests are still read from connections for this
 // long, because new connections go to other hosts only after some time. Then
 // idle connections are closed.
@@ -45,14 +40,11 @@
 // callers are sent.
 constexpr Duration kFinalReplyTime = std::chrono::milliseconds(200);
 constexpr Duration kRegisterRetryDelay = std::chrono::milliseconds(250);
-constexpr std::size_t kMaxPeerReplyBytes = 4 << 20;
-constexpr std::string_view kTablePath = "/v1/table";
-constexpr std::string_view kOperatorsPath = "/v1/operators";
-// Another host is preferred as the leader if its strength is more than this
-// multiple of this host's strength.
-constexpr double kStrongerFactor = 1.2;
-// Interval of fetching the records of operators from the leader.
-constexpr Duration kOperatorFetchInterval = std::chrono::milliseconds(300);
+// When the whole system starts for the first time, a host reads the registered
+// hosts this long after its own start; all others have registered by then.
+constexpr Duration kFirstRegistrationTime = std::chrono::milliseconds(450);
+// The number of hosts that are asked which leader they follow.
+constexpr std::size_t kQueriedHosts = 24;
 
 std::mt19937_64 MakeRandomGenerator() {
   std::random_device device;
@@ -82,6 +74,14 @@
   return limits;
 }
 
+// All hosts may fetch from this host, so connections must not stay open long.
+ListenerLimits PeerListenerLimits() {
+  ListenerLimits limits;
+  limits.max_connections = 2000;
+  limits.read_timeout = std::chrono::seconds(3);
+  return limits;
+}
+
 }  // namespace
 
 EntryHost::EntryHost(asio::io_context& context,
@@ -94,6 +94,15 @@
       log_(log),
       random_(MakeRandomGenerator()),
       claim_(MakeClaim(random_, profile_.name)),
+      peers_(profile_.name, state::LeaderCapacity(profile_)),
+      link_(context,
+            profile_,
+            peers_,
+            log,
+            [this](const state::Address& from, protocol::HostMessage message) {
+              HandleMessage(from, message);
+            }),
+      follower_(view_.table),
       pool_(profile_.zone,
             profile_.bounds,
             [this] { return RandomFraction(random_); }),
@@ -111,21 +120,41 @@
                 pool_.SetEvacuated(zones);
               },
               [this] { leader_.AnnounceProgress(); }}),
-      leader_(
+      leader_(context.get_executor(),
+              profile_,
+              claim_,
+              RandomFraction(random_),
+              store_,
+              pool_,
+              log,
+              {[this](protocol::LeaderHeartbeat heartbeat) {
+                 link_.Broadcast(Now(), std::move(heartbeat));
+               },
+               [this] { QueryHosts(); },
+               [this](const state::OwnershipTable& table,
+                      const std::vector<state::TableUpdate>& updates) {
+                 follower_.HandlePublished(table, updates);
+                 HandleTableChange();
+               },
+               [this](state::OwnershipTable table) {
+                 if (follower_.HandleTable(std::move(table))) {
+                   HandleTableChange();
+                 }
+               },
+               [this] { return watch_.Progress(Now()); },
+               [this](protocol::HeartbeatUpdate* update) {
+                 watch_.TakeEntryUpdates(update);
+               },
+               [this] { return view_.hosts; },
+               [this] { return peers_.HasMuchStronger(Now()); }}),
+      sync_(
           context.get_executor(),
-          profile_,
-          claim_,
-          RandomFraction(random_),
-          store_,
-          pool_,
+          view_.table,
+          follower_,
+          watch_,
           log,
-          {[this](const protocol::HostMessage& message) { Broadcast(message); },
-           [this](state::OwnershipTable table) { SetTable(std::move(table)); },
-           [this] { return watch_.Progress(Now()); },
-           [this](protocol::HeartbeatUpdate* update) {
-             watch_.TakeEntryUpdates(update);
-           },
-           [this] { return view_.hosts; }}),
+          [this] { return RandomFraction(random_); },
+          [this] { HandleTableChange(); }),
       relay_(
           context,
           profile_,
@@ -150,14 +179,10 @@
                  }),
       peer_pages_(context.get_executor(),
                   {profile_.ip, profile_.peer_port},
-                  SmallListenerLimits(),
+                  PeerListenerLimits(),
                   [this](HttpRequest request) {
                     return AnswerPeer(std::move(request));
                   }),
-      peer_client_(context.get_executor(), kMaxPeerReplyBytes),
-      peer_socket_(context,
-                   udp::endpoint(asio::ip::make_address(profile_.ip),
-                                 profile_.peer_port)),
       host_count_(kHostCountWindow),
       tick_timer_(context),
       signals_(context) {}
@@ -179,7 +204,7 @@
     operators_->Start();
   }
   peer_pages_.Start();
-  ReceiveMessage();
+  link_.Start();
   asio::co_spawn(context_.get_executor(), Register(), asio::detached);
   signals_.add(SIGTERM);
   signals_.add(SIGHUP);
@@ -192,10 +217,12 @@
   const std::string address =
       protocol::FormatAddress({profile_.ip, profile_.peer_port});
   const std::vector<platform::KeyedRecord> records(
-      1, platform::KeyedRecord{profile_.name,
-                               protocol::EncodeHostRecord(
-                                   {address, state::LeaderCapacity(profile_)}),
-                               0});
+      1, platform::KeyedRecord{
+             profile_.name,
+             protocol::EncodeHostRecord(
+                 {address, profile_.zone, state::LeaderCapacity(profile_)}),
+             0});
+  const Instant started = Now();
   bool written = false;
   bool read = false;
   // A host that restarts must not follow an older term than before the restart.
@@ -214,13 +241,20 @@
     if (!knows_term) {
       knows_term = co_await ReadLedger();
     }
+    const Duration wait = started + kFirstRegistrationTime - Now();
+    if (profile_.bootstrap && wait > Duration(0)) {
+      asio::steady_timer timer(context_, wait);
+      co_await timer.async_wait(kNoThrow);
+    }
     const auto page = co_await store_.ReadNewest(topic);
     if (page && knows_term) {
       read = written;
       RecordRegisteredHosts(*page);
-      registered_ = true;
-      Broadcast(protocol::LeaderQuery{profile_.name, claim_,
-                                      state::LeaderCapacity(profile_)});
+      if (!registered_) {
+        registered_ = true;
+        leader_.Join(Now());
+      }
+      QueryHosts();
     }
     if (!written || !read || !knows_term) {
       asio::steady_timer timer(context_, kRegisterRetryDelay);
@@ -235,16 +269,25 @@
         record.value ? protocol::DecodeHostRecord(*record.value) : std::nullopt;
     const auto address =
         host ? protocol::ParseAddress(host->address) : std::nullopt;
-    if (address && record.key != profile_.name) {
-      Peer peer;
-      peer.endpoint =
-          udp::endpoint(asio::ip::make_address(address->ip), address->port);
-      peer.last_heard = Now();
-      peer.strength = host->strength;
-      peers_.try_emplace(record.key, peer);
+    if (address) {
+      peers_.RecordRegistered(record.key,
+                              {*address, host->zone, host->strength, Now()});
     }
   }
-  UpdateDisadvantage();
+  leader_.SetRank(peers_.Rank(), peers_.KnowsMuchStronger());
+}
+
+protocol::LeaderQuery EntryHost::OwnQuery() const {
+  return {profile_.name, claim_, profile_.zone,
+          state::LeaderCapacity(profile_)};
+}
+
+void EntryHost::QueryHosts() {
+  leader_.SetRank(peers_.Rank(), peers_.KnowsMuchStronger());
+  for (const state::Address& address : peers_.Sample(
+           kQueriedHosts, [this] { return RandomFraction(random_); })) {
+    link_.Send(address, OwnQuery());
+  }
 }
 
 void EntryHost::ScheduleTick() {
@@ -258,37 +301,36 @@
 }
 
 void EntryHost::HandleTick() {
+  // Heartbeats that wait in the socket come before the decisions that depend on
+  // their age, also if this host was suspended or short of processor time.
+  link_.Drain();
   const Instant now = Now();
-  relay_.Tick(now);
-  watch_.Tick(now, leader_.leading());
   if (registered_) {
     leader_.Tick(now);
   }
+  watch_.Tick(now, leader_.leading());
+  relay_.Tick(now);
   if (now >= next_report_) {
     next_report_ = now + kReportInterval;
     SendReport(now);
   }
-  if (leader_.lost_contact(now) && view_.config && now >= next_table_read_ &&
-      !fetching_table_) {
-    next_table_read_ = now + kTableReadInterval;
-    fetching_table_ = true;
-    asio::co_spawn(context_.get_executor(), FetchRecordedTable(),
-                   asio::detached);
-  }
-  if (watch_.NeedsOperatorRecords() && leader_endpoint_ &&
-      !leader_.lost_contact(now) && now >= next_operator_fetch_) {
-    next_operator_fetch_ = now + kOperatorFetchInterval;
-    asio::co_spawn(
-        context_.get_executor(),
-        FetchOperatorRecords({leader_endpoint_->address().to_string(),
-                              leader_endpoint_->port()}),
-        asio::detached);
+  if (leader_.lost_contact(now)) {
+    if (view_.config && now >= next_table_read_ && !reading_table_) {
+      next_table_read_ = now + kTableReadInterval;
+      reading_table_ = true;
+      asio::co_spawn(context_.get_executor(), FetchRecordedTable(),
+                     asio::detached);
+    }
+  } else if (!leader_.leading()) {
+    sync_.Tick(now);
   }
   if (now >= next_slow_tick_) {
     next_slow_tick_ = now + kSlowTickInterval;
     callers_.Tick(now);
     forwarded_.Tick(now);
-    RecordHostCount(now, HostCount());
+    RecordHostCount(now, peers_.CountHosts(now));
+    peers_.Prune(now, leader_.leading(), view_.hosts);
+    pool_.Prune(now);
     log_.Flush(now);
   }
   if (stopping_since_) {
@@ -318,130 +360,97 @@
   last_report_ = now;
   if (leader_.leading()) {
     leader_.HandleReport(now, report);
-  } else if (registered_ && leader_endpoint_ && !leader_.lost_contact(now)) {
-    SendMessage(*leader_endpoint_, report);
+  } else if (registered_ && leader_address_ && !leader_.lost_contact(now)) {
+    link_.Send(*leader_address_, report);
   }
 }
 
-void EntryHost::ReceiveMessage() {
-  peer_socket_.async_receive_from(
-      asio::buffer(datagram_), datagram_sender_,
-      [this](const beast::error_code& error, std::size_t size) {
-        if (error == asio::error::operation_aborted) {
-          return;
-        }
-        if (!error) {
-          HandleMessage(datagram_sender_, {datagram_.data(), size});
-        }
-        ReceiveMessage();
-      });
-}
-
-void EntryHost::HandleMessage(const udp::endpoint& from,
-                              std::string_view text) {
-  const auto message = protocol::DecodeMessage(text);
-  if (!message) {
-    log_.Write(LogPart::kHost, "message-unreadable", {});
-    return;
-  }
+void EntryHost::HandleMessage(const state::Address& from,
+                              const protocol::HostMessage& message) {
   struct Visitor {
     EntryHost* host;
-    const udp::endpoint& from;
+    const state::Address& from;
 
     void operator()(const protocol::LeaderHeartbeat& heartbeat) const {
-      host->RecordPeer(heartbeat.host, from);
       host->HandleHeartbeat(from, heartbeat);
     }
     void operator()(const protocol::LeaderQuery& query) const {
-      host->RecordPeer(query.host, from);
-      host->peers_[query.host].strength = query.strength;
-      host->UpdateDisadvantage();
-      const Instant now = Now();
-      host->SendMessage(from, host->leader_.QueryReply(now));
+      host->HandleQuery(from, query);
     }
     void operator()(const protocol::LeaderQueryReply& reply) const {
-      host->RecordPeer(reply.host, from);
-      host->leader_.HandleQueryReply(Now(), reply);
+      host->HandleQueryReply(from, reply);
     }
     void operator()(const protocol::HostReport& report) const {
-      host->RecordPeer(report.host, from);
-      host->leader_.HandleReport(Now(), report);
+      const Instant now = Now();
+      host->peers_.RecordHeard(now, report.host, from);
+      host->peers_.RecordProperties(report.host, report.zone, report.strength);
+      host->leader_.HandleReport(now, report);
     }
   };
-  std::visit(Visitor{this, from}, *message);
+  std::visit(Visitor{this, from}, message);
+}
+
+void EntryHost::HandleQuery(const state::Address& from,
+                            const protocol::LeaderQuery& query) {
+  const Instant now = Now();
+  peers_.RecordHeard(now, query.host, from);
+  peers_.RecordProperties(query.host, query.zone, query.strength);
+  leader_.SetRank(peers_.Rank(), peers_.KnowsMuchStronger());
+  protocol::LeaderQueryReply reply = leader_.QueryReply(now);
+  if (reply.heard) {
+    reply.leader = leader_.leading()
+                       ? state::Address{profile_.ip, profile_.peer_port}
+                       : leader_address_;
+  }
+  link_.Send(from, reply);
 }
 
-void EntryHost::HandleHeartbeat(const udp::endpoint& from,
+void EntryHost::HandleQueryReply(const state::Address& from,
+                                 const protocol::LeaderQueryReply& reply) {
+  const Instant now = Now();
+  peers_.RecordHeard(now, reply.host, from);
+  leader_.HandleQueryReply(now, reply);
+  // The leader may not know this host yet.
+  if (reply.leader && *reply.leader != from && !leader_.leading() &&
+      leader_.TimeSinceLeaderHeard(now) == Duration::max()) {
+    link_.Send(*reply.leader, OwnQuery());
+  }
+}
+
+void EntryHost::HandleHeartbeat(const state::Address& from,
                                 const protocol::LeaderHeartbeat& heartbeat) {
   const Instant now = Now();
+  peers_.RecordHeard(now, heartbeat.host, heartbeat.address);
   leader_.HandleHeartbeat(now, heartbeat);
   if (heartbeat.term < leader_.term() || leader_.leading()) {
     return;
   }
-  last_heartbeat_ = {heartbeat.term, heartbeat.number};
-  leader_endpoint_ = from;
+  last_heartbeat_ =
+      std::max(last_heartbeat_, std::pair(heartbeat.term, heartbeat.number));
+  leader_address_ = heartbeat.address;
+  sync_.HandleHeartbeat(from, heartbeat.address);
   if (!heartbeat.stepping_down) {
     watch_.HandleProgress(now, heartbeat);
   }
   RecordHostCount(now, heartbeat.hosts);
-  if (heartbeat.update &&
-      (!heartbeat.update->changes.empty() ||
-       !heartbeat.update->gates.empty()) &&
-      heartbeat.term == view_.table.term &&
-      heartbeat.update->base_revision == view_.table.revision) {
-    state::OwnershipTable table = view_.table;
-    table.revision = heartbeat.revision;
-    for (const auto& [service, changes] : heartbeat.update->changes) {
-      state::ApplyChanges(changes, &table.services[service]);
-    }
-    for (const auto& [server, gate] : heartbeat.update->gates) {
-      if (gate) {
-        table.gates[server] = *gate;
-      } else {
-        table.gates.erase(server);
-      }
-    }
-    SetTable(std::move(table));
+  const bool changes_table =
+      heartbeat.update &&
+      (!heartbeat.update->changes.empty() || !heartbeat.update->gates.empty());
+  if (changes_table &&
+      follower_.HandleUpdate({heartbeat.term, heartbeat.update->base_revision,
+                              heartbeat.revision, heartbeat.update->changes,
+                              heartbeat.update->gates})) {
+    HandleTableChange();
   }
-  const bool newer = heartbeat.term > view_.table.term ||
-                     (heartbeat.term == view_.table.term &&
-                      heartbeat.revision > view_.table.revision);
-  if (newer && !fetching_table_) {
-    fetching_table_ = true;
-    asio::co_spawn(context_.get_executor(),
-                   FetchTable({from.address().to_string(), from.port()}),
-                   asio::detached);
-  }
-}
-
-awaitable<void> EntryHost::FetchTable(state::Address leader) {
-  const auto reply =
-      co_await peer_client_.Send(std::move(leader), http::verb::get,
-                                 std::string(kTablePath), "", kPeerCallTimeout);
-  fetching_table_ = false;
-  if (reply && reply.value().ok()) {
-    if (auto table = protocol::DecodeTable(reply.value().body)) {
-      SetTable(std::move(*table));
-    }
-  }
-}
-
-awaitable<void> EntryHost::FetchOperatorRecords(state::Address leader) {
-  const auto reply = co_await peer_client_.Send(
-      std::move(leader), http::verb::get, std::string(kOperatorsPath), "",
-      kPeerCallTimeout);
-  if (reply && reply.value().ok()) {
-    if (auto operators = protocol::DecodeOperatorRecords(reply.value().body)) {
-      log_.Write(LogPart::kStore, "operators-from-leader",
-                 {{"next", operators->next}});
-      watch_.HandleOperatorRecords(std::move(*operators));
-    }
+  // Revision 0 precedes the first table of a term.
+  if (heartbeat.revision > 0) {
+    follower_.HandleAnnouncement(now, heartbeat.term, heartbeat.revision);
   }
 }
 
 awaitable<void> EntryHost::FetchRecordedTable() {
   co_await ReadLedger();
-  fetching_table_ = false;
+  reading_table_ = false;
 }
 
 awaitable<bool> EntryHost::ReadLedger() {
@@ -459,66 +468,22 @@
       leader_.HandleTerm(head->term);
     } else if (auto table = protocol::DecodeTable(*record.value)) {
       state::MarkServingRanges(&*table);
-      SetTable(std::move(*table));
+      if (follower_.HandleTable(std::move(*table))) {
+        HandleTableChange();
+      }
     }
   }
   co_return true;
 }
 
-void EntryHost::SetTable(state::OwnershipTable table) {
-  if (!table.NewerThan(view_.table)) {
-    return;
-  }
-  view_.table = std::move(table);
+void EntryHost::HandleTableChange() {
   std::map<std::string, bool> gated;
   for (const auto& [server, gate] : view_.table.gates) {
     gated[server] = gate == ForwardAddress(profile_);
   }
-  pool_.SetGated(std::move(gated));
-  relay_.HandleTableChange(Now());
-}
-
-void EntryHost::SendMessage(const udp::endpoint& to,
-                            const protocol::HostMessage& message) {
-  beast::error_code ignored;
-  peer_socket_.send_to(asio::buffer(protocol::EncodeMessage(message)), to, 0,
-                       ignored);
-}
-
-void EntryHost::Broadcast(const protocol::HostMessage& message) {
-  const std::string text = protocol::EncodeMessage(message);
-  for (const auto& [name, peer] : peers_) {
-    beast::error_code ignored;
-    peer_socket_.send_to(asio::buffer(text), peer.endpoint, 0, ignored);
-  }
-}
-
-void EntryHost::RecordPeer(const std::string& host,
-                           const udp::endpoint& endpoint) {
-  if (host == profile_.name) {
-    return;
-  }
-  Peer& peer = peers_[host];
-  peer.endpoint = endpoint;
-  peer.last_heard = Now();
-}
-
-void EntryHost::UpdateDisadvantage() {
-  const double own = state::LeaderCapacity(profile_);
-  const auto stronger =
-      std::count_if(peers_.begin(), peers_.end(), [own](const auto& entry) {
-        return entry.second.strength > kStrongerFactor * own;
-      });
-  leader_.SetDisadvantage(static_cast<double>(stronger) /
-                          static_cast<double>(peers_.size() + 1));
-}
-
-std::size_t EntryHost::HostCount() const {
   const Instant now = Now();
-  return 1 + static_cast<std::size_t>(std::count_if(
-                 peers_.begin(), peers_.end(), [now](const auto& entry) {
-                   return now - entry.second.last_heard < kPeerExpiry;
-                 }));
+  pool_.SetGated(now, gated);
+  relay_.HandleTableChange(now);
 }
 
 void EntryHost::RecordHostCount(Instant now, std::size_t hosts) {
@@ -591,22 +556,7 @@
 }
 
 awaitable<HttpReply> EntryHost::AnswerPeer(HttpRequest request) {
-  HttpReply reply;
-  reply.status = 200;
-  if (request.path == kTablePath) {
-    const std::pair revision(view_.table.term, view_.table.revision);
-    if (encoded_revision_ != revision) {
-      encoded_revision_ = revision;
-      encoded_table_ = protocol::EncodeTable(view_.table);
-    }
-    reply.body = encoded_table_;
-  } else if (request.path == kOperatorsPath &&
-             !watch_.operators().records.empty()) {
-    reply.body = protocol::EncodeOperatorRecords(watch_.operators());
-  } else {
-    reply.status = 404;
-  }
-  co_return reply;
+  co_return sync_.Answer(request);
 }
 
 void EntryHost::AwaitSignal() {
--- a/src/transport/entry_host.h
+++ b/src/transport/entry_host.h
@@ -8,7 +8,6 @@
 #ifndef MUSTARDFLOW_TRANSPORT_ENTRY_HOST_H_
 #define MUSTARDFLOW_TRANSPORT_ENTRY_HOST_H_
 
-#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -17,8 +16,10 @@
 #include <random>
 #include <string>
 
+#include "coordination/peer_directory.h"
 #include "coordination/recent_maximum.h"
 #include "coordination/server_pool.h"
+#include "coordination/table_follower.h"
 #include "protocol/host_messages.h"
 #include "state/host_profile.h"
 #include "transport/asio.h"
@@ -28,6 +29,8 @@
 #include "transport/event_log.h"
 #include "transport/http_listener.h"
 #include "transport/leader_duty.h"
+#include "transport/peer_link.h"
+#include "transport/peer_sync.h"
 #include "transport/request_relay.h"
 #include "transport/store_client.h"
 #include "transport/store_watch.h"
@@ -52,17 +55,6 @@
   void Start();
 
  private:
-  using udp = asio::ip::udp;
-
-  // Another host that is registered in the store or has sent a message.
-  struct Peer {
-    udp::endpoint endpoint;
-    // When the last message arrived, or when the registration was read.
-    state::Instant last_heard{};
-    // The host's capacity as a leader (state::Strength); 0 if not known.
-    double strength = 0;
-  };
-
   void HandleTick();
   void ScheduleTick();
   // Sends the leader a report of the load, the latency of servers and the last
@@ -73,35 +65,30 @@
   // Retries until all calls have succeeded.
   awaitable<void> Register();
   void RecordRegisteredHosts(const TopicPage& page);
-  // Receives datagrams of other hosts until the process ends.
-  void ReceiveMessage();
-  void HandleMessage(const udp::endpoint& from, std::string_view text);
-  void HandleHeartbeat(const udp::endpoint& from,
+  // Asks a sample of the other hosts which leader they follow.
+  void QueryHosts();
+  protocol::LeaderQuery OwnQuery() const;
+  // Handles a message that the host `from` has sent or passed on.
+  void HandleMessage(const state::Address& from,
+                     const protocol::HostMessage& message);
+  void HandleQuery(const state::Address& from,
+                   const protocol::LeaderQuery& query);
+  void HandleQueryReply(const state::Address& from,
+                        const protocol::LeaderQueryReply& reply);
+  void HandleHeartbeat(const state::Address& from,
                        const protocol::LeaderHeartbeat& heartbeat);
-  void SendMessage(const udp::endpoint& to,
-                   const protocol::HostMessage& message);
-  void Broadcast(const protocol::HostMessage& message);
-  void RecordPeer(const std::string& host, const udp::endpoint& endpoint);
-  // The number of hosts, this one included, that were heard within kPeerExpiry.
-  std::size_t HostCount() const;
-  // Records a host count, either HostCount() or that of the leader, and applies
-  // the maximum over kHostCountWindow.
+  // Records a host count, either this host's own or that of the leader, and
+  // applies the maximum over kHostCountWindow.
   void RecordHostCount(state::Instant now, std::size_t hosts);
-  // Passes to the election the fraction of hosts that are clearly stronger.
-  void UpdateDisadvantage();
 
-  // Fetches the ownership table from the leader, or from the store if this host
-  // has lost contact with the leader.
-  awaitable<void> FetchTable(state::Address leader);
+  // Reads the table from the store while this host has lost contact with the
+  // leader.
   awaitable<void> FetchRecordedTable();
   // Reads the term and the table from the store. Returns whether the store
   // replied.
   awaitable<bool> ReadLedger();
-  // Fetches from the leader the records of operators, which this host cannot
-  // read in the store.
-  awaitable<void> FetchOperatorRecords(state::Address leader);
-  // Routes by `table` from now on; ignores a table that is not newer.
-  void SetTable(state::OwnershipTable table);
+  // Called when the table that this host routes by has changed.
+  void HandleTableChange();
 
   awaitable<HttpReply> AnswerOperators(HttpRequest request);
   HttpReply MetricsPage(state::Instant now);
@@ -127,11 +114,16 @@
   std::mt19937_64 random_;
   // Identifies this start of the host in the election.
   const std::string claim_;
+  coordination::PeerDirectory peers_;
+  PeerLink link_;
   state::RoutingView view_;
+  // Keeps view_.table.
+  coordination::TableFollower follower_;
   coordination::ServerPool pool_;
   StoreClient store_;
   StoreWatch watch_;
   LeaderDuty leader_;
+  PeerSync sync_;
   EntryMetrics metrics_;
   RequestRelay relay_;
   EntryPages pages_;
@@ -145,34 +137,24 @@
   // Serves the pages for operators; empty if the settings name no address for
   // them.
   std::optional<HttpListener> operators_;
-  HttpClient peer_client_;
-  udp::socket peer_socket_;
-  udp::endpoint datagram_sender_;
-  std::array<char, 64 << 10> datagram_{};
-  // The other hosts by name.
-  std::map<std::string, Peer> peers_;
   // The number of hosts that share the limits: the maximum over
   // kHostCountWindow.
   coordination::RecentMaximum host_count_;
-  bool fetching_table_ = false;
+  bool reading_table_ = false;
   asio::steady_timer tick_timer_;
   asio::signal_set signals_;
   state::Instant next_slow_tick_{};
   state::Instant next_report_{};
   state::Instant next_table_read_{};
-  state::Instant next_operator_fetch_{};
   // Term and number of the latest heartbeat of the leader that this host
   // follows.
   std::pair<std::int64_t, std::int64_t> last_heartbeat_{0, 0};
   state::Instant last_report_{};
-  // The table as served to other hosts, and its term and revision. Encoded only
-  // if another host fetches it.
-  std::string encoded_table_;
-  std::pair<std::int64_t, std::int64_t> encoded_revision_{-1, -1};
   // Whether this host knows the current term and the registered hosts; it takes
   // part in the election only then.
   bool registered_ = false;
-  std::optional<udp::endpoint> leader_endpoint_;
+  // The address of the leader that this host follows.
+  std::optional<state::Address> leader_address_;
   std::optional<state::Instant> stopping_since_;
 };
 
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -16,6 +16,9 @@
 // peer that is partitioned or powered off never answers, so a short timeout
 // detects it.
 constexpr auto kConnectTimeout = std::chrono::milliseconds(300);
+// Connections to peers that are gone must not stay open.
+constexpr auto kMaxIdleTime = std::chrono::seconds(30);
+constexpr auto kPruneInterval = std::chrono::seconds(5);
 
 }  // namespace
 
@@ -41,24 +44,24 @@
   request.body() = std::move(body);
   request.prepare_payload();
   const auto end = std::chrono::steady_clock::now() + timeout;
-  std::vector<Stream>& idle = idle_[address];
-  while (!idle.empty()) {
-    Stream stream = std::move(idle.back());
-    idle.pop_back();
+  PruneIdle();
+  while (!idle_[address].empty()) {
+    Stream stream = std::move(idle_[address].back().stream);
+    idle_[address].pop_back();
     stream->expires_at(end);
     bool keep = false;
     sent = true;
     auto reply = co_await SendOver(*stream, request, &keep);
     if (reply) {
-      if (keep && idle_[address].size() < kMaxIdleConnectionsPerAddress) {
-        idle_[address].push_back(std::move(stream));
+      if (keep) {
+        KeepIdle(address, std::move(stream));
       }
       co_return reply;
     }
     if (reply.error() == beast::error::timeout || !options.reconnect) {
       // Assumes that the other idle connections to the peer, which were opened
       // at about the same time, are lost as well.
-      idle_[address].clear();
+      idle_.erase(address);
       co_return reply;
     }
   }
@@ -80,13 +83,33 @@
   bool keep = false;
   sent = true;
   auto reply = co_await SendOver(*stream, request, &keep);
-  if (reply && keep && idle_[address].size() < kMaxIdleConnectionsPerAddress) {
-    idle_[address].push_back(std::move(stream));
-  } else if (!reply) {
+  if (reply && keep) {
+    KeepIdle(address, std::move(stream));
   }
   co_return reply;
 }
 
+void HttpClient::KeepIdle(const state::Address& address, Stream stream) {
+  std::vector<IdleStream>& idle = idle_[address];
+  if (idle.size() < kMaxIdleConnectionsPerAddress) {
+    idle.push_back({std::move(stream), std::chrono::steady_clock::now()});
+  }
+}
+
+void HttpClient::PruneIdle() {
+  const auto now = std::chrono::steady_clock::now();
+  if (now < next_prune_) {
+    return;
+  }
+  next_prune_ = now + kPruneInterval;
+  for (auto entry = idle_.begin(); entry != idle_.end();) {
+    std::erase_if(entry->second, [now](const IdleStream& idle) {
+      return now - idle.since > kMaxIdleTime;
+    });
+    entry = entry->second.empty() ? idle_.erase(entry) : std::next(entry);
+  }
+}
+
 awaitable<outcome::result<HttpReply>>
 HttpClient::SendOver(beast::tcp_stream& stream, Request& request, bool* keep) {
   const auto [write_error, written] =
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -4,6 +4,7 @@
 #ifndef MUSTARDFLOW_TRANSPORT_HTTP_CLIENT_H_
 #define MUSTARDFLOW_TRANSPORT_HTTP_CLIENT_H_
 
+#include <chrono>
 #include <cstddef>
 #include <map>
 #include <memory>
@@ -69,9 +70,20 @@
   awaitable<boost::outcome_v2::result<HttpReply>>
   SendOver(beast::tcp_stream& stream, Request& request, bool* keep);
 
+  // An open connection without a request.
+  struct IdleStream {
+    Stream stream;
+    std::chrono::steady_clock::time_point since;
+  };
+
+  void KeepIdle(const state::Address& address, Stream stream);
+  // Closes connections that have been idle for too long.
+  void PruneIdle();
+
   const asio::any_io_executor executor_;
   const std::size_t max_reply_bytes_;
-  std::map<state::Address, std::vector<Stream>> idle_;
+  std::map<state::Address, std::vector<IdleStream>> idle_;
+  std::chrono::steady_clock::time_point next_prune_{};
 };
 
 }  // namespace mustardflow::transport
--- a/src/transport/leader_duty.cc
+++ b/src/transport/leader_duty.cc
@@ -32,11 +32,18 @@
 constexpr std::int64_t kFirstSequenceLimit = 1 << 30;
 // Size of the update in one heartbeat. Together with the other fields of the
 // heartbeat it fits into one Ethernet frame.
-constexpr std::size_t kMaxUpdateBytes = 1000;
+constexpr std::size_t kMaxUpdateBytes = 700;
 // If an update takes more datagrams than this, it is not sent. Hosts then fetch
 // the whole table, which is hardly larger than such an update, and read server
 // entries from the store.
-constexpr std::size_t kMaxUpdateParts = 40;
+constexpr std::size_t kMaxUpdateParts = 24;
+// The first table of a term is published when all keys are granted, or after
+// this time. Until then the table of the term before is the better one, since
+// servers keep their keys over a change of leader.
+constexpr Duration kFirstTableDelay = std::chrono::milliseconds(500);
+// A leader looks for a far stronger host after this time, in which all hosts
+// have reported.
+constexpr Duration kHandOverDelay = std::chrono::seconds(3);
 // Minimum time between two publications of the table, for each host that takes
 // part: after an update, and after a change for which all hosts fetch the
 // table. Changes in between are sent together, so that the leader of many hosts
@@ -62,6 +69,7 @@
 // Relative latency of servers: weight of a new report in the exponential moving
 // average for each host, and the bounds of the mean over all hosts.
 constexpr double kRelativeLatencySmoothing = 0.3;
+constexpr Duration kRelativeLatencyLifetime = std::chrono::seconds(10);
 constexpr double kMinRelativeLatency = 0.4;
 constexpr double kMaxRelativeLatency = 4.0;
 
@@ -87,6 +95,18 @@
   return WriteOutcome::kUnknown;
 }
 
+// Converts parts that all change the table.
+std::vector<state::TableUpdate> ToTableUpdates(
+    std::int64_t term,
+    const std::vector<protocol::HeartbeatUpdate>& parts) {
+  std::vector<state::TableUpdate> updates;
+  for (const protocol::HeartbeatUpdate& part : parts) {
+    updates.push_back({term, part.base_revision, part.base_revision + 1,
+                       part.changes, part.gates});
+  }
+  return updates;
+}
+
 }  // namespace
 
 LeaderDuty::LeaderDuty(asio::any_io_executor executor,
@@ -122,8 +142,10 @@
 }
 
 void LeaderDuty::HandleReport(Instant now, const protocol::HostReport& report) {
-  if (leading() && report.term == election_.term() &&
-      report.host != profile_.name) {
+  if (!leading() || report.term != election_.term()) {
+    return;
+  }
+  if (report.host != profile_.name) {
     proof_.RecordReport(report.host, report.heartbeat_number);
     RecordGateHost(now, report);
     if (report.host == ledger_host_ && ledger_settled_) {
@@ -143,10 +165,13 @@
     }
   }
   for (const auto& [server, relative_latency] : report.relative_latency) {
-    double& average = relative_latencies_[server]
-                          .try_emplace(report.host, relative_latency)
-                          .first->second;
-    average += kRelativeLatencySmoothing * (relative_latency - average);
+    ReportedLatency& reported =
+        relative_latencies_[server]
+            .try_emplace(report.host, ReportedLatency{relative_latency, now})
+            .first->second;
+    reported.average +=
+        kRelativeLatencySmoothing * (relative_latency - reported.average);
+    reported.updated_at = now;
   }
 }
 
@@ -178,16 +203,28 @@
   for (const coordination::ElectionAction& action : election_.Tick(now)) {
     Perform(now, action);
   }
+  // Comes first, so that hosts do not lose contact with a leader that is late
+  // with its other work.
+  if (leading() && now >= next_heartbeat_) {
+    SendHeartbeat(now);
+  }
   if (leading() && config_) {
+    HandOverIfWeak(now);
     UpdatePredecessorEnd(now);
     if (election_.stepping_down(now)) {
       ExtendLeadershipByReports(now);
     }
     TickKeyspaces(now);
   }
-  if (leading() && now >= next_heartbeat_) {
-    SendHeartbeat(now);
+}
+
+void LeaderDuty::HandOverIfWeak(Instant now) {
+  if (now - leading_since_ < kHandOverDelay || election_.stepping_down(now) ||
+      !hooks_.has_stronger_host()) {
+    return;
   }
+  log_.Write(LogPart::kLeader, "hands-over", {{"term", election_.term()}});
+  election_.HandOver();
 }
 
 void LeaderDuty::Perform(Instant now,
@@ -197,9 +234,7 @@
     Instant now;
 
     void operator()(const coordination::QueryHosts&) const {
-      duty->hooks_.broadcast(
-          protocol::LeaderQuery{duty->profile_.name, duty->claim_,
-                                state::LeaderCapacity(duty->profile_)});
+      duty->hooks_.query_hosts();
     }
     void operator()(const coordination::ReadLedger&) const {
       asio::co_spawn(duty->executor_, duty->ReadLedger(), asio::detached);
@@ -250,7 +285,7 @@
   if (!leading() && ledger_table_.NewerThan(table_)) {
     state::OwnershipTable routed = ledger_table_;
     state::MarkServingRanges(&routed);
-    hooks_.table_changed(std::move(routed));
+    hooks_.table_read(std::move(routed));
   }
   election_.HandleLedger(Now(), head);
 }
@@ -412,6 +447,7 @@
 }
 
 void LeaderDuty::BeginLeading(Instant now) {
+  leading_since_ = now;
   writer_ = std::make_shared<TermWriter>();
   writer_->term = election_.term();
   writer_->next_sequence = FirstSequence() + 1;
@@ -469,6 +505,7 @@
   }
   pool_change_ = pool_.change();
   next_server_list_ = now + kServerListInterval;
+  PruneServers();
   std::map<std::string, std::vector<coordination::KeyServer>> servers;
   for (const auto& [id, server] : pool_.servers()) {
     if (!keyspaces_.contains(server.record.service)) {
@@ -478,20 +515,9 @@
     if (server.gone) {
       continue;
     }
-    double relative_latency = 1;
-    if (const auto seen = relative_latencies_.find(id);
-        seen != relative_latencies_.end()) {
-      double sum = 0;
-      for (const auto& [host, value] : seen->second) {
-        sum += value;
-      }
-      relative_latency =
-          std::clamp(sum / static_cast<double>(seen->second.size()),
-                     kMinRelativeLatency, kMaxRelativeLatency);
-    }
     coordination::KeyServer entry;
     entry.incarnation = server.record.incarnation;
-    entry.capacity = server.record.slots / relative_latency *
+    entry.capacity = server.record.slots / RelativeLatency(now, id) *
                      (pool_.IsCold(now, server) ? kColdCapacityFactor : 1);
     entry.eligible = !pool_.IsOutOfService(server);
     servers[server.record.service].push_back(std::move(entry));
@@ -501,6 +527,33 @@
   }
 }
 
+double LeaderDuty::RelativeLatency(Instant now, const std::string& server) {
+  const auto reported = relative_latencies_.find(server);
+  if (reported == relative_latencies_.end()) {
+    return 1;
+  }
+  std::erase_if(reported->second, [now](const auto& entry) {
+    return now - entry.second.updated_at > kRelativeLatencyLifetime;
+  });
+  if (reported->second.empty()) {
+    return 1;
+  }
+  double sum = 0;
+  for (const auto& [host, latency] : reported->second) {
+    sum += latency.average;
+  }
+  return std::clamp(sum / static_cast<double>(reported->second.size()),
+                    kMinRelativeLatency, kMaxRelativeLatency);
+}
+
+void LeaderDuty::PruneServers() {
+  const auto forgotten = [this](const auto& entry) {
+    return !pool_.servers().contains(entry.first);
+  };
+  std::erase_if(server_records_, forgotten);
+  std::erase_if(relative_latencies_, forgotten);
+}
+
 void LeaderDuty::RecordGateHost(Instant now,
                                 const protocol::HostReport& report) {
   const auto address = protocol::ParseAddress(report.forward_address);
@@ -590,8 +643,22 @@
   }
 }
 
+bool LeaderDuty::IsTableIncomplete(Instant now) const {
+  if (table_.revision > 0 || now - leading_since_ >= kFirstTableDelay) {
+    return false;
+  }
+  return std::any_of(
+      keyspaces_.begin(), keyspaces_.end(), [](const auto& entry) {
+        const state::ServiceRanges ranges =
+            entry.second.coordinator->RoutedRanges();
+        return std::any_of(
+            ranges.begin(), ranges.end(),
+            [](const state::OwnedRange& range) { return !range.serving; });
+      });
+}
+
 void LeaderDuty::Publish(Instant now) {
-  if (now < next_publish_) {
+  if (now < next_publish_ || IsTableIncomplete(now)) {
     return;
   }
   protocol::HeartbeatUpdate update;
@@ -623,7 +690,7 @@
     }
     table_.revision +=
         static_cast<std::int64_t>(std::max<std::size_t>(1, parts.size()));
-    hooks_.table_changed(table_);
+    hooks_.published(table_, ToTableUpdates(table_.term, parts));
     SendUpdates(now, base, std::move(parts));
     SendHeartbeat(now);
   }
@@ -632,6 +699,7 @@
 protocol::LeaderHeartbeat LeaderDuty::MakeHeartbeat(Instant now) {
   protocol::LeaderHeartbeat heartbeat;
   heartbeat.host = profile_.name;
+  heartbeat.address = {profile_.ip, profile_.peer_port};
   heartbeat.term = election_.term();
   heartbeat.revision = table_.revision;
   heartbeat.progress = hooks_.progress();
--- a/src/transport/leader_duty.h
+++ b/src/transport/leader_duty.h
@@ -38,11 +38,18 @@
  public:
   // What the duty needs of its host. All hooks must be set.
   struct Hooks {
-    // Sends a message to all other known hosts, without acknowledgement.
-    std::function<void(const protocol::HostMessage&)> broadcast;
-    // Called with the new ownership table when the table that this host routes
-    // by has changed.
-    std::function<void(state::OwnershipTable)> table_changed;
+    // Sends a heartbeat to all other known hosts, without acknowledgement.
+    std::function<void(protocol::LeaderHeartbeat)> broadcast;
+    // Asks a sample of the other hosts which leader they follow.
+    std::function<void()> query_hosts;
+    // Called with the table that this host publishes as the leader, and with
+    // the updates that lead to it; none if the other hosts have to fetch the
+    // table.
+    std::function<void(const state::OwnershipTable&,
+                       const std::vector<state::TableUpdate>&)>
+        published;
+    // Called with a newer table that was read from the store.
+    std::function<void(state::OwnershipTable)> table_read;
     // Returns how far this host has read the store's topics.
     std::function<protocol::ReadProgress()> progress;
     // Moves into the update the server entries that have changed the server
@@ -50,6 +57,8 @@
     std::function<void(protocol::HeartbeatUpdate*)> take_entries;
     // Returns the number of hosts that take part, this host included.
     std::function<std::size_t()> host_count;
+    // Whether a host in contact is far better suited to lead than this host.
+    std::function<bool()> has_stronger_host;
   };
 
   // `claim` identifies this process in the election; it differs after each
@@ -64,9 +73,11 @@
              EventLog& log,
              Hooks hooks);
 
-  // Sets the fraction of the hosts that have a clearly higher strength. This
-  // host leaves the first claim to them.
-  void SetDisadvantage(double fraction) { election_.SetDisadvantage(fraction); }
+  // Sets the number of hosts that are better suited to lead, and whether any of
+  // them is far better suited. This host leaves the first claim to them.
+  void SetRank(std::size_t rank, bool weak) { election_.SetRank(rank, weak); }
+  // This host knows the other hosts and takes part in the election from now on.
+  void Join(state::Instant now) { election_.Join(now); }
 
   // Handles a term that was read from the store. All lower terms have ended.
   void HandleTerm(std::int64_t term) { election_.HandleTerm(term); }
@@ -148,6 +159,8 @@
   // server id; nothing for a server that has no gate any more.
   std::map<std::string, std::optional<state::Address>> UpdateGates(
       state::Instant now);
+  // Asks for a successor if a far stronger host could lead.
+  void HandOverIfWeak(state::Instant now);
   void BeginLeading(state::Instant now);
   void EndLeading(std::string_view reason);
   void TickKeyspaces(state::Instant now);
@@ -155,6 +168,13 @@
   void AddKeyspaces(state::Instant now);
   // Passes the current servers and their capacities to the coordinators.
   void UpdateServerList(state::Instant now);
+  // The mean of the latencies that hosts have reported lately for the server.
+  double RelativeLatency(state::Instant now, const std::string& server);
+  // Forgets servers that the pool has forgotten.
+  void PruneServers();
+  // Whether the hosts have to wait for the first table of this term, because
+  // the one that they have is still the better one.
+  bool IsTableIncomplete(state::Instant now) const;
   // Sends the changes of the table to all hosts, if any.
   void Publish(state::Instant now);
   // Sends a heartbeat with the server entries that have changed, or without
@@ -217,6 +237,7 @@
   bool ledger_settled_ = false;
 
   // The members below belong to the term that this host leads or last led.
+  state::Instant leading_since_{};
   coordination::LeadershipProof proof_;
   bool may_grant_ = true;
   coordination::GateAssignment gate_assignment_;
@@ -237,9 +258,16 @@
   state::Instant next_probe_{};
   // The table as published to the hosts.
   state::OwnershipTable table_;
-  // Smoothed latency of servers relative to their service's average, by server
-  // id and reporting host.
-  std::map<std::string, std::map<std::string, double>> relative_latencies_;
+  // The latency of a server relative to its service's average, as one host
+  // reports it.
+  struct ReportedLatency {
+    // Exponential moving average.
+    double average = 1;
+    state::Instant updated_at{};
+  };
+  // By server id and reporting host.
+  std::map<std::string, std::map<std::string, ReportedLatency>>
+      relative_latencies_;
   // The last entry of each server by id. Releases are still sent to a server
   // whose entry has been removed.
   std::map<std::string, state::ServerRecord> server_records_;
--- a/src/transport/request_relay.cc
+++ b/src/transport/request_relay.cc
@@ -27,6 +27,13 @@
 constexpr Duration kNoConfigRetryAfter = std::chrono::milliseconds(500);
 // Maximum number of shard keys sampled for one load report of a service.
 constexpr std::size_t kSamplesPerReport = 120;
+// A request with a longer body costs more in another zone.
+constexpr std::size_t kLargeBodyBytes = 16 << 10;
+// Answers that are being received may take this fraction of the host's memory.
+constexpr std::size_t kAnswerMemoryDivisor = 4;
+// Upper bound of the times that header fields may state. A higher value is
+// replaced by it, so that sums of times do not overflow.
+constexpr Duration kMaxStatedTime = std::chrono::hours(24);
 // The last enumerator of RequestKind; forwarded requests with a higher number
 // are rejected.
 constexpr auto kMaxRequestKind =
@@ -52,6 +59,18 @@
   return ParseInteger({value.data(), value.size()});
 }
 
+// Returns the time that the field states in milliseconds, if it is a number and
+// not negative.
+std::optional<Duration> MillisecondsOf(const CallerMessage& message,
+                                       std::string_view field) {
+  const auto value = IntegerOf(message, field);
+  if (!value || *value < 0) {
+    return std::nullopt;
+  }
+  constexpr std::int64_t kMaxMilliseconds = kMaxStatedTime.count() / 1000;
+  return std::chrono::milliseconds(std::min(*value, kMaxMilliseconds));
+}
+
 // Formats a value of Retry-After: seconds with two decimal places.
 std::string FormatSeconds(Duration duration) {
   std::array<char, 32> buffer{};
@@ -67,11 +86,15 @@
   double seconds = 0;
   const auto parsed =
       std::from_chars(text.data(), text.data() + text.size(), seconds);
-  if (parsed.ec != std::errc() || seconds < 0) {
+  const bool is_number = parsed.ec == std::errc() &&
+                         parsed.ptr == text.data() + text.size() &&
+                         seconds >= 0;
+  if (!is_number) {
     return std::nullopt;
   }
   return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(seconds));
+      std::min(std::chrono::duration<double>(seconds),
+               std::chrono::duration<double>(kMaxStatedTime)));
 }
 
 std::int64_t Milliseconds(Duration duration) {
@@ -128,8 +151,9 @@
       random_(random),
       log_(log),
       metrics_(metrics),
-      server_connections_(context),
-      gate_connections_(context),
+      answer_bytes_(profile.memory_bytes / kAnswerMemoryDivisor),
+      server_connections_(context, answer_bytes_),
+      gate_connections_(context, answer_bytes_),
       flow_(view, pool, profile.bounds, std::move(random)) {}
 
 RequestRelay::RequestId RequestRelay::Start(CallerMessage message,
@@ -141,6 +165,7 @@
   request->source = source;
   request->handler = std::move(handler);
   request->terms.received = Now();
+  request->terms.end = request->terms.received;
   requests_.emplace(request->id, request);
   const bool usable = source == RequestSource::kHost
                           ? ClassifyForwarded(request)
@@ -180,12 +205,13 @@
     return false;
   }
   Duration allowed = request->route->timeout;
-  const auto deadline = IntegerOf(message, platform::kDeadlineField);
-  if (deadline && *deadline >= 0) {
-    allowed = std::min<Duration>(allowed, std::chrono::milliseconds(*deadline));
+  if (const auto deadline = MillisecondsOf(message, platform::kDeadlineField)) {
+    allowed = std::min(allowed, *deadline);
   }
   coordination::RequestTerms& terms = request->terms;
   terms.kind = request->route->kind;
+  terms.large = terms.kind == state::RequestKind::kDownload ||
+                message.body().size() > kLargeBodyBytes;
   terms.target_latency = request->route->target_latency;
   terms.max_attempts = request->route->max_attempts;
   terms.end = terms.received + allowed;
@@ -211,25 +237,26 @@
   const CallerMessage& message = request->message;
   request->attempt_id = std::string(message[platform::kAttemptIdField]);
   request->config = view_.config;
-  const auto deadline = IntegerOf(message, platform::kDeadlineField);
+  const auto deadline = MillisecondsOf(message, platform::kDeadlineField);
   const auto kind = IntegerOf(message, kForwardKindField);
-  const auto target = IntegerOf(message, kForwardTargetLatencyField);
+  const auto target = MillisecondsOf(message, kForwardTargetLatencyField);
   const auto attempts = IntegerOf(message, kForwardMaxAttemptsField);
   coordination::RequestTerms& terms = request->terms;
   terms.forwarded = true;
   terms.service = std::string(message[ToBeastView(kForwardServiceField)]);
   terms.key = KeyOf(*request);
   const bool known_kind = kind && *kind >= 0 && *kind <= kMaxRequestKind;
-  if (!deadline || *deadline < 0 || !known_kind || !target || !attempts ||
-      !terms.key) {
+  const bool valid_attempts =
+      attempts && *attempts >= 1 && *attempts <= state::kMaxAttempts;
+  if (!deadline || !known_kind || !target || !valid_attempts || !terms.key) {
     RejectRequest(request, "malformed-forward", terms.service,
                   {400, "Bad Request", {}, ""});
     return false;
   }
   terms.kind = static_cast<state::RequestKind>(*kind);
-  terms.target_latency = std::chrono::milliseconds(*target);
+  terms.target_latency = *target;
   terms.max_attempts = static_cast<int>(*attempts);
-  terms.end = terms.received + std::chrono::milliseconds(*deadline);
+  terms.end = terms.received + *deadline;
   return true;
 }
 
@@ -358,7 +385,10 @@
                      : InterpretServerAnswer(peer, answer);
     retry_after =
         is_gate ? ParseSeconds(answer.fields["Retry-After"]) : std::nullopt;
-    request->answer = std::move(answer);
+    request->last_status = answer.status;
+    if (result == SendResult::kAnswered || result == SendResult::kFailed) {
+      request->answer = std::move(answer);
+    }
   } else if (exchange_result == ExchangeResult::kBroken) {
     result = SendResult::kLost;
   }
@@ -514,6 +544,7 @@
                           Now() - request->terms.received);
   if (request->source == RequestSource::kHost) {
     answer.fields.emplace_back(kOutcomeField, outcome);
+    AddAttemptId(*request, &answer);
   }
   requests_.erase(request->id);
   if (request->handler) {
@@ -523,6 +554,17 @@
   }
 }
 
+void RequestRelay::AddAttemptId(const Request& request, CallerAnswer* answer) {
+  const bool present = std::any_of(
+      answer->fields.begin(), answer->fields.end(), [](const auto& field) {
+        return beast::iequals(field.first,
+                              ToBeastView(platform::kAttemptIdField));
+      });
+  if (!present && !request.attempt_id.empty()) {
+    answer->fields.emplace_back(platform::kAttemptIdField, request.attempt_id);
+  }
+}
+
 void RequestRelay::LogAttempt(const coordination::ReportAttempt& report) {
   const RequestPtr request = Find(report.request);
   if (!request) {
@@ -531,7 +573,7 @@
   log_.Write(LogPart::kRequest, report.event,
              {{"id", request->attempt_id},
               {"server", report.server},
-              {"status", static_cast<std::int64_t>(request->answer.status)},
+              {"status", static_cast<std::int64_t>(request->last_status)},
               {"age_ms", Milliseconds(report.age)},
               {"expected_ms", Milliseconds(report.expected)},
               {"term", view_.table.term},
--- a/src/transport/request_relay.h
+++ b/src/transport/request_relay.h
@@ -120,8 +120,10 @@
     // The connection of each attempt under way.
     std::map<coordination::AttemptId, std::shared_ptr<ServerConnection>>
         connections;
-    // The latest answer of a server or gate, until it is passed on.
+    // The latest answer of a server or gate that may be passed on.
     ServerAnswer answer;
+    // The status of the latest response, for the log; 0 before the first.
+    int last_status = 0;
   };
 
   using RequestPtr = std::shared_ptr<Request>;
@@ -170,6 +172,8 @@
               std::string_view outcome,
               CallerAnswer answer);
   RequestPtr Find(RequestId id) const;
+  // Names the request in an answer of this host's own.
+  static void AddAttemptId(const Request& request, CallerAnswer* answer);
   void LogEnd(const Request& request,
               std::string_view event,
               std::string_view reason,
@@ -180,6 +184,7 @@
   const std::function<double()> random_;
   EventLog& log_;
   EntryMetrics& metrics_;
+  ByteBudget answer_bytes_;
   ServerConnectionPool server_connections_;
   // Connections to gates. The pool is keyed by the incarnation of a server; for
   // a gate, the id of this incarnation is the gate's address and its start time
--- a/src/transport/server_connection.cc
+++ b/src/transport/server_connection.cc
@@ -16,12 +16,16 @@
 // Limits the memory for an answer, which is buffered until it is complete.
 constexpr std::size_t kMaxAnswerBytes = 32 << 20;
 constexpr std::size_t kMaxHeaderBytes = 64 << 10;
+// Interim answers and late answers to earlier requests that may precede the
+// answer to a request. A server in trouble may send them without end.
+constexpr int kMaxSkippedMessages = 16;
 
 }  // namespace
 
 ServerConnection::ServerConnection(asio::io_context& context,
-                                   const state::Address& address)
-    : socket_(context), endpoint_(ToEndpoint(address)) {}
+                                   const state::Address& address,
+                                   ByteBudget& budget)
+    : socket_(context), endpoint_(ToEndpoint(address)), budget_(budget) {}
 
 void ServerConnection::Send(std::string bytes,
                             std::string request_id,
@@ -33,6 +37,8 @@
   handler_ = std::move(handler);
   idle_closed_handler_ = nullptr;
   reusable_ = false;
+  ++requests_;
+  skipped_messages_ = 0;
   ResetParser();
   if (connected_) {
     Write();
@@ -42,7 +48,13 @@
   }
 }
 
+void ServerConnection::ReturnBytes() {
+  budget_.Return(taken_bytes_);
+  taken_bytes_ = 0;
+}
+
 void ServerConnection::ResetParser() {
+  ReturnBytes();
   parser_ = std::make_unique<Parser>();
   parser_->body_limit(kMaxAnswerBytes);
   parser_->header_limit(kMaxHeaderBytes);
@@ -126,6 +138,11 @@
     FinishExchange(ExchangeResult::kBroken, {});
     return;
   }
+  if (!budget_.Take(size)) {
+    FinishExchange(ExchangeResult::kBroken, {});
+    return;
+  }
+  taken_bytes_ += size;
   input_buffer_.append(read_chunk_.data(), size);
   Parse();
 }
@@ -159,8 +176,11 @@
   const bool of_earlier_request =
       id != message.end() && id->value() != request_id_;
   if (interim || of_earlier_request) {
-    ResetParser();
-    return false;
+    return SkipMessage();
+  }
+  if (id == message.end() && !request_id_.empty() && requests_ > 1) {
+    FinishExchange(ExchangeResult::kBroken, {});
+    return true;
   }
   reusable_ = message.keep_alive() && input_buffer_.empty() && !writing_;
   RecordKeepAlive(message.base());
@@ -173,6 +193,15 @@
   return true;
 }
 
+bool ServerConnection::SkipMessage() {
+  ResetParser();
+  if (++skipped_messages_ <= kMaxSkippedMessages) {
+    return false;
+  }
+  FinishExchange(ExchangeResult::kBroken, {});
+  return true;
+}
+
 // Parses "timeout=N" in the Keep-Alive field; N is in seconds.
 void ServerConnection::RecordKeepAlive(const http::fields& fields) {
   const auto field = fields.find(http::field::keep_alive);
@@ -199,6 +228,7 @@
   Handler handler = std::move(handler_);
   handler_ = nullptr;
   parser_.reset();
+  ReturnBytes();
   output_buffer_.clear();
   idle_since_ = Now();
   if (result != ExchangeResult::kAnswered || !reusable_) {
@@ -212,6 +242,7 @@
 
 void ServerConnection::Abort() {
   handler_ = nullptr;
+  ReturnBytes();
   Reset();
 }
 
--- a/src/transport/server_connection.h
+++ b/src/transport/server_connection.h
@@ -12,6 +12,7 @@
 #include "state/document.h"
 #include "state/time.h"
 #include "transport/asio.h"
+#include "transport/byte_budget.h"
 
 namespace mustardflow::transport {
 
@@ -39,13 +40,22 @@
  public:
   using Handler = std::function<void(ExchangeResult, ServerAnswer)>;
 
-  ServerConnection(asio::io_context& context, const state::Address& address);
+  // The bytes of answers that are being received count towards `budget`, which
+  // must outlive the connection.
+  ServerConnection(asio::io_context& context,
+                   const state::Address& address,
+                   ByteBudget& budget);
+  ~ServerConnection() { ReturnBytes(); }
+  ServerConnection(const ServerConnection&) = delete;
+  ServerConnection& operator=(const ServerConnection&) = delete;
 
   // Sends the bytes of a request, after connecting if necessary. Calls
   // `handler` once, unless Abort() is called first. `request_id` is the
   // X-Attempt-Id of the request. Answers with another X-Attempt-Id belong to an
-  // earlier request and are dropped. `answer_has_no_body` is set for HEAD
-  // requests, whose answers end with the header.
+  // earlier request and are dropped; on a connection that is used again, an
+  // answer without one may belong to any request and breaks the connection.
+  // `answer_has_no_body` is set for HEAD requests, whose answers end with the
+  // header.
   void Send(std::string bytes,
             std::string request_id,
             bool answer_has_no_body,
@@ -76,9 +86,13 @@
   void HandleRead(const beast::error_code& error, std::size_t size);
   void Parse();
   void ResetParser();
+  void ReturnBytes();
   // Handles a complete message. Returns whether it was the final answer to the
   // request, rather than an interim (1xx) answer or one to an earlier request.
   bool HandleMessage();
+  // Skips a message that is not the final answer to the request. Returns
+  // whether the exchange has ended because the server sends too many of them.
+  bool SkipMessage();
   // Reads the idle timeout of the server from the Keep-Alive field.
   void RecordKeepAlive(const http::fields& fields);
   // Ends the request and calls its handler. Closes the connection unless it can
@@ -89,6 +103,13 @@
 
   tcp::socket socket_;
   const tcp::endpoint endpoint_;
+  ByteBudget& budget_;
+  // The bytes taken from the budget.
+  std::size_t taken_bytes_ = 0;
+  // The number of requests sent on the connection.
+  int requests_ = 0;
+  // The messages skipped since the request was sent.
+  int skipped_messages_ = 0;
   bool connected_ = false;
   bool connecting_ = false;
   bool closed_ = false;
--- a/src/transport/server_links.cc
+++ b/src/transport/server_links.cc
@@ -52,7 +52,7 @@
     }
   }
   ++opened_;
-  return std::make_shared<ServerConnection>(context_, server.address);
+  return std::make_shared<ServerConnection>(context_, server.address, budget_);
 }
 
 void ServerConnectionPool::Return(
--- a/src/transport/server_links.h
+++ b/src/transport/server_links.h
@@ -18,8 +18,9 @@
 // only as long as the server is unlikely to be closing them.
 class ServerConnectionPool {
  public:
-  explicit ServerConnectionPool(asio::io_context& context)
-      : context_(context) {}
+  // The answers that the connections receive share `budget`.
+  ServerConnectionPool(asio::io_context& context, ByteBudget& budget)
+      : context_(context), budget_(budget) {}
 
   // Returns an idle connection to this incarnation of the server, or a new one.
   // With `only_fresh`, connections that the server may be about to close are
@@ -44,6 +45,7 @@
               const ServerConnection* connection);
 
   asio::io_context& context_;
+  ByteBudget& budget_;
   std::map<state::ServerIncarnation,
            std::vector<std::shared_ptr<ServerConnection>>>
       idle_;
--- a/src/transport/store_watch.cc
+++ b/src/transport/store_watch.cc
@@ -34,8 +34,12 @@
 constexpr Duration kMinRetryDelay = std::chrono::milliseconds(150);
 constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(1200);
 // All parts of a leader's update arrive within this time. If parts are missing
-// after it, the host reads the store.
+// after it, the host fetches them from another host, and after
+// kPeerFetchTimeout from the store.
 constexpr Duration kUpdateArrivalTime = std::chrono::milliseconds(60);
+constexpr Duration kPeerFetchTimeout = std::chrono::milliseconds(500);
+// Updates that are kept for other hosts.
+constexpr std::size_t kMaxRecentUpdates = 64;
 // A host relies on a leader's progress for kProgressValidity after a heartbeat,
 // and only if the leader's last read was then at most kMaxProgressAge old. Both
 // are short because a server's departure must be known within two seconds.
@@ -92,26 +96,80 @@
     return;
   }
   if (update.entry_part == 0) {
-    update_base_ = update.base_server_offset;
+    arriving_update_ = {update.base_server_offset, end, {}};
     next_update_part_ = 0;
   }
-  if (update.base_server_offset != update_base_ ||
+  if (update.base_server_offset != arriving_update_.base ||
       update.entry_part != next_update_part_) {
     return;
   }
   for (const auto& [id, entry] : update.entries) {
     ApplyEntry(now, id, entry);
+    arriving_update_.entries.emplace_back(id, entry);
   }
   ++next_update_part_;
   if (next_update_part_ == update.entry_parts) {
     server_reader_.next = end;
+    RememberEntries(std::move(arriving_update_));
+    arriving_update_ = {-1, -1, {}};
   }
 }
 
+void StoreWatch::RememberEntries(protocol::EntryUpdate update) {
+  if (!recent_updates_.empty() && recent_updates_.back().end != update.base) {
+    recent_updates_.clear();
+  }
+  recent_updates_.push_back(std::move(update));
+  if (recent_updates_.size() > kMaxRecentUpdates) {
+    recent_updates_.pop_front();
+  }
+}
+
+std::optional<std::int64_t> StoreWatch::MissingEntriesFrom(Instant now) const {
+  const bool missing = server_reader_.behind_since &&
+                       now - *server_reader_.behind_since >= kUpdateArrivalTime;
+  return missing ? server_reader_.next : std::nullopt;
+}
+
+std::vector<protocol::EntryUpdate> StoreWatch::EntryUpdatesSince(
+    std::int64_t from) const {
+  auto first = recent_updates_.begin();
+  while (first != recent_updates_.end() && first->end <= from) {
+    ++first;
+  }
+  if (first == recent_updates_.end() || first->base > from) {
+    return {};
+  }
+  return {first, recent_updates_.end()};
+}
+
+bool StoreWatch::HandleEntryUpdates(
+    Instant now,
+    const std::vector<protocol::EntryUpdate>& updates) {
+  bool used = false;
+  for (const protocol::EntryUpdate& update : updates) {
+    if (!server_reader_.next || update.base > *server_reader_.next ||
+        update.end <= *server_reader_.next) {
+      continue;
+    }
+    for (const auto& [id, entry] : update.entries) {
+      ApplyEntry(now, id, entry);
+    }
+    server_reader_.next = update.end;
+    RememberEntries(update);
+    used = true;
+  }
+  if (used) {
+    RecordAnnounced(now, server_reader_.announced, &server_reader_);
+  }
+  return used;
+}
+
 void StoreWatch::RecordAnnounced(Instant now,
                                  std::int64_t announced,
                                  TopicReader* reader) {
   reader->announced = announced;
+  reader->relevant_end = std::max(reader->relevant_end, announced);
   if (!reader->next || announced <= *reader->next) {
     reader->behind_since.reset();
   } else if (!reader->behind_since) {
@@ -124,6 +182,10 @@
   update->entries = std::move(unpublished_entries_);
   unpublished_entries_.clear();
   published_end_ = server_reader_.relevant_end;
+  if (!update->entries.empty()) {
+    RememberEntries(
+        {update->base_server_offset, published_end_, update->entries});
+  }
 }
 
 protocol::ReadProgress StoreWatch::Progress(Instant now) const {
@@ -168,7 +230,7 @@
   if (relies_on_leader) {
     return since >= kFollowerReadInterval ||
            (reader.behind_since &&
-            now - *reader.behind_since >= kUpdateArrivalTime);
+            now - *reader.behind_since >= kPeerFetchTimeout);
   }
   return since >= (reader.failing ? retry : interval);
 }
@@ -214,14 +276,13 @@
 }
 
 bool StoreWatch::NeedsOperatorRecords() const {
-  return operator_reader_.failing &&
-         (!operator_reader_.next ||
-          operator_reader_.announced > *operator_reader_.next);
+  return !leading_ && (!operator_reader_.next ||
+                       operator_reader_.announced > *operator_reader_.next);
 }
 
-void StoreWatch::HandleOperatorRecords(protocol::OperatorRecords operators) {
+bool StoreWatch::HandleOperatorRecords(protocol::OperatorRecords operators) {
   if (operator_reader_.next && operators.next <= *operator_reader_.next) {
-    return;
+    return false;
   }
   TopicPage page;
   page.covers_all_keys = true;
@@ -232,6 +293,7 @@
   operator_reader_.next = page.next;
   RecordAnnounced(Now(), operator_reader_.announced, &operator_reader_);
   ApplyOperators(page);
+  return true;
 }
 
 void StoreWatch::ApplyOperators(const TopicPage& page) {
@@ -337,8 +399,9 @@
     }
   }
   for (const std::string& id : missing) {
-    ApplyEntry(now, id, std::nullopt);
-    unpublished_entries_.emplace_back(id, std::nullopt);
+    if (ApplyEntry(now, id, std::nullopt)) {
+      unpublished_entries_.emplace_back(id, std::nullopt);
+    }
   }
 }
 
@@ -379,7 +442,7 @@
 void StoreWatch::RemoveGone(Instant now) {
   for (const std::string& id : missing_entries_.TakeGone(now)) {
     log_.Write(LogPart::kServers, "gone", {{"server", id}});
-    pool_.Remove(id);
+    pool_.Remove(now, id);
   }
 }
 
--- a/src/transport/store_watch.h
+++ b/src/transport/store_watch.h
@@ -5,6 +5,7 @@
 #define MUSTARDFLOW_TRANSPORT_STORE_WATCH_H_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -71,16 +72,28 @@
   // Moves into the update the relevant server entries since the last call.
   void TakeEntryUpdates(protocol::HeartbeatUpdate* update);
 
-  // Whether the records of operators have to be fetched from the leader,
-  // because the store refuses or does not answer the reads of this host.
+  // Whether this host lacks records of operators that the leader has read. They
+  // are then fetched from another host; if that fails, this host reads the
+  // store.
   bool NeedsOperatorRecords() const;
-  // Handles the records of operators that the leader has read.
-  void HandleOperatorRecords(protocol::OperatorRecords operators);
+  // Handles the records of operators of another host. Returns whether they are
+  // newer.
+  bool HandleOperatorRecords(protocol::OperatorRecords operators);
   // The records of operators for other hosts; empty before the first read.
   const protocol::OperatorRecords& operators() const {
     return operator_records_;
   }
 
+  // Whether this host lacks entries of servers, and from which offset on. Like
+  // records of operators, they are fetched from another host.
+  std::optional<std::int64_t> MissingEntriesFrom(state::Instant now) const;
+  // Handles the updates of another host. Returns whether this host lacked them.
+  bool HandleEntryUpdates(state::Instant now,
+                          const std::vector<protocol::EntryUpdate>& updates);
+  // Returns the updates that another host lacks that has read the entries up to
+  // `from`; empty if this host does not know them.
+  std::vector<protocol::EntryUpdate> EntryUpdatesSince(std::int64_t from) const;
+
   // Whether the entries of servers have been read at least once.
   bool servers_known() const { return servers_known_; }
   // The number of entries read that could not be parsed.
@@ -99,7 +112,9 @@
     state::Instant read_at{};
     // The offset of the next read; nothing before the first successful read.
     std::optional<std::int64_t> next;
-    // The offset after the last relevant record.
+    // The offset after the last relevant record that this host or the leader
+    // has read. A host that becomes the leader announces it, so that hosts
+    // which missed an update of the former leader find that they are behind.
     std::int64_t relevant_end = 0;
     // The leader's `relevant_end`, and since when it has been ahead of `next`;
     // nothing if it is not ahead.
@@ -129,6 +144,7 @@
   void HandleEntries(state::Instant now,
                      const protocol::HeartbeatUpdate& update,
                      std::int64_t end);
+  void RememberEntries(protocol::EntryUpdate update);
   void ApplyOperators(const TopicPage& page);
   void ApplyConfig(const std::string& text);
   void ApplyServers(state::Instant now, const TopicPage& page);
@@ -155,9 +171,13 @@
   std::set<std::string> evacuated_;
   bool servers_known_ = false;
   coordination::MissingEntries missing_entries_;
-  // The update whose parts are arriving: its base offset and the next part.
-  std::int64_t update_base_ = -1;
+  // The update whose parts are arriving, and the next part. The base offset is
+  // -1 if there is none.
+  protocol::EntryUpdate arriving_update_{-1, -1, {}};
   std::int64_t next_update_part_ = 0;
+  // Recent updates, kept for other hosts. Invariant: each continues the one
+  // before it.
+  std::deque<protocol::EntryUpdate> recent_updates_;
   // On the leader: relevant entries after offset `published_end_` that no
   // heartbeat has carried yet.
   std::int64_t published_end_ = 0;
--- a/tests/keys/leader_election_test.cc
+++ b/tests/keys/leader_election_test.cc
@@ -56,7 +56,7 @@
   Instant now(seconds(10));
   LeaderElection weak(now, "weak", 0);
   LeaderElection strong(now, "strong", 0.99);
-  weak.SetDisadvantage(0.9);
+  weak.SetRank(40, true);
   weak.HandleHeartbeat(now, 1, false);
   strong.HandleHeartbeat(now, 1, false);
   Instant weak_now = now;
@@ -102,7 +102,7 @@
   LeaderElection election(now, "a", 0);
   for (int renewal = 0; renewal < 6; ++renewal) {
     REQUIRE(Await<coordination::ReadLedger>(election, &now, seconds(3)));
-    election.HandleLedger(now, LedgerHead{2, "b", renewal, 9});
+    election.HandleLedger(now, LedgerHead{2, "b", renewal, 9 + renewal});
     CHECK_FALSE(
         Await<coordination::ClaimTerm>(election, &now, milliseconds(100)));
   }
--- a/tests/load/load_patterns_test.cc
+++ b/tests/load/load_patterns_test.cc
@@ -157,6 +157,9 @@
   options.disconnect_after = milliseconds(100);
   const Comparison result = Compare("callers leave", options, {});
   CHECK(result.product.runs > 0);
+  // Half of the requests take longer than the callers wait.
+  CHECK(result.product.wasted_runs > result.product.runs / 4);
+  CHECK(result.product.max_work_after_disconnect < milliseconds(500));
 }
 
 TEST_CASE("non-idempotent requests are not retried after a lost response",
--- a/tests/load/load_simulation.cc
+++ b/tests/load/load_simulation.cc
@@ -104,7 +104,7 @@
       if (server.up) {
         host.pool->Update(now_, server.record);
       } else {
-        host.pool->Remove(server.record.incarnation.id);
+        host.pool->Remove(now_, server.record.incarnation.id);
       }
     }
   }
@@ -257,6 +257,7 @@
       if (call_index_.contains(id)) {
         calls_[index].done = true;
         calls_[index].attempts_left = 0;
+        calls_[index].left_at = now_;
         Perform(host, hosts_[host].flow->HandleCallerDisconnect(now_, id));
       }
     });
@@ -401,6 +402,7 @@
     return;
   }
   server.running.erase(running);
+  RecordWorkEnd(calls_[found->second.call]);
   const bool fails = RandomFraction() < server.failing_fraction;
   const bool loses = RandomFraction() < server.losing_fraction;
   Respond(id, loses   ? SendResult::kLost
@@ -409,6 +411,13 @@
   StartQueued(index);
 }
 
+void LoadSimulation::RecordWorkEnd(const Call& call) {
+  if (call.left_at) {
+    result_.max_work_after_disconnect = std::max<Duration>(
+        result_.max_work_after_disconnect, now_ - *call.left_at);
+  }
+}
+
 void LoadSimulation::StartQueued(std::size_t index) {
   Server& server = servers_[index];
   while (!server.waiting.empty() &&
@@ -430,7 +439,9 @@
   Schedule(now_ + kOneWayDelay, [this, id] {
     const std::size_t index = exchanges_.at(id).server;
     Server& server = servers_[index];
-    server.running.erase(id);
+    if (server.running.erase(id) > 0) {
+      RecordWorkEnd(calls_[exchanges_.at(id).call]);
+    }
     server.waiting.remove(id);
     exchanges_.erase(id);
     StartQueued(index);
--- a/tests/load/load_simulation.h
+++ b/tests/load/load_simulation.h
@@ -87,6 +87,9 @@
   int false_refusals = 0;
   // The longest time that a caller waited for a refusal.
   state::Duration max_refusal_time{0};
+  // The longest time for which a server worked on a request, or began to, after
+  // its caller had disconnected.
+  state::Duration max_work_after_disconnect{0};
   // The 99th percentile of the time until a response, of all answered requests.
   state::Duration p99{0};
   // The maximum number of requests per second at a cold server.
@@ -171,6 +174,8 @@
     bool done = false;
     // Executions started for the current attempt of the caller.
     int runs = 0;
+    // When the caller disconnected.
+    std::optional<state::Instant> left_at;
     // The current attempt: its host, request id and start time.
     std::size_t host = 0;
     coordination::RequestId request = 0;
@@ -194,6 +199,8 @@
   double RandomFraction() {
     return std::uniform_real_distribution<double>(0, 1)(random_);
   }
+  // A server has stopped working on a request of this call.
+  void RecordWorkEnd(const Call& call);
   void BuildHosts();
   // Passes the current server records to all hosts.
   void UpdatePools();
--- a/tests/protocol/host_messages_test.cc
+++ b/tests/protocol/host_messages_test.cc
@@ -38,11 +38,46 @@
   return update;
 }
 
+// One text of each kind that hosts exchange or keep in the store.
+std::vector<std::string> ValidTexts() {
+  LeaderHeartbeat heartbeat;
+  heartbeat.host = "h1";
+  heartbeat.address = {"10.0.0.7", 7200};
+  heartbeat.relay_to = {{"10.0.0.8", 7200}};
+  heartbeat.update = LargeUpdate();
+  HostReport report;
+  report.host = "h1";
+  report.load["shelf"] = {3, {1, 2, 65535}};
+  report.relative_latency["s"] = 1.5;
+  protocol::LeaderQueryReply reply;
+  reply.heard = std::chrono::milliseconds(30);
+  reply.leader = state::Address{"10.0.0.3", 7200};
+  state::OwnershipTable table;
+  state::OwnedRange whole;
+  whole.last = state::kShardKeyCount - 1;
+  table.services["shelf"] = {whole};
+  state::TableUpdate update;
+  update.changes["shelf"] = {whole};
+  update.gates["s"] = std::nullopt;
+  return {protocol::EncodeMessage(heartbeat),
+          protocol::EncodeMessage(report),
+          protocol::EncodeMessage(reply),
+          protocol::EncodeMessage(protocol::LeaderQuery{"h", "c", "z", 1}),
+          protocol::EncodeTable(table),
+          protocol::EncodeTableUpdates({update}),
+          protocol::EncodeEntryUpdates({{1, 2, {{"a", "x"}}}}),
+          protocol::EncodeHostRecord({"a:1", "z", 0.5}),
+          protocol::EncodeOperatorRecords({9, {{"config", "{}"}}}),
+          protocol::EncodeLedgerHead({4, "claim", 2, 0, true}, "h1")};
+}
+
 }  // namespace
 
 TEST_CASE("a decoded heartbeat has the encoded number and update") {
   LeaderHeartbeat heartbeat;
   heartbeat.host = "h1";
+  heartbeat.address = {"10.0.0.7", 7200};
+  heartbeat.relay_to = {{"10.0.0.8", 7200}, {"10.0.0.9", 7200}};
   heartbeat.term = 4;
   heartbeat.revision = 8;
   heartbeat.number = 19;
@@ -52,6 +87,8 @@
   REQUIRE(read);
   const auto& decoded = std::get<LeaderHeartbeat>(*read);
   CHECK(decoded.number == 19);
+  CHECK(decoded.address == heartbeat.address);
+  CHECK(decoded.relay_to == heartbeat.relay_to);
   REQUIRE(decoded.update);
   CHECK(decoded.update->gates == heartbeat.update->gates);
   CHECK(decoded.update->entries == heartbeat.update->entries);
@@ -80,7 +117,7 @@
 TEST_CASE(
     "a large update is split into consecutive parts that fit into datagrams") {
   const HeartbeatUpdate update = LargeUpdate();
-  const auto parts = protocol::SplitUpdate(update, 1000);
+  const auto parts = protocol::SplitUpdate(update, 700);
   REQUIRE(parts.size() > 10);
   std::int64_t revision = update.base_revision;
   std::int64_t entry_part = 0;
@@ -101,6 +138,9 @@
     }
     LeaderHeartbeat heartbeat;
     heartbeat.host = "a-host-with-a-long-name";
+    heartbeat.address = {"10.200.100.100", 65535};
+    // As many as PeerDirectory names in one message.
+    heartbeat.relay_to.assign(18, {"10.200.100.100", 65535});
     heartbeat.update = part;
     // 1472 bytes is the largest UDP payload in an Ethernet frame over IPv4.
     CHECK(protocol::EncodeMessage(heartbeat).size() < 1472);
@@ -130,8 +170,8 @@
 }
 
 TEST_CASE("decoded store records have the encoded values") {
-  const auto host =
-      protocol::DecodeHostRecord(protocol::EncodeHostRecord({"a:1", 0.5}));
+  const auto host = protocol::DecodeHostRecord(
+      protocol::EncodeHostRecord({"a:1", "north", 0.5}));
   REQUIRE(host);
   CHECK(host->strength == 0.5);
   protocol::OperatorRecords operators;
@@ -149,12 +189,91 @@
   CHECK(name == "h1");
 }
 
+TEST_CASE("messages of an unknown kind and invalid ranges are rejected",
+          "[S3]") {
+  CHECK_FALSE(protocol::DecodeMessage(R"({"kind":"later","host":"h1"})"));
+  state::OwnershipTable table;
+  state::OwnedRange whole;
+  whole.last = state::kShardKeyCount - 1;
+  table.services["shelf"] = {whole};
+  const std::string valid = protocol::EncodeTable(table);
+  REQUIRE(protocol::DecodeTable(valid));
+  for (const char* last : {"65536", "2147483647", "-1"}) {
+    std::string invalid = valid;
+    invalid.replace(invalid.find("65535"), 5, last);
+    INFO(invalid);
+    CHECK_FALSE(protocol::DecodeTable(invalid));
+  }
+  HeartbeatUpdate update;
+  state::OwnedRange first;
+  first.first = 100;
+  first.last = 200;
+  state::OwnedRange second;
+  second.first = 150;
+  second.last = 300;
+  update.changes["shelf"] = {first, second};
+  LeaderHeartbeat heartbeat;
+  heartbeat.address = {"10.0.0.7", 7200};
+  heartbeat.update = update;
+  CHECK_FALSE(protocol::DecodeMessage(protocol::EncodeMessage(heartbeat)));
+}
+
+TEST_CASE("parts of updates with long names and IPv6 gates fit") {
+  HeartbeatUpdate update;
+  for (int i = 0; i < 40; ++i) {
+    state::OwnedRange range;
+    range.first = i;
+    range.last = i;
+    range.holder = {"s" + std::to_string(i), 1};
+    update.changes[std::string(100, 'n') + std::to_string(i)] = {range};
+    update.gates[std::string(20, 's') + std::to_string(i)] = state::Address{
+        "2001:db8:ffff:ffff:ffff:ffff:ffff:" + std::to_string(1000 + i), 65535};
+  }
+  for (const HeartbeatUpdate& part : protocol::SplitUpdate(update, 700)) {
+    LeaderHeartbeat heartbeat;
+    heartbeat.address = {"10.0.0.7", 7200};
+    heartbeat.update = part;
+    CHECK(protocol::EncodeMessage(heartbeat).size() < 700 + 350);
+  }
+}
+
+TEST_CASE("queries, replies and table replies survive a round trip") {
+  const auto query = protocol::DecodeMessage(
+      protocol::EncodeMessage(protocol::LeaderQuery{"h1", "c", "north", 0.5}));
+  REQUIRE(query);
+  CHECK(std::get<protocol::LeaderQuery>(*query).zone == "north");
+  protocol::LeaderQueryReply reply;
+  reply.host = "h2";
+  reply.term = 4;
+  reply.heard = std::chrono::milliseconds(30);
+  reply.leader = state::Address{"10.0.0.3", 7200};
+  const auto read = protocol::DecodeMessage(protocol::EncodeMessage(reply));
+  REQUIRE(read);
+  CHECK(std::get<protocol::LeaderQueryReply>(*read).leader == reply.leader);
+  CHECK(std::get<protocol::LeaderQueryReply>(*read).heard == reply.heard);
+  state::TableUpdate update;
+  update.term = 2;
+  update.base_revision = 6;
+  update.revision = 7;
+  update.gates["s"] = std::nullopt;
+  const auto table = protocol::DecodeTableReply(
+      protocol::EncodeTableUpdates({update, update}));
+  REQUIRE(table);
+  const auto& updates = std::get<std::vector<state::TableUpdate>>(*table);
+  REQUIRE(updates.size() == 2);
+  CHECK(updates.front().revision == 7);
+  CHECK(updates.front().gates == update.gates);
+  const auto entries =
+      protocol::DecodeEntryUpdates(protocol::EncodeEntryUpdates(
+          {{3, 5, {{"a", "x"}, {"b", std::nullopt}}}}));
+  REQUIRE(entries);
+  CHECK(entries->front().end == 5);
+  CHECK(entries->front().entries.at(1).second == std::nullopt);
+}
+
 TEST_CASE("no decoder throws or crashes on corrupted messages", "[I2]") {
   CHECK(rc::check([] {
-    LeaderHeartbeat heartbeat;
-    heartbeat.host = "h1";
-    heartbeat.update = LargeUpdate();
-    std::string text = protocol::EncodeMessage(heartbeat);
+    std::string text = *rc::gen::elementOf(ValidTexts());
     const auto position = *rc::gen::inRange<std::size_t>(0, text.size());
     text[position] = *rc::gen::arbitrary<char>();
     if (*rc::gen::arbitrary<bool>()) {
@@ -162,8 +281,12 @@
     }
     protocol::DecodeMessage(text);
     protocol::DecodeTable(text);
+    protocol::DecodeTableReply(text);
+    protocol::DecodeEntryUpdates(text);
     protocol::DecodeOperatorRecords(text);
     protocol::DecodeHostRecord(text);
+    std::string host;
+    protocol::DecodeLedgerHead(text, &host);
   }));
 }
 
--- a/tests/requests/flow_fixture.h
+++ b/tests/requests/flow_fixture.h
@@ -87,6 +87,7 @@
     return std::uniform_real_distribution<double>(0, 1)(random_);
   }
   coordination::RequestFlow& flow() { return flow_; }
+  coordination::ServerPool& pool() { return pool_; }
   state::Instant& now() { return now_; }
   state::RoutingView& view() { return view_; }
 
--- a/tests/requests/request_cases_test.cc
+++ b/tests/requests/request_cases_test.cc
@@ -51,6 +51,114 @@
   CHECK(second->server.incarnation.id != first->server.incarnation.id);
 }
 
+TEST_CASE(
+    "a request whose route allows one attempt is not retried after a "
+    "failure",
+    "[L2]") {
+  FlowFixture fixture;
+  fixture.AddServer("s1", "desk");
+  fixture.AddServer("s2", "desk");
+  coordination::RequestTerms terms = fixture.Terms(RequestKind::kIdempotent);
+  terms.max_attempts = 1;
+  const FlowActions sent =
+      fixture.flow().Start(fixture.now(), 1, std::move(terms));
+  const auto* attempt = FlowFixture::FindAction<SendAttempt>(sent);
+  REQUIRE(attempt != nullptr);
+  const FlowActions ended = fixture.flow().HandleResult(
+      fixture.now(), 1, attempt->attempt, SendResult::kFailed);
+  CHECK(FlowFixture::FindAction<SendAttempt>(ended) == nullptr);
+  REQUIRE(FlowFixture::FindAction<FinishRequest>(ended) != nullptr);
+  CHECK(FlowFixture::FindAction<FinishRequest>(ended)->outcome ==
+        RequestOutcome::kFailed);
+}
+
+TEST_CASE("the failure of one hedged attempt leaves the other in progress",
+          "[L2]") {
+  FlowFixture fixture;
+  fixture.AddServer("s1", "desk");
+  fixture.AddServer("s2", "desk");
+  coordination::RequestTerms terms = fixture.Terms(RequestKind::kIdempotent);
+  terms.max_attempts = 2;
+  const FlowActions sent =
+      fixture.flow().Start(fixture.now(), 1, std::move(terms));
+  const auto* first = FlowFixture::FindAction<SendAttempt>(sent);
+  REQUIRE(first != nullptr);
+  fixture.flow().HandleConnected(1, first->attempt);
+  fixture.now() += milliseconds(500);
+  const FlowActions hedged = fixture.flow().Tick(fixture.now());
+  const auto* second = FlowFixture::FindAction<SendAttempt>(hedged);
+  REQUIRE(second != nullptr);
+  const FlowActions failed = fixture.flow().HandleResult(
+      fixture.now(), 1, first->attempt, SendResult::kFailed);
+  CHECK(FlowFixture::FindAction<coordination::AbortAttempt>(failed) == nullptr);
+  CHECK(FlowFixture::FindAction<FinishRequest>(failed) == nullptr);
+  SECTION("the other attempt succeeds") {
+    const FlowActions ended = fixture.flow().HandleResult(
+        fixture.now(), 1, second->attempt, SendResult::kAnswered);
+    REQUIRE(FlowFixture::FindAction<FinishRequest>(ended) != nullptr);
+    CHECK(FlowFixture::FindAction<FinishRequest>(ended)->outcome ==
+          RequestOutcome::kAnswered);
+  }
+  SECTION("the other attempt is lost: the response of the first is passed on") {
+    const FlowActions ended = fixture.flow().HandleResult(
+        fixture.now(), 1, second->attempt, SendResult::kLost);
+    const auto* conclusion = FlowFixture::FindAction<FinishRequest>(ended);
+    REQUIRE(conclusion != nullptr);
+    CHECK(conclusion->outcome == RequestOutcome::kFailed);
+    CHECK(conclusion->server == first->server.incarnation.id);
+  }
+}
+
+TEST_CASE("a retry that is not sent does not count", "[R8]") {
+  FlowFixture fixture;
+  fixture.AddServer("s1", "desk");
+  const double budget = [&fixture] {
+    fixture.flow().Start(fixture.now(), 99,
+                         fixture.Terms(RequestKind::kIdempotent));
+    return fixture.flow().retries_left();
+  }();
+  const FlowActions sent = fixture.flow().Start(
+      fixture.now(), 1, fixture.Terms(RequestKind::kIdempotent));
+  const auto* attempt = FlowFixture::FindAction<SendAttempt>(sent);
+  REQUIRE(attempt != nullptr);
+  // There is no other server to retry at.
+  const FlowActions ended = fixture.flow().HandleResult(
+      fixture.now(), 1, attempt->attempt, SendResult::kRefused);
+  CHECK(FlowFixture::FindAction<SendAttempt>(ended) == nullptr);
+  CHECK(fixture.flow().retries() == 0);
+  CHECK(fixture.flow().retries_left() >= budget);
+}
+
+// The pattern: servers and gates are replaced for weeks.
+TEST_CASE("what is recorded of servers is bounded by the servers in use") {
+  FlowFixture fixture;
+  for (int i = 0; i < 10000; ++i) {
+    const std::string id = "s" + std::to_string(i);
+    const auto request = static_cast<coordination::RequestId>(i + 1);
+    fixture.AddServer(id, "shelf");
+    fixture.SetOwner(id);
+    fixture.view().table.gates.clear();
+    if (i % 2 == 0) {
+      fixture.view().table.gates[id] = {"10.0.0.1",
+                                        static_cast<std::uint16_t>(i + 1)};
+    }
+    const FlowActions sent = fixture.flow().Start(
+        fixture.now(), request,
+        fixture.Terms(RequestKind::kNonIdempotent, "shelf"));
+    const auto* attempt = FlowFixture::FindAction<SendAttempt>(sent);
+    REQUIRE(attempt != nullptr);
+    fixture.flow().HandleResult(
+        fixture.now(), request, attempt->attempt,
+        i % 2 == 0 ? SendResult::kLost : SendResult::kAnswered);
+    fixture.pool().Remove(fixture.now(), id);
+    fixture.now() += milliseconds(500);
+    fixture.flow().Tick(fixture.now());
+    fixture.pool().Prune(fixture.now());
+  }
+  CHECK(fixture.flow().tracked_peers() < 50);
+  CHECK(fixture.pool().servers().size() < 150);
+}
+
 // Guards against a shutdown that closes connections without a response at the
 // end of the grace period. It affected requests whose response a server had
 // lost.
--- a/tests/requests/request_fuzz_test.cc
+++ b/tests/requests/request_fuzz_test.cc
@@ -25,10 +25,26 @@
 
 // Whether the server may have run a request whose attempt has this result.
 bool MayHaveRun(SendResult result) {
-  return result == SendResult::kLost || result == SendResult::kAnswered ||
-         result == SendResult::kFailed || result == SendResult::kUntrusted;
+  switch (result) {
+    case SendResult::kLost:
+    case SendResult::kAnswered:
+    case SendResult::kFailed:
+    case SendResult::kUntrusted:
+    case SendResult::kGateUnknown:
+    case SendResult::kGateTimedOut:
+      return true;
+    case SendResult::kNotConnected:
+    case SendResult::kNotOwner:
+    case SendResult::kRefused:
+    case SendResult::kMalformed:
+    case SendResult::kGateRefused:
+      return false;
+  }
+  return true;
 }
 
+constexpr int kSendResults = static_cast<int>(SendResult::kGateTimedOut) + 1;
+
 // What the test knows about a request, independently of RequestFlow.
 struct RequestModel {
   RequestKind kind = RequestKind::kIdempotent;
@@ -99,6 +115,18 @@
     Check(fixture_.flow().HandleTableChange(fixture_.now()));
   }
 
+  // Gives a keyed server a gate, or removes it.
+  void ChangeGate(int pick) {
+    const std::string server = "k" + std::to_string(pick % 4);
+    if (pick % 3 == 0) {
+      fixture_.view().table.gates.erase(server);
+    } else {
+      fixture_.view().table.gates[server] = {
+          "10.0.0.1", static_cast<std::uint16_t>(7200 + pick % 5)};
+    }
+    MoveKeys(pick + 1);
+  }
+
   void AdvanceTime(milliseconds time) {
     fixture_.now() += time;
     Check(fixture_.flow().Tick(fixture_.now()));
@@ -185,7 +213,7 @@
   CHECK(rc::check([](std::uint64_t seed) {
     FlowModel model(seed);
     const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
-        rc::gen::pair(rc::gen::inRange(0, 9), rc::gen::inRange(0, 1000)));
+        rc::gen::pair(rc::gen::inRange(0, 10), rc::gen::inRange(0, 1000)));
     for (const auto& [step, pick] : steps) {
       switch (step) {
         case 0:
@@ -200,7 +228,8 @@
           break;
         case 4:
         case 5:
-          model.EndAttempt(pick / 8, static_cast<SendResult>(pick % 8));
+          model.EndAttempt(pick / kSendResults,
+                           static_cast<SendResult>(pick % kSendResults));
           break;
         case 6:
           model.DisconnectCaller(pick);
@@ -208,6 +237,9 @@
         case 7:
           model.MoveKeys(pick);
           break;
+        case 8:
+          model.ChangeGate(pick);
+          break;
         default:
           model.AdvanceTime(milliseconds(pick % 250));
           break;
--- a/tests/servers/server_pool_test.cc
+++ b/tests/servers/server_pool_test.cc
@@ -108,7 +108,7 @@
     fixture.pool().Update(fixture.now(), server);
   }
   SECTION("gone") {
-    fixture.pool().Remove("a");
+    fixture.pool().Remove(fixture.now(), "a");
   }
   SECTION("evacuated") {
     fixture.pool().SetEvacuated({"near"});
@@ -250,7 +250,7 @@
   CHECK(chosen.size() <= 8);
   // The other servers are used when the preferred ones are gone.
   for (const std::string& id : chosen) {
-    fixture.pool().Remove(id);
+    fixture.pool().Remove(fixture.now(), id);
   }
   CHECK(fixture.Choose());
 }
--- /dev/null
+++ b/tests/transport/relay_fixture.h
@@ -0,0 +1,178 @@
+// A host's request path over real sockets. The test plays the caller and the
+// backend server.
+
+#ifndef MUSTARDFLOW_TESTS_TRANSPORT_RELAY_FIXTURE_H_
+#define MUSTARDFLOW_TESTS_TRANSPORT_RELAY_FIXTURE_H_
+
+#include <array>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "coordination/server_pool.h"
+#include "transport/caller_listener.h"
+#include "transport/event_log.h"
+#include "transport/request_relay.h"
+
+namespace mustardflow::tests {
+
+// One route for POST and GET requests below /desk/ of a.example, with one
+// backend server.
+class RelayFixture {
+ public:
+  using tcp = transport::asio::ip::tcp;
+
+  explicit RelayFixture(
+      state::RequestKind kind = state::RequestKind::kNonIdempotent)
+      : server_(context_, {transport::asio::ip::make_address("127.0.0.1"), 0}),
+        pool_("near", {}, [] { return 0.5; }),
+        log_(-1, "test"),
+        relay_(
+            context_,
+            profile_,
+            view_,
+            pool_,
+            [] { return 0.5; },
+            log_,
+            metrics_),
+        callers_(context_, {"127.0.0.1", 0}, view_, relay_, log_) {
+    view_.config = OneRouteConfig(kind);
+    pool_.SetConfig(*view_.config);
+    state::ServerRecord record;
+    record.incarnation = {"s1", 1};
+    record.sequence = 1;
+    record.service = "desk";
+    record.zone = "near";
+    record.slots = 6;
+    record.address = {"127.0.0.1", server_.local_endpoint().port()};
+    pool_.Update(state::Instant(std::chrono::seconds(1)), record);
+  }
+
+  tcp::socket ConnectCaller() {
+    tcp::socket caller(context_);
+    caller.connect(callers_.local_endpoint());
+    return caller;
+  }
+
+  tcp::socket AcceptFromRelay() {
+    tcp::socket socket(context_);
+    bool accepted = false;
+    server_.async_accept(
+        socket, [&](const boost::system::error_code&) { accepted = true; });
+    context_.restart();
+    while (!accepted) {
+      context_.run_one_for(std::chrono::seconds(5));
+    }
+    return socket;
+  }
+
+  // Runs the event loop for `time` and returns the bytes received on `socket`.
+  std::string Receive(
+      tcp::socket& socket,
+      std::chrono::milliseconds time = std::chrono::milliseconds(60)) {
+    context_.restart();
+    context_.run_for(time);
+    std::string received;
+    std::array<char, 4096> buffer{};
+    boost::system::error_code error;
+    socket.non_blocking(true);
+    while (!error) {
+      const std::size_t size =
+          socket.read_some(transport::asio::buffer(buffer), error);
+      received.append(buffer.data(), size);
+    }
+    ended_ = error != transport::asio::error::would_block;
+    return received;
+  }
+
+  // Writes `text` again and again until the relay closes the connection, or
+  // until `max_bytes` are written. Returns the bytes written.
+  std::size_t SendUntilClosed(tcp::socket& socket,
+                              std::string_view text,
+                              std::size_t max_bytes) {
+    socket.non_blocking(true);
+    std::size_t sent = 0;
+    while (sent < max_bytes) {
+      boost::system::error_code error;
+      sent += socket.write_some(
+          transport::asio::buffer(text.data(), text.size()), error);
+      if (error && error != transport::asio::error::would_block) {
+        break;
+      }
+      context_.restart();
+      context_.run_for(std::chrono::milliseconds(1));
+    }
+    return sent;
+  }
+
+  // Whether the relay has opened a further connection to the server.
+  bool HasNewConnection() {
+    boost::system::error_code error;
+    server_.non_blocking(true);
+    tcp::socket socket(context_);
+    server_.accept(socket, error);
+    return !error;
+  }
+
+  // Whether the last Receive() found that the connection had ended.
+  bool ended() const { return ended_; }
+  transport::CallerListener& callers() { return callers_; }
+  state::HostProfile& profile() { return profile_; }
+
+ private:
+  static state::HostProfile SmallHost() {
+    state::HostProfile profile;
+    profile.memory_bytes = 8 << 20;
+    return profile;
+  }
+
+  static std::shared_ptr<const state::RoutingConfig> OneRouteConfig(
+      state::RequestKind kind) {
+    state::Route route;
+    route.name = "desk";
+    route.hostname = "a.example";
+    route.prefix = "/desk/";
+    route.kind = kind;
+    route.timeout = std::chrono::seconds(20);
+    route.target_latency = std::chrono::seconds(20);
+    route.services = {{"desk", 1}};
+    return std::make_shared<state::RoutingConfig>(
+        1, std::vector<state::Route>{route},
+        std::map<std::string, state::ServiceRules>{{"desk", {}}},
+        state::IngressLimits());
+  }
+
+  transport::asio::io_context context_;
+  tcp::acceptor server_;
+  state::HostProfile profile_ = SmallHost();
+  state::RoutingView view_;
+  coordination::ServerPool pool_;
+  transport::EventLog log_;
+  transport::EntryMetrics metrics_;
+  transport::RequestRelay relay_;
+  transport::CallerListener callers_;
+  bool ended_ = false;
+};
+
+inline void Send(transport::asio::ip::tcp::socket& socket,
+                 std::string_view text) {
+  transport::asio::write(socket,
+                         transport::asio::buffer(text.data(), text.size()));
+}
+
+// How often `part` occurs in `text`.
+inline std::size_t Count(const std::string& text, std::string_view part) {
+  std::size_t count = 0;
+  for (std::size_t at = text.find(part); at != std::string::npos;
+       at = text.find(part, at + 1)) {
+    ++count;
+  }
+  return count;
+}
+
+}  // namespace mustardflow::tests
+
+#endif  // MUSTARDFLOW_TESTS_TRANSPORT_RELAY_FIXTURE_H_
--- /dev/null
+++ b/tests/transport/server_answers_test.cc
@@ -0,0 +1,175 @@
+// Answers of backend servers that are late, doubled, broken off or without end.
+
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "tests/transport/relay_fixture.h"
+
+namespace mustardflow::tests {
+
+namespace {
+
+using state::RequestKind;
+using transport::asio::ip::tcp;
+
+std::string Request(const std::string& id) {
+  return "POST /desk/" + id +
+         " HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: " + id +
+         "\r\nContent-Length: 2\r\n\r\nhi";
+}
+
+std::string Answer(const std::string& id, const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id +
+         "\r\nX-Server-Signature: s\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+constexpr std::string_view kSuccess = "HTTP/1.1 200";
+
+// Enough to exceed any limit on one answer of the host in the fixture.
+constexpr std::size_t kEndless = 64 << 20;
+
+}  // namespace
+
+TEST_CASE("a late second copy of an answer does not reach the next caller",
+          "[R4]") {
+  RelayFixture host;
+  tcp::socket first = host.ConnectCaller();
+  Send(first, Request("1"));
+  tcp::socket server = host.AcceptFromRelay();
+  REQUIRE(Count(host.Receive(server), "POST ") == 1);
+  Send(server, Answer("1", "one"));
+  REQUIRE(Count(host.Receive(first), "one") == 1);
+  tcp::socket second = host.ConnectCaller();
+  Send(second, Request("2"));
+  REQUIRE(Count(host.Receive(server), "POST ") == 1);
+
+  SECTION("with the id of the first request") {
+    Send(server, Answer("1", "one") + Answer("2", "two"));
+    const std::string answer = host.Receive(second);
+    CHECK(Count(answer, "one") == 0);
+    CHECK(Count(answer, "two") == 1);
+  }
+  SECTION("without an id") {
+    Send(server,
+         "HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\n"
+         "Content-Length: 3\r\n\r\none");
+    const std::string answer = host.Receive(second);
+    CHECK(Count(answer, "one") == 0);
+    CHECK(Count(answer, "HTTP/1.1 502") == 1);
+  }
+  SECTION("a refusal without an id is not the answer either") {
+    Send(server,
+         "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n"
+         "Content-Length: 0\r\n\r\n");
+    CHECK(Count(host.Receive(second), "HTTP/1.1 502") == 1);
+  }
+}
+
+TEST_CASE("a second copy that arrives on an idle connection ends it", "[R4]") {
+  RelayFixture host;
+  tcp::socket caller = host.ConnectCaller();
+  Send(caller, Request("1"));
+  tcp::socket server = host.AcceptFromRelay();
+  host.Receive(server);
+  Send(server, Answer("1", "one"));
+  REQUIRE(Count(host.Receive(caller), "one") == 1);
+  Send(server, Answer("1", "one"));
+  host.Receive(server);
+  CHECK(host.ended());
+  CHECK(host.Receive(caller).empty());
+}
+
+TEST_CASE("an answer that breaks off does not look complete", "[R4]") {
+  RelayFixture host;
+  tcp::socket caller = host.ConnectCaller();
+  Send(caller, Request("1"));
+  tcp::socket server = host.AcceptFromRelay();
+  host.Receive(server);
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\nX-Server-Signature: s\r\n";
+
+  SECTION("with a length") {
+    Send(server, head + "Content-Length: 10\r\n\r\nhalf");
+    server.close();
+  }
+  SECTION("in chunks") {
+    Send(server, head + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n");
+    server.close();
+  }
+  SECTION("without a length, reset") {
+    Send(server, head + "\r\nhalf");
+    host.Receive(caller);
+    server.set_option(transport::asio::socket_base::linger(true, 0));
+    server.close();
+  }
+  const std::string answer = host.Receive(caller);
+  CHECK(Count(answer, kSuccess) == 0);
+  CHECK(Count(answer, "HTTP/1.1 502") == 1);
+}
+
+TEST_CASE("an answer without a length ends with its connection", "[R4]") {
+  RelayFixture host;
+  tcp::socket caller = host.ConnectCaller();
+  Send(caller, Request("1"));
+  tcp::socket server = host.AcceptFromRelay();
+  host.Receive(server);
+  Send(server,
+       "HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\nX-Server-Signature: s\r\n"
+       "\r\nwhole");
+  server.close();
+  const std::string answer = host.Receive(caller);
+  CHECK(Count(answer, kSuccess) == 1);
+  CHECK(Count(answer, "whole") == 1);
+}
+
+TEST_CASE("bytes without end are cut off, and the caller learns at once",
+          "[S5]") {
+  RelayFixture host;
+  tcp::socket caller = host.ConnectCaller();
+  Send(caller, Request("1"));
+  tcp::socket server = host.AcceptFromRelay();
+  host.Receive(server);
+  const std::string chunk(4096, 'x');
+  std::string endless = chunk;
+
+  SECTION("in a head") {
+    Send(server, "HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\nX-Long: ");
+  }
+  SECTION("in a body without a length") {
+    Send(server,
+         "HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\nX-Server-Signature: s\r\n"
+         "\r\n");
+  }
+  SECTION("in chunks") {
+    Send(server,
+         "HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\nX-Server-Signature: s\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n");
+    endless = "1000\r\n" + chunk + "\r\n";
+  }
+  SECTION("in interim answers") {
+    endless = "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n";
+  }
+  SECTION("in answers to other requests") {
+    endless = Answer("0", "late");
+  }
+  SECTION("in bytes that are no answer") {}
+  CHECK(host.SendUntilClosed(server, endless, kEndless) < kEndless / 4);
+  CHECK(Count(host.Receive(caller), "HTTP/1.1 502") == 1);
+}
+
+TEST_CASE("an idempotent request is sent again after bytes without end",
+          "[S5]") {
+  RelayFixture host(RequestKind::kIdempotent);
+  tcp::socket caller = host.ConnectCaller();
+  Send(caller, Request("1"));
+  tcp::socket server = host.AcceptFromRelay();
+  host.Receive(server);
+  Send(server, "HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\n\r\n");
+  CHECK(host.SendUntilClosed(server, std::string(4096, 'x'), kEndless) <
+        kEndless / 4);
+  // There is no other server, so the caller gets a final answer.
+  CHECK(Count(host.Receive(caller), "HTTP/1.1 502") == 1);
+}
+
+}  // namespace mustardflow::tests
