store: Read less often while a leader is followed or starts

Followers read both topics each 120 s (30 s before), wait 1.1 s (0.6 s) for the next leader and poll each 1.5 s before they hear the first one.

--- a/src/transport/store_watch.cc
+++ b/src/transport/store_watch.cc
@@ -22,10 +22,12 @@
 // noticed when the wait is over.
 constexpr Duration kOperatorLongPollTime = std::chrono::milliseconds(1200);
 // Time between two reads: on the leader, on a host that cannot rely on a
-// leader's progress, and on a host that can.
+// leader's progress, on a host that has not heard a leader since its start, and
+// on a host that can rely on one.
 constexpr Duration kLeaderReadInterval = std::chrono::milliseconds(350);
 constexpr Duration kNoLeaderReadInterval = std::chrono::milliseconds(700);
-constexpr Duration kFollowerReadInterval = std::chrono::seconds(30);
+constexpr Duration kStartupReadInterval = std::chrono::milliseconds(1500);
+constexpr Duration kFollowerReadInterval = std::chrono::seconds(120);
 // Pause after a read that returned records of operators, so that records that
 // are written in quick succession are read together.
 constexpr Duration kOperatorBatchDelay = std::chrono::milliseconds(120);
@@ -42,8 +44,10 @@
 constexpr std::size_t kMaxRecentUpdates = 64;
 // A host relies on a leader's progress for kProgressValidity after a heartbeat,
 // and only if the leader's last read was then at most kMaxProgressAge old. Both
-// are short because a server's departure must be known within two seconds.
-constexpr Duration kProgressValidity = std::chrono::milliseconds(600);
+// are short because a server's departure must be known within two seconds. The
+// validity covers most changes of the leader, in which all hosts would
+// otherwise read the store.
+constexpr Duration kProgressValidity = std::chrono::milliseconds(1100);
 constexpr Duration kMaxProgressAge = std::chrono::milliseconds(700);
 // Age of the last read that a host announces while its reads fail. It exceeds
 // kMaxProgressAge, so that no other host relies on the progress.
@@ -201,8 +205,10 @@
     published_end_ = server_reader_.relevant_end;
   }
   RemoveGone(now);
-  const Duration read_interval =
-      leading ? kLeaderReadInterval : kNoLeaderReadInterval;
+  const bool heard_leader = progress_valid_until_ != Instant();
+  const Duration read_interval = leading        ? kLeaderReadInterval
+                                 : heard_leader ? kNoLeaderReadInterval
+                                                : kStartupReadInterval;
   if (ReadDue(now, server_reader_, read_interval)) {
     server_reader_.timer.cancel();
   }
