servers: Tell refusals at random from those of a full server

Pattern: busy servers refuse half of their requests whatever their load. Ruled out: balance (ranges had spread), gates. Change: a refusal below the load at which the server answers others is at random: the window stays, the host may retry within its budget, and the caller is told 50 ms. While a server answers some requests, its window stays above this host's part of the slots. Failure rates rank servers but no longer count as time.

--- a/src/coordination/request_flow.cc
+++ b/src/coordination/request_flow.cc
@@ -35,6 +35,9 @@
 // retry delay if there is no server or the key has no owner.
 constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(250);
 constexpr Duration kNoServerRetryAfter = std::chrono::milliseconds(500);
+// The retry delay if the server refuses at random: a later attempt is no more
+// likely to succeed than one at once.
+constexpr Duration kRandomRefusalRetryAfter = std::chrono::milliseconds(50);
 // A request is refused if its expected latency exceeds this multiple of the
 // target latency. The factor is above 1 because a late response still has some
 // value. A higher factor would let queues fill up, which delays every request.
@@ -452,12 +455,20 @@
     return;
   }
   const bool not_owner = result == SendResult::kNotOwner;
-  const bool full =
-      terms.key && !not_owner && !pool_.HasFreeSlots(attempt.server);
-  if (full || !CanRetry(*request)) {
-    // A keyed request cannot go to another server.
-    RefuseBusy(now, request, terms.key ? attempt.server.id : terms.service,
-               full ? "owner-full" : "server-refused", actions);
+  const bool at_random = pool_.RefusedAtRandom(attempt.server);
+  // A keyed request cannot go to another server.
+  const bool full = terms.key && !not_owner && !at_random;
+  if (full) {
+    RefuseBusy(now, request, attempt.server.id, "owner-full", actions);
+    return;
+  }
+  if (!CanRetry(*request)) {
+    if (at_random) {
+      Refuse(now, request, "server-refused", kRandomRefusalRetryAfter, actions);
+    } else {
+      RefuseBusy(now, request, terms.key ? attempt.server.id : terms.service,
+                 "server-refused", actions);
+    }
     return;
   }
   if (terms.key && not_owner) {
--- a/src/coordination/server_pool.cc
+++ b/src/coordination/server_pool.cc
@@ -34,6 +34,11 @@
 // for the number of requests of other hosts, and for the slowness of the
 // server's machine.
 constexpr double kReportDecaySeconds = 0.5;
+// The time constant of the maximum load at which a server accepts requests, and
+// the fraction of it below which a refusal does not show that the server is
+// full.
+constexpr double kAcceptedLoadDecaySeconds = 3.0;
+constexpr double kRandomRefusalLoadFraction = 0.9;
 constexpr double kSlownessDecaySeconds = 0.25;
 // How many servers are compared for one request. A larger sample would make all
 // hosts select the same server.
@@ -68,10 +73,13 @@
 constexpr Duration kGateHandoverTime = std::chrono::seconds(1);
 // A refusal or a lost connection multiplies the server's window by the decrease
 // factor. The increase is added once for each window of successful responses.
-// The window does not shrink below the minimum.
+// The window does not shrink below the minimum. While the server answers some
+// requests, it does not shrink below this host's part of the server's slots
+// either, which the server can run in any case.
 constexpr double kWindowDecreaseFactor = 0.7;
 constexpr double kWindowIncrease = 0.25;
 constexpr double kMinWindow = 0.1;
+constexpr double kMaxPartialFailureRate = 0.85;
 // A host limits the number of servers of a service that it uses, so that each
 // of them gets a request about once in this interval, in seconds. The number is
 // not reduced below the minimum. Idle connections are closed after some
@@ -307,6 +315,19 @@
   return std::nullopt;
 }
 
+double ServerPool::MinWindow(Instant now, const ServerState& server) const {
+  const bool is_gate = IsGate(server.record.incarnation.id).value_or(false);
+  const double hosts = is_gate ? 1 : static_cast<double>(hosts_);
+  return FailureRate(now, server) < kMaxPartialFailureRate
+             ? std::max(kMinWindow, server.record.slots / hosts)
+             : kMinWindow;
+}
+
+double ServerPool::FailureRate(Instant now, const ServerState& server) const {
+  const double age = Seconds(now - server.failures_at);
+  return server.failures * std::exp(-age / kFailureDecaySeconds);
+}
+
 bool ServerPool::WithinWindow(Instant now, const ServerState& server) const {
   if (server.window <= 0) {
     return true;
@@ -343,6 +364,29 @@
          others * std::exp(-age / kReportDecaySeconds);
 }
 
+// A server that refuses requests while slots are free, or at a load at which it
+// runs others, is partly faulty, not overloaded. Fewer requests would not help
+// it.
+bool ServerPool::IsRandomRefusal(Instant now,
+                                 const ServerState& server,
+                                 double load) const {
+  if (server.reported_at == now) {
+    return server.reported_load < server.record.slots ||
+           server.reported_load <
+               kRandomRefusalLoadFraction * server.answered_report.ValueAt(now);
+  }
+  // Without a report, only a host that sends all requests knows the load.
+  const bool sends_all =
+      hosts_ == 1 || IsGate(server.record.incarnation.id).value_or(false);
+  return sends_all &&
+         load < kRandomRefusalLoadFraction * server.answered_load.ValueAt(now);
+}
+
+bool ServerPool::RefusedAtRandom(const ServerIncarnation& incarnation) const {
+  const ServerState* server = Find(incarnation);
+  return server != nullptr && server->refused_at_random;
+}
+
 double ServerPool::Latency(Instant now, const ServerState& server) const {
   const auto found = service_latency_.find(server.record.service);
   const double service_latency =
@@ -378,14 +422,17 @@
   estimate *= 1 + kLoadPenalty * load / server.record.slots;
   if (!server.in_flight.empty()) {
     // A request that takes far longer than usual indicates a stall.
-    const auto& [oldest, factor] = *server.in_flight.begin();
-    estimate +=
-        std::max(0.0, Seconds(now - oldest) - kStallFactor * latency * factor);
+    const auto& [oldest, request] = *server.in_flight.begin();
+    estimate += std::max(0.0, Seconds(now - oldest) -
+                                  kStallFactor * latency * request.wait_factor);
   }
-  const double age = Seconds(now - server.failures_at);
-  const double failures =
-      server.failures * std::exp(-age / kFailureDecaySeconds);
-  return estimate / std::max(0.05, 1 - failures);
+  return estimate;
+}
+
+double ServerPool::Cost(Instant now,
+                        const ServerState& server,
+                        double estimate) const {
+  return estimate / std::max(0.05, 1 - FailureRate(now, server));
 }
 
 std::variant<ServerChoice, NoServerReason> ServerPool::Check(
@@ -476,9 +523,10 @@
     const double zone_cost = server->record.zone == zone_ ? 0
                              : request.large ? kOtherZoneLargeCostSeconds
                                              : kOtherZoneCostSeconds;
-    if (best == nullptr || estimate + zone_cost < best_cost) {
+    const double cost = Cost(now, *server, estimate) + zone_cost;
+    if (best == nullptr || cost < best_cost) {
       best = server;
-      best_cost = estimate + zone_cost;
+      best_cost = cost;
       best_estimate = estimate;
     }
   }
@@ -496,7 +544,8 @@
   if (server == nullptr) {
     return;
   }
-  server->in_flight.emplace(now, WaitFactor(now, *server));
+  const double load = EstimatedLoad(now, *server);
+  server->in_flight.emplace(now, SentRequest{WaitFactor(now, *server), load});
   server->recent_sends.push_back(now);
   Rate& rate = rates_[server->record.service];
   rate.per_second =
@@ -516,17 +565,17 @@
   if (server == nullptr) {
     return;
   }
-  double wait_factor = 1;
+  SentRequest request;
   const auto entry = server->in_flight.find(sent);
   if (entry != server->in_flight.end()) {
-    wait_factor = entry->second;
+    request = entry->second;
     server->in_flight.erase(entry);
   }
   const bool answered = result == ServerResult::kAnswered;
   const double reported_slowness =
       server->reported_at == now ? server->slowness : 1;
-  const double took =
-      Seconds(now - sent) / (wait_factor * std::max(1.0, reported_slowness));
+  const double took = Seconds(now - sent) /
+                      (request.wait_factor * std::max(1.0, reported_slowness));
   if (answered ||
       (result == ServerResult::kCancelled && took > Latency(now, *server))) {
     double& service_latency =
@@ -537,9 +586,7 @@
     server->latency = before + kServerLatencyWeight * (took - before);
     server->latency_at = now;
   }
-  const double age = Seconds(now - server->failures_at);
-  const double failures =
-      server->failures * std::exp(-age / kFailureDecaySeconds);
+  const double failures = FailureRate(now, *server);
   const bool failed = result == ServerResult::kFailed ||
                       result == ServerResult::kRefused ||
                       result == ServerResult::kBroken;
@@ -548,19 +595,26 @@
         failures + kFailureWeight * ((failed ? 1 : 0) - failures);
     server->failures_at = now;
   }
-  // A server that refuses requests while slots are free is partly faulty, not
-  // overloaded. Fewer requests would not help it.
-  const bool has_free_slots = server->reported_at == now &&
-                              server->reported_load < server->record.slots;
-  const bool overloaded = result == ServerResult::kBroken ||
-                          (result == ServerResult::kRefused && !has_free_slots);
+  if (answered) {
+    server->answered_load.Record(now, request.load);
+    if (server->reported_at == now) {
+      server->answered_report.Record(now, server->reported_load);
+    }
+  }
+  if (result == ServerResult::kRefused) {
+    server->refused_at_random = IsRandomRefusal(now, *server, request.load);
+  }
+  const bool overloaded =
+      result == ServerResult::kBroken ||
+      (result == ServerResult::kRefused && !server->refused_at_random);
   const auto in_flight_count =
       static_cast<double>(server->in_flight.size()) + 1;
   if (overloaded) {
     const double window = server->window > 0
                               ? std::min(server->window, in_flight_count)
                               : in_flight_count;
-    server->window = std::max(kMinWindow, window * kWindowDecreaseFactor);
+    server->window =
+        std::max(MinWindow(now, *server), window * kWindowDecreaseFactor);
   } else if (answered && server->window > 0) {
     server->window += kWindowIncrease / std::max(1.0, in_flight_count);
     if (server->window > kMaxRequestsPerSlot * server->record.slots) {
--- a/src/coordination/server_pool.h
+++ b/src/coordination/server_pool.h
@@ -15,6 +15,7 @@
 #include <variant>
 #include <vector>
 
+#include "coordination/decaying_maximum.h"
 #include "state/host_profile.h"
 #include "state/routing_config.h"
 #include "state/server_record.h"
@@ -150,6 +151,18 @@
   // Whether the server's last load report showed a free slot; true before the
   // first report.
   bool HasFreeSlots(const state::ServerIncarnation& incarnation) const;
+  // Whether the server's last refusal does not show that it is full, because it
+  // accepts other requests at the same load. Another attempt may then succeed
+  // at once.
+  bool RefusedAtRandom(const state::ServerIncarnation& incarnation) const;
+
+  // What was estimated when a request was sent.
+  struct SentRequest {
+    // The factor by which the wait for a slot increases the response time.
+    double wait_factor = 1;
+    // Requests of all hosts at the server, without this one.
+    double load = 0;
+  };
 
   // What this host knows about one server.
   struct ServerState {
@@ -162,9 +175,8 @@
     // The server is cold, and its request rate is limited, until this time.
     state::Instant cold_until{};
     // The requests of this host in progress, by the time at which they were
-    // sent. The value is the factor by which the wait for a slot was expected
-    // to increase the response time.
-    std::multimap<state::Instant, double> in_flight;
+    // sent.
+    std::multimap<state::Instant, SentRequest> in_flight;
     // The times at which the last request, and the requests in the second
     // before it, were sent. Never empty once a request was sent.
     std::deque<state::Instant> recent_sends;
@@ -190,6 +202,13 @@
     // lost connections. Below 1, it is enforced as a minimum interval between
     // requests. 0: unlimited.
     double window = 0;
+    // The highest loads lately at which the server has answered: as estimated
+    // when the request was sent, and as reported in the answer.
+    DecayingMaximum answered_load;
+    DecayingMaximum answered_report;
+    // Whether the last refusal came at a load at which the server accepts
+    // others, so that it does not show that the server is full.
+    bool refused_at_random = false;
     // No requests are sent before this time, because a connection failed.
     state::Instant blocked_until{};
     // Failed connections since the last response.
@@ -232,10 +251,24 @@
   double WaitFactor(state::Instant now, const ServerState& server) const;
   // Estimated number of requests of all hosts at the server.
   double EstimatedLoad(state::Instant now, const ServerState& server) const;
+  // Whether a refusal of a request that was sent at `load` does not show that
+  // the server is full.
+  bool IsRandomRefusal(state::Instant now,
+                       const ServerState& server,
+                       double load) const;
   // Expected latency in seconds of a request that is sent at `now`.
   double Estimate(state::Instant now, const ServerState& server) const;
+  // The estimate with a penalty for failed attempts, by which servers are
+  // compared. It does not tell how late a response will be.
+  double Cost(state::Instant now,
+              const ServerState& server,
+              double estimate) const;
   // The average response time in seconds, without the wait for a slot.
   double Latency(state::Instant now, const ServerState& server) const;
+  // The lower bound of the server's window.
+  double MinWindow(state::Instant now, const ServerState& server) const;
+  // The fraction of recent attempts that failed.
+  double FailureRate(state::Instant now, const ServerState& server) const;
   // Whether the server's window permits another request.
   bool WithinWindow(state::Instant now, const ServerState& server) const;
   // Reduces `candidates` to the servers that this host prefers and keeps
--- a/tests/load/load_patterns_test.cc
+++ b/tests/load/load_patterns_test.cc
@@ -124,6 +124,21 @@
   CHECK(result.product.score() > result.none.score());
 }
 
+// Half of the requests are refused without a reason in the load, while the
+// slots are taken. Fewer requests would not help the servers.
+TEST_CASE("busy servers that shed at random keep getting requests", "[L2]") {
+  LoadOptions options;
+  options.keyed = true;
+  options.rate = 500;
+  options.deadline = milliseconds(2500);
+  const Comparison result =
+      Compare("shedding", options,
+              {{seconds(2), [](LoadSimulation* s) { s->SetRate(500); }},
+               {seconds(4), [](LoadSimulation* s) { s->SetShedding(1, 0.55); }},
+               {seconds(9), [](LoadSimulation* s) { s->SetShedding(1, 0); }}});
+  CHECK(result.product.score() >= result.none.score());
+}
+
 TEST_CASE("restarted servers get no more requests than their cold rate",
           "[L3]") {
   const Comparison result = Compare(
--- a/tests/load/load_simulation.cc
+++ b/tests/load/load_simulation.cc
@@ -157,6 +157,14 @@
   }
 }
 
+void LoadSimulation::SetShedding(double share, double fraction) {
+  for (std::size_t i = 0; i < servers_.size(); ++i) {
+    const bool chosen =
+        static_cast<double>(i) < share * static_cast<double>(servers_.size());
+    servers_[i].shedding_fraction = chosen ? fraction : 0;
+  }
+}
+
 void LoadSimulation::SetLosing(double share, double fraction) {
   for (std::size_t i = 0; i < servers_.size(); ++i) {
     const bool chosen =
@@ -360,7 +368,10 @@
         std::max(result_.max_cold_requests,
                  static_cast<int>(server.cold_arrivals.size()));
   }
-  if (static_cast<int>(server.running.size()) < options_.slots) {
+  if (server.shedding_fraction > 0 &&
+      RandomFraction() < server.shedding_fraction) {
+    Respond(id, SendResult::kRefused);
+  } else if (static_cast<int>(server.running.size()) < options_.slots) {
     StartExecution(id);
   } else if (static_cast<int>(server.waiting.size()) < options_.queue) {
     server.waiting.push_back(id);
--- a/tests/load/load_simulation.h
+++ b/tests/load/load_simulation.h
@@ -120,6 +120,9 @@
   // Makes this share of the servers respond to `fraction` of their requests
   // with a failure.
   void SetFailing(double share, double fraction);
+  // Makes this share of the servers refuse `fraction` of their requests,
+  // however busy they are.
+  void SetShedding(double share, double fraction);
   // Makes this share of the servers lose `fraction` of their responses after
   // they have run the requests.
   void SetLosing(double share, double fraction);
@@ -138,6 +141,7 @@
     double factor = 1;
     double failing_fraction = 0;
     double losing_fraction = 0;
+    double shedding_fraction = 0;
     state::Instant cold_until{};
     std::vector<state::Instant> cold_arrivals;
     // Requests in execution: the id of the execution, by exchange id.
--- a/tests/servers/server_pool_test.cc
+++ b/tests/servers/server_pool_test.cc
@@ -1,6 +1,8 @@
 // Tests for the selection of servers and for the limits on their requests.
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <deque>
 #include <map>
 #include <memory>
 #include <random>
@@ -231,6 +233,36 @@
   CHECK(fixture.Choose());
 }
 
+// Guards against a window that closes although refusals do not depend on the
+// load: the server refuses half of the requests at random while its slots are
+// taken, and runs others at the same load.
+TEST_CASE("refusals at a load at which others run do not reduce the requests",
+          "[L4]") {
+  PoolFixture fixture;
+  const ServerRecord server = fixture.Add("a");
+  std::deque<Instant> in_flight;
+  std::size_t least_in_flight = 8;
+  for (int i = 0; i < 400; ++i) {
+    fixture.now() += milliseconds(10);
+    while (in_flight.size() < 8 && fixture.Choose()) {
+      fixture.now() += std::chrono::microseconds(10);
+      in_flight.push_back(fixture.now());
+      fixture.pool().RecordSent(fixture.now(), server.incarnation);
+    }
+    least_in_flight = std::min(least_in_flight, in_flight.size());
+    const bool refused = i % 2 == 0;
+    if (!refused) {
+      fixture.pool().RecordLoad(fixture.now(), server.incarnation,
+                                static_cast<int>(in_flight.size()), 1);
+    }
+    fixture.pool().RecordEnd(
+        fixture.now(), server.incarnation, in_flight.front(),
+        refused ? ServerResult::kRefused : ServerResult::kAnswered);
+    in_flight.pop_front();
+  }
+  CHECK(least_in_flight >= 5);
+}
+
 TEST_CASE("a host with few requests uses few servers of a large pool") {
   PoolFixture fixture;
   for (int i = 0; i < 100; ++i) {
