--- a/tests/keys/balance_test.cc
+++ b/tests/keys/balance_test.cc
@@ -93,6 +93,7 @@
     std::poisson_distribution<int> count(mean);
     for (int i = count(random_); i > 0; --i) {
       const bool is_hot =
+          hot.share > 0 &&
           std::uniform_real_distribution<double>(0, 1)(random_) < hot.share;
       const int key = is_hot ? std::uniform_int_distribution<int>(
                                    hot.first, hot.first + hot.keys - 1)(random_)
