--- a/tests/hosts/election_simulation.cc
+++ b/tests/hosts/election_simulation.cc
@@ -10,7 +10,6 @@
 
 namespace {
 
-using coordination::LedgerHead;
 using coordination::WriteOutcome;
 using state::Duration;
 using state::Instant;
--- a/tests/hosts/peer_directory_test.cc
+++ b/tests/hosts/peer_directory_test.cc
@@ -14,7 +14,6 @@
 namespace {
 
 using coordination::BroadcastGroup;
-using coordination::Peer;
 using coordination::PeerDirectory;
 using state::Address;
 using state::Instant;
--- a/tests/load/load_simulation.cc
+++ b/tests/load/load_simulation.cc
@@ -368,12 +368,12 @@
         std::max(result_.max_cold_requests,
                  static_cast<int>(server.cold_arrivals.size()));
   }
-  if (server.shedding_fraction > 0 &&
-      RandomFraction() < server.shedding_fraction) {
-    Respond(id, SendResult::kRefused);
-  } else if (static_cast<int>(server.running.size()) < options_.slots) {
+  const bool sheds = server.shedding_fraction > 0 &&
+                     RandomFraction() < server.shedding_fraction;
+  if (!sheds && static_cast<int>(server.running.size()) < options_.slots) {
     StartExecution(id);
-  } else if (static_cast<int>(server.waiting.size()) < options_.queue) {
+  } else if (!sheds &&
+             static_cast<int>(server.waiting.size()) < options_.queue) {
     server.waiting.push_back(id);
   } else {
     Respond(id, SendResult::kRefused);
--- a/tests/requests/request_cases_test.cc
+++ b/tests/requests/request_cases_test.cc
@@ -132,15 +132,15 @@
 // The pattern: servers and gates are replaced for weeks.
 TEST_CASE("what is recorded of servers is bounded by the servers in use") {
   FlowFixture fixture;
-  for (int i = 0; i < 10000; ++i) {
+  for (coordination::RequestId request = 1; request <= 10000; ++request) {
+    const auto i = static_cast<int>(request);
     const std::string id = "s" + std::to_string(i);
-    const auto request = static_cast<coordination::RequestId>(i + 1);
     fixture.AddServer(id, "shelf");
     fixture.SetOwner(id);
     fixture.view().table.gates.clear();
     if (i % 2 == 0) {
       fixture.view().table.gates[id] = {"10.0.0.1",
-                                        static_cast<std::uint16_t>(i + 1)};
+                                        static_cast<std::uint16_t>(i)};
     }
     const FlowActions sent = fixture.flow().Start(
         fixture.now(), request,
