--- a/src/platform/operator_config.cc
+++ b/src/platform/operator_config.cc
@@ -25,8 +25,7 @@
         {"download", state::RequestKind::kDownload},
     }};
 
-// Upper bounds of settings. Higher values, which no installation needs, are
-// replaced by the bound.
+// Upper bounds of settings. A higher value is replaced by its bound.
 constexpr std::int64_t kMaxPriority = 1000;
 constexpr std::int64_t kMaxConnections = 1000000;
 
