logs: Tell who rejected a request with a 3xx or 4xx, and why

Each line on the end of a request now has the status and for how long the configuration has been in force; malformed has the id, the problem and how many requests the connection had carried; rejections by servers have lines of their own, with and without a signature. mustardflow_answers_total counts final answers by status, origin and reason.

--- a/src/state/routing_view.h
+++ b/src/state/routing_view.h
@@ -9,6 +9,7 @@
 
 #include "state/ownership_table.h"
 #include "state/routing_config.h"
+#include "state/time.h"
 
 namespace mustardflow::state {
 
@@ -16,6 +17,8 @@
 struct RoutingView {
   // Null until the first configuration has been read.
   std::shared_ptr<const RoutingConfig> config;
+  // Since when `config` has been in force on this host.
+  Instant config_since{};
   OwnershipTable table;
   // The number of hosts that share the limits of a service or server, including
   // this host.
--- a/src/transport/caller_connection.cc
+++ b/src/transport/caller_connection.cc
@@ -109,13 +109,12 @@
     const std::size_t used = parser_->put(asio::buffer(input_buffer_), error);
     input_buffer_.erase(0, used);
     if (error && error != http::error::need_more) {
-      Reject(StatusFor(error));
+      Reject({StatusFor(error), error.message()});
       break;
     }
     if (parser_->is_header_done()) {
-      const int status = CheckHeader();
-      if (status != 0) {
-        Reject(status);
+      if (const auto rejection = CheckHeader()) {
+        Reject(*rejection);
         break;
       }
     }
@@ -157,20 +156,23 @@
       });
 }
 
-int CallerConnection::CheckHeader() const {
+std::optional<CallerConnection::Rejection> CallerConnection::CheckHeader()
+    const {
   const auto& message = parser_->get();
   if (message.version() != 11 && message.version() != 10) {
-    return 505;
+    return Rejection{505, "HTTP version"};
   }
   if (message.count(http::field::host) > 1 ||
-      message.count(http::field::content_length) > 1 ||
       (message.version() == 11 && message.count(http::field::host) == 0)) {
-    return 400;
+    return Rejection{400, "not one Host field"};
+  }
+  if (message.count(http::field::content_length) > 1) {
+    return Rejection{400, "several Content-Length fields"};
   }
   if (message.target().empty() || message.target().front() != '/') {
-    return 400;
+    return Rejection{400, "target is not a path"};
   }
-  return 0;
+  return std::nullopt;
 }
 
 void CallerConnection::Dispatch() {
@@ -180,6 +182,7 @@
   exchange->keep_alive = message.keep_alive();
   exchange->is_head_request = message.method() == http::verb::head;
   exchange->relay_pending = true;
+  ++requests_;
   exchanges_.push_back(exchange);
   if (!exchange->keep_alive || current_request_is_last_) {
     reading_finished_ = true;
@@ -191,9 +194,19 @@
                    });
 }
 
-void CallerConnection::Reject(int status) {
-  log_.Write(LogPart::kCaller, "malformed",
-             {{"status", static_cast<std::int64_t>(status)}});
+void CallerConnection::Reject(const Rejection& rejection) {
+  static constexpr std::string_view kEvent = "malformed";
+  const int status = rejection.status;
+  const beast::string_view id = parser_->get()[beast::string_view(
+      platform::kAttemptIdField.data(), platform::kAttemptIdField.size())];
+  log_.Write(LogPart::kCaller, kEvent,
+             {{"id", std::string_view(id.data(), id.size())},
+              {"status", static_cast<std::int64_t>(status)},
+              {"problem", rejection.problem},
+              {"forwarded", source_ == RequestSource::kHost},
+              {"earlier_requests", requests_},
+              {"config", view_.config ? view_.config->version() : -1}});
+  relay_.CountRejection(source_, status, kEvent);
   auto exchange = std::make_shared<Exchange>();
   exchange->keep_alive = false;
   exchange->answer = CallerAnswer{
@@ -325,7 +338,7 @@
         parser_->is_header_done() ? limits.header_timeout + limits.idle_timeout
                                   : limits.header_timeout;
     if (now - *request_started_at_ > allowed) {
-      Reject(408);
+      Reject({408, "request not complete in time"});
     }
     return;
   }
--- a/src/transport/caller_connection.h
+++ b/src/transport/caller_connection.h
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -71,14 +72,19 @@
   void ResetParser();
   // Asks the caller for the body of the arriving request.
   void WriteContinue();
-  // Returns the status for an invalid request line or header, or 0 if both are
-  // valid.
-  int CheckHeader() const;
+  // Why a request is rejected before it is complete.
+  struct Rejection {
+    int status = 400;
+    std::string problem;
+  };
+
+  // Returns what is wrong with the request line or the header, if anything.
+  std::optional<Rejection> CheckHeader() const;
   // Passes the request that the parser has completed to the relay.
   void Dispatch();
   // Answers the arriving request with an error, as the last answer of the
   // connection.
-  void Reject(int status);
+  void Reject(const Rejection& rejection);
   void HandleAnswer(const std::shared_ptr<Exchange>& exchange,
                     CallerAnswer answer);
   // Writes the answer to the oldest request if it is known and no write is in
@@ -106,6 +112,8 @@
   std::string input_buffer_;
   // The answer that is being written.
   std::string output_buffer_;
+  // The number of requests that were passed to the relay.
+  std::int64_t requests_ = 0;
   // Invariant: in the order in which the requests arrived.
   std::deque<std::shared_ptr<Exchange>> exchanges_;
   bool reading_ = false;
--- a/src/transport/entry_host.cc
+++ b/src/transport/entry_host.cc
@@ -113,6 +113,7 @@
              log,
              {[this](std::shared_ptr<const state::RoutingConfig> config) {
                 view_.config = config;
+                view_.config_since = Now();
                 pool_.SetConfig(*config);
                 leader_.SetConfig(std::move(config));
               },
--- a/src/transport/entry_metrics.cc
+++ b/src/transport/entry_metrics.cc
@@ -56,7 +56,11 @@
       request_seconds_(prometheus::BuildHistogram()
                            .Name("mustardflow_request_seconds")
                            .Help("Time from a request's arrival to its end.")
-                           .Register(*registry_)) {
+                           .Register(*registry_)),
+      answers_(prometheus::BuildCounter()
+                   .Name("mustardflow_answers_total")
+                   .Help("Final answers to callers.")
+                   .Register(*registry_)) {
   for (const auto& [name, help] : kGauges) {
     gauges_[name] = &prometheus::BuildGauge()
                          .Name(name)
@@ -88,6 +92,21 @@
   found->second->Observe(std::chrono::duration<double>(duration).count());
 }
 
+void EntryMetrics::CountAnswer(int status,
+                               std::string_view origin,
+                               std::string_view reason) {
+  const std::tuple key(status, std::string(origin), std::string(reason));
+  auto found = answer_counters_.find(key);
+  if (found == answer_counters_.end()) {
+    found = answer_counters_
+                .emplace(key, &answers_.Add({{"status", std::to_string(status)},
+                                             {"origin", std::get<1>(key)},
+                                             {"reason", std::get<2>(key)}}))
+                .first;
+  }
+  found->second->Increment();
+}
+
 void EntryMetrics::Set(const std::string& name, double value) {
   if (const auto counter = counters_.find(name); counter != counters_.end()) {
     counter->second->Increment(value - counter->second->Value());
--- a/src/transport/entry_metrics.h
+++ b/src/transport/entry_metrics.h
@@ -12,6 +12,9 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <tuple>
+#include <utility>
 
 #include "state/time.h"
 
@@ -30,6 +33,13 @@
                       const std::string& outcome,
                       state::Duration duration);
 
+  // Counts a final answer to a caller. `origin` tells who made it: "server",
+  // "unsigned" for a server's answer without its signature, or "host". `reason`
+  // is why a host made it, as in the log; empty for answers of servers.
+  void CountAnswer(int status,
+                   std::string_view origin,
+                   std::string_view reason);
+
   // Sets a gauge or a counter, which must not decrease. Throws
   // std::out_of_range for a name that is neither.
   void Set(const std::string& name, double value);
@@ -43,6 +53,10 @@
   // By route and outcome. The registry owns the metrics.
   std::map<std::pair<std::string, std::string>, prometheus::Histogram*>
       histograms_;
+  prometheus::Family<prometheus::Counter>& answers_;
+  // By status, origin and reason.
+  std::map<std::tuple<int, std::string, std::string>, prometheus::Counter*>
+      answer_counters_;
   std::map<std::string, prometheus::Gauge*> gauges_;
   std::map<std::string, prometheus::Counter*> counters_;
 };
--- a/src/transport/request_relay.cc
+++ b/src/transport/request_relay.cc
@@ -101,6 +101,18 @@
   return duration.count() / 1000;
 }
 
+constexpr std::array<std::string_view, 3> kOriginNames = {"host", "server",
+                                                          "unsigned"};
+
+std::string_view NameOf(AnswerOrigin origin) {
+  return kOriginNames[static_cast<std::size_t>(origin)];
+}
+
+// Whether the status tells the caller that the request itself is wrong.
+bool IsRejection(int status) {
+  return status >= 300 && status < 500;
+}
+
 // How the end of a request appears in the metrics and in the log.
 struct EndingLabels {
   // A value of the metrics' outcome label.
@@ -201,7 +213,8 @@
   request->route =
       request->config->FindRoute(hostname, target.substr(0, target.find('?')));
   if (request->route == nullptr) {
-    RejectRequest(request, "no-route", target, {404, "Not Found", {}, ""});
+    RejectRequest(request, "no-route", hostname + std::string(target),
+                  {404, "Not Found", {}, ""});
     return false;
   }
   Duration allowed = request->route->timeout;
@@ -488,20 +501,14 @@
     return;
   }
   const EndingLabels labels = LabelsFor(conclusion.outcome);
-  const bool late =
-      conclusion.outcome == RequestOutcome::kAnswered &&
-      Now() - request->terms.received > request->terms.target_latency;
-  if (!labels.event.empty() || late) {
-    const std::string reason = conclusion.reason.empty()
-                                   ? conclusion.server
-                                   : std::string(conclusion.reason);
-    LogEnd(*request, late ? "answered-late" : labels.event, reason,
-           conclusion.sends);
-  }
+  Ending ending{labels.outcome, AnswerOrigin::kHost,
+                conclusion.reason.empty() ? labels.event : conclusion.reason};
   CallerAnswer answer;
   switch (conclusion.outcome) {
     case RequestOutcome::kAnswered:
     case RequestOutcome::kFailed:
+      ending.origin = OriginOf(request->answer);
+      ending.reason = "";
       answer.status = request->answer.status;
       answer.reason = std::move(request->answer.reason);
       CopyEndToEndFields(request->answer.fields, &answer.fields);
@@ -522,29 +529,63 @@
     case RequestOutcome::kCancelled:
       break;
   }
-  Finish(request, labels.outcome, std::move(answer));
+  const bool late =
+      conclusion.outcome == RequestOutcome::kAnswered &&
+      Now() - request->terms.received > request->terms.target_latency;
+  std::string_view event = late ? "answered-late" : labels.event;
+  if (ending.origin != AnswerOrigin::kHost && IsRejection(answer.status)) {
+    event = ending.origin == AnswerOrigin::kServer ? "rejected-by-server"
+                                                   : "rejected-unsigned";
+  }
+  if (!event.empty()) {
+    LogEnd(*request, event,
+           conclusion.reason.empty() ? std::string_view(conclusion.server)
+                                     : conclusion.reason,
+           answer.status, conclusion.sends);
+  }
+  Finish(request, ending, std::move(answer));
+}
+
+AnswerOrigin RequestRelay::OriginOf(const ServerAnswer& answer) {
+  return answer.fields.find(platform::kSignatureField) == answer.fields.end()
+             ? AnswerOrigin::kUnsigned
+             : AnswerOrigin::kServer;
 }
 
 void RequestRelay::RejectRequest(const RequestPtr& request,
                                  std::string_view event,
                                  std::string_view reason,
                                  CallerAnswer answer) {
-  LogEnd(*request, event, reason, 0);
-  Finish(request, event == "refused" ? "refused" : "failed", std::move(answer));
+  LogEnd(*request, event, reason, answer.status, 0);
+  const bool refused = event == "refused";
+  Finish(request,
+         {refused ? "refused" : "failed", AnswerOrigin::kHost,
+          refused ? reason : event},
+         std::move(answer));
+}
+
+void RequestRelay::CountRejection(RequestSource source,
+                                  int status,
+                                  std::string_view reason) {
+  if (source == RequestSource::kCaller) {
+    metrics_.CountAnswer(status, NameOf(AnswerOrigin::kHost), reason);
+  }
 }
 
 void RequestRelay::Finish(const RequestPtr& request,
-                          std::string_view outcome,
+                          const Ending& ending,
                           CallerAnswer answer) {
   const std::string route = request->source == RequestSource::kHost
                                 ? "forwarded"
                             : request->route == nullptr ? ""
                                                         : request->route->name;
-  metrics_.ObserveRequest(route, std::string(outcome),
+  metrics_.ObserveRequest(route, std::string(ending.outcome),
                           Now() - request->terms.received);
   if (request->source == RequestSource::kHost) {
-    answer.fields.emplace_back(kOutcomeField, outcome);
+    answer.fields.emplace_back(kOutcomeField, ending.outcome);
     AddAttemptId(*request, &answer);
+  } else if (request->handler) {
+    metrics_.CountAnswer(answer.status, NameOf(ending.origin), ending.reason);
   }
   requests_.erase(request->id);
   if (request->handler) {
@@ -583,6 +624,7 @@
 void RequestRelay::LogEnd(const Request& request,
                           std::string_view event,
                           std::string_view reason,
+                          int status,
                           int sends) {
   log_.Write(
       LogPart::kRequest, event,
@@ -593,8 +635,11 @@
        {"left_ms", Milliseconds(request.terms.end - Now())},
        {"key",
         request.terms.key ? static_cast<std::int64_t>(*request.terms.key) : -1},
+       {"status", static_cast<std::int64_t>(status)},
        {"sends", static_cast<std::int64_t>(sends)},
        {"config", request.config ? request.config->version() : -1},
+       {"config_age_ms",
+        request.config ? Milliseconds(Now() - view_.config_since) : -1},
        {"term", view_.table.term},
        {"revision", view_.table.revision}});
 }
--- a/src/transport/request_relay.h
+++ b/src/transport/request_relay.h
@@ -38,6 +38,14 @@
   std::string body;
 };
 
+// Who made the final answer to a request.
+enum class AnswerOrigin {
+  kHost,
+  kServer,
+  // A server, but the answer lacks its signature.
+  kUnsigned,
+};
+
 // The kind of peer that sent a request to this host.
 enum class RequestSource {
   kCaller,
@@ -93,6 +101,12 @@
   // process exits.
   void EndAll();
 
+  // Counts the answer to a request that was rejected before it was complete.
+  // `reason` is the event in the log.
+  void CountRejection(RequestSource source,
+                      int status,
+                      std::string_view reason);
+
   std::size_t active() const { return requests_.size(); }
   // Sets the metrics that are derived from the state of the relay.
   void SetMetrics(state::Instant now);
@@ -128,6 +142,15 @@
 
   using RequestPtr = std::shared_ptr<Request>;
 
+  // How a request ended, for the metrics.
+  struct Ending {
+    // A value of the metrics' outcome label.
+    std::string_view outcome;
+    AnswerOrigin origin = AnswerOrigin::kHost;
+    // Why this host made the answer; empty if a server made it.
+    std::string_view reason;
+  };
+
   // Sets the route and the terms of the request. If that is impossible, rejects
   // the request and returns false.
   bool Classify(const RequestPtr& request);
@@ -167,16 +190,18 @@
                      std::string_view reason,
                      CallerAnswer answer);
   // Counts the request in the metrics, removes it and calls its handler.
-  // `outcome` is a value of the metrics' outcome label.
   void Finish(const RequestPtr& request,
-              std::string_view outcome,
+              const Ending& ending,
               CallerAnswer answer);
+  // Returns who made the latest answer of a server or gate.
+  static AnswerOrigin OriginOf(const ServerAnswer& answer);
   RequestPtr Find(RequestId id) const;
   // Names the request in an answer of this host's own.
   static void AddAttemptId(const Request& request, CallerAnswer* answer);
   void LogEnd(const Request& request,
               std::string_view event,
               std::string_view reason,
+              int status,
               int sends);
 
   const state::RoutingView& view_;
--- a/tests/logs/trace_test.cc
+++ b/tests/logs/trace_test.cc
@@ -1,9 +1,5 @@
 // Tests of the command "trace", the event log and the documentation of metrics.
 
-#include <fcntl.h>
-#include <unistd.h>
-
-#include <array>
 #include <catch2/catch.hpp>
 #include <filesystem>
 #include <fstream>
@@ -14,6 +10,7 @@
 
 #include "apps/trace_command.h"
 #include "tests/support/expected_text.h"
+#include "tests/support/log_pipe.h"
 #include "transport/entry_metrics.h"
 #include "transport/event_log.h"
 
@@ -21,32 +18,6 @@
 
 namespace {
 
-// A pipe for an event log to write into. Read() returns what has arrived.
-class LogPipe {
- public:
-  LogPipe() {
-    REQUIRE(::pipe(ends_.data()) == 0);
-    ::fcntl(ends_[0], F_SETFL, O_NONBLOCK);
-  }
-  ~LogPipe() {
-    ::close(ends_[0]);
-    ::close(ends_[1]);
-  }
-  LogPipe(const LogPipe&) = delete;
-  LogPipe& operator=(const LogPipe&) = delete;
-
-  int writer() const { return ends_[1]; }
-  std::string Read() {
-    std::string text(1 << 20, '\0');
-    const ssize_t size = ::read(ends_[0], text.data(), text.size());
-    text.resize(size > 0 ? static_cast<std::size_t>(size) : 0);
-    return text;
-  }
-
- private:
-  std::array<int, 2> ends_{};
-};
-
 constexpr char kLogs[] =
     "12.5 b {\"time_ms\":1000,\"host\":\"b\",\"part\":\"servers\","
     "\"event\":\"gone\",\"server\":\"i-1\"}\n"
@@ -123,6 +94,7 @@
                "docs/operate/metrics.md");
   transport::EntryMetrics metrics;
   metrics.ObserveRequest("r", "answered", std::chrono::milliseconds(5));
+  metrics.CountAnswer(200, "server", "");
   const std::string served = metrics.Page();
   const std::regex type("# TYPE (mustardflow_\\w+)");
   const std::regex listed("\\| `(mustardflow_\\w+)` \\|");
--- a/tests/transport/relay_fixture.h
+++ b/tests/transport/relay_fixture.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "coordination/server_pool.h"
+#include "tests/support/log_pipe.h"
 #include "transport/caller_listener.h"
 #include "transport/event_log.h"
 #include "transport/request_relay.h"
@@ -29,7 +30,7 @@
       state::RequestKind kind = state::RequestKind::kNonIdempotent)
       : server_(context_, {transport::asio::ip::make_address("127.0.0.1"), 0}),
         pool_("near", {}, [] { return 0.5; }),
-        log_(-1, "test"),
+        log_(log_pipe_.writer(), "test"),
         relay_(
             context_,
             profile_,
@@ -119,6 +120,12 @@
 
   // Whether the last Receive() found that the connection had ended.
   bool ended() const { return ended_; }
+  // Returns the log lines written since the last call.
+  std::string LogText() {
+    log_.Flush(state::Instant(std::chrono::seconds(1)));
+    return log_pipe_.Read();
+  }
+  std::string MetricsPage() const { return metrics_.Page(); }
   transport::CallerListener& callers() { return callers_; }
   state::HostProfile& profile() { return profile_; }
 
@@ -150,6 +157,7 @@
   state::HostProfile profile_ = SmallHost();
   state::RoutingView view_;
   coordination::ServerPool pool_;
+  LogPipe log_pipe_;
   transport::EventLog log_;
   transport::EntryMetrics metrics_;
   transport::RequestRelay relay_;
