requests: Do not reject for good by a configuration that may be outdated

Callers saw 404 for routes that had been added: a host that had lost touch with the store and the leader, or had heard of a newer configuration and not read it yet, answered from the one it had, and callers do not come back after 404.

A host now rejects by the configuration only while it knows that it has the newest one: from its own reading or the leader's, no longer ago than the time in which a change must be in force (config_apply of its settings), and without news of a later record. Otherwise it refuses with 503 and Retry-After. Heartbeats say how old the leader's reading of the operators' records is.

--- a/src/platform/settings_file.cc
+++ b/src/platform/settings_file.cc
@@ -43,6 +43,8 @@
     set_number(&bounds->cold_slack);
   } else if (name == "hold_max") {
     set_period(&bounds->max_lease);
+  } else if (name == "config_apply") {
+    set_period(&bounds->config_apply);
   } else if (name == "grace") {
     set_period(&bounds->stop_grace);
   }
--- a/src/protocol/host_messages.cc
+++ b/src/protocol/host_messages.cc
@@ -205,17 +205,19 @@
 
 struct MessageWriter {
   json::object operator()(const LeaderHeartbeat& heartbeat) const {
-    json::object object = {{"kind", "beat"},
-                           {"host", heartbeat.host},
-                           {"address", FormatAddress(heartbeat.address)},
-                           {"term", heartbeat.term},
-                           {"revision", heartbeat.revision},
-                           {"operators", heartbeat.progress.operators},
-                           {"servers", heartbeat.progress.servers},
-                           {"age_us", heartbeat.progress.age.count()},
-                           {"yielding", heartbeat.stepping_down},
-                           {"hosts", heartbeat.hosts},
-                           {"number", heartbeat.number}};
+    json::object object = {
+        {"kind", "beat"},
+        {"host", heartbeat.host},
+        {"address", FormatAddress(heartbeat.address)},
+        {"term", heartbeat.term},
+        {"revision", heartbeat.revision},
+        {"operators", heartbeat.progress.operators},
+        {"servers", heartbeat.progress.servers},
+        {"age_us", heartbeat.progress.age.count()},
+        {"operators_age_us", heartbeat.progress.operators_age.count()},
+        {"yielding", heartbeat.stepping_down},
+        {"hosts", heartbeat.hosts},
+        {"number", heartbeat.number}};
     if (!heartbeat.relay_to.empty()) {
       object["relay_to"] = EncodeAddresses(heartbeat.relay_to);
     }
@@ -281,6 +283,11 @@
     heartbeat.progress.servers = object.at("servers").to_number<std::int64_t>();
     heartbeat.progress.age =
         state::Duration(object.at("age_us").to_number<std::int64_t>());
+    const json::value* operators_age = object.if_contains("operators_age_us");
+    heartbeat.progress.operators_age =
+        operators_age != nullptr
+            ? state::Duration(operators_age->to_number<std::int64_t>())
+            : heartbeat.progress.age;
     heartbeat.stepping_down = object.at("yielding").as_bool();
     heartbeat.hosts = object.at("hosts").to_number<std::size_t>();
     heartbeat.number = object.at("number").to_number<std::int64_t>();
--- a/src/protocol/host_messages.h
+++ b/src/protocol/host_messages.h
@@ -31,6 +31,8 @@
   // Time since the leader last read the store. While the leader's reads fail,
   // longer than any age that hosts accept.
   state::Duration age{0};
+  // The same for the operators' topic, which is read separately.
+  state::Duration operators_age{0};
 };
 
 // What has changed since the previous heartbeat, or one part of these changes
--- a/src/state/host_profile.h
+++ b/src/state/host_profile.h
@@ -27,6 +27,8 @@
   double cold_slack = 5;
   // The maximum lease that a backend server accepts.
   Duration max_lease = std::chrono::seconds(10);
+  // The time within which a published configuration must be in force.
+  Duration config_apply = std::chrono::seconds(2);
   // The time from a stop signal until the process is killed.
   Duration stop_grace = std::chrono::seconds(6);
 };
--- a/src/state/routing_view.h
+++ b/src/state/routing_view.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 
 #include "state/ownership_table.h"
 #include "state/routing_config.h"
@@ -19,6 +20,9 @@
   std::shared_ptr<const RoutingConfig> config;
   // Since when `config` has been in force on this host.
   Instant config_since{};
+  // When this host last knew that there was no newer configuration. Nothing if
+  // it knows that there is one.
+  std::optional<Instant> config_confirmed_at;
   OwnershipTable table;
   // The number of hosts that share the limits of a service or server, including
   // this host.
--- a/src/transport/entry_host.cc
+++ b/src/transport/entry_host.cc
@@ -310,6 +310,7 @@
     leader_.Tick(now);
   }
   watch_.Tick(now, leader_.leading());
+  view_.config_confirmed_at = watch_.ConfigConfirmedAt();
   relay_.Tick(now);
   if (now >= next_report_) {
     next_report_ = now + kReportInterval;
--- a/src/transport/request_relay.cc
+++ b/src/transport/request_relay.cc
@@ -23,7 +23,8 @@
 
 namespace {
 
-// Retry-After for requests that arrive before the first configuration.
+// Retry-After for requests that arrive before the first configuration, or that
+// a newer configuration might allow.
 constexpr Duration kNoConfigRetryAfter = std::chrono::milliseconds(500);
 // Maximum number of shard keys sampled for one load report of a service.
 constexpr std::size_t kSamplesPerReport = 120;
@@ -158,7 +159,8 @@
                            std::function<double()> random,
                            EventLog& log,
                            EntryMetrics& metrics)
-    : view_(view),
+    : profile_(profile),
+      view_(view),
       pool_(pool),
       random_(random),
       log_(log),
@@ -213,8 +215,8 @@
   request->route =
       request->config->FindRoute(hostname, target.substr(0, target.find('?')));
   if (request->route == nullptr) {
-    RejectRequest(request, "no-route", hostname + std::string(target),
-                  {404, "Not Found", {}, ""});
+    RejectByConfig(request, "no-route", hostname + std::string(target),
+                   {404, "Not Found", {}, ""});
     return false;
   }
   Duration allowed = request->route->timeout;
@@ -233,8 +235,8 @@
   if (rules != request->config->services().end() && rules->second.keyed) {
     terms.key = KeyOf(*request);
     if (!terms.key) {
-      RejectRequest(request, "no-key", terms.service,
-                    {400, "Bad Request", {}, ""});
+      RejectByConfig(request, "no-key", terms.service,
+                     {400, "Bad Request", {}, ""});
       return false;
     }
     // Scales the random fraction to an integer. The factor is 2^53, since a
@@ -246,6 +248,21 @@
   return true;
 }
 
+void RequestRelay::RejectByConfig(const RequestPtr& request,
+                                  std::string_view event,
+                                  std::string_view reason,
+                                  CallerAnswer answer) {
+  const bool confirmed =
+      view_.config_confirmed_at &&
+      Now() - *view_.config_confirmed_at <= profile_.bounds.config_apply;
+  if (confirmed) {
+    RejectRequest(request, event, reason, std::move(answer));
+  } else {
+    RejectRequest(request, "refused", "configuration-unconfirmed",
+                  RefusalAnswer(kNoConfigRetryAfter));
+  }
+}
+
 bool RequestRelay::ClassifyForwarded(const RequestPtr& request) {
   const CallerMessage& message = request->message;
   request->attempt_id = std::string(message[platform::kAttemptIdField]);
--- a/src/transport/request_relay.h
+++ b/src/transport/request_relay.h
@@ -154,6 +154,12 @@
   // Sets the route and the terms of the request. If that is impossible, rejects
   // the request and returns false.
   bool Classify(const RequestPtr& request);
+  // Ends a request that the configuration does not allow: for good, or, if this
+  // host cannot rule out a newer configuration, with a time to come back.
+  void RejectByConfig(const RequestPtr& request,
+                      std::string_view event,
+                      std::string_view reason,
+                      CallerAnswer answer);
   // Sets the terms from the header fields that the forwarding host added. If
   // one is missing or invalid, rejects the request and returns false.
   bool ClassifyForwarded(const RequestPtr& request);
@@ -204,6 +210,7 @@
               int status,
               int sends);
 
+  const state::HostProfile& profile_;
   const state::RoutingView& view_;
   coordination::ServerPool& pool_;
   const std::function<double()> random_;
--- a/src/transport/store_watch.cc
+++ b/src/transport/store_watch.cc
@@ -84,6 +84,7 @@
   if (heartbeat.update && heartbeat.update->entry_parts > 0) {
     HandleEntries(now, *heartbeat.update, progress.servers);
   }
+  operator_reader_.announced_at = now - progress.operators_age;
   RecordAnnounced(now, progress.operators, &operator_reader_);
   RecordAnnounced(now, progress.servers, &server_reader_);
   if (progress.age <= kMaxProgressAge) {
@@ -176,11 +177,22 @@
   reader->relevant_end = std::max(reader->relevant_end, announced);
   if (!reader->next || announced <= *reader->next) {
     reader->behind_since.reset();
+    if (reader->next && reader->announced_at) {
+      Confirm(*reader->announced_at, reader);
+    }
   } else if (!reader->behind_since) {
     reader->behind_since = now;
   }
 }
 
+void StoreWatch::Confirm(Instant time, TopicReader* reader) {
+  reader->confirmed_at = std::max(reader->confirmed_at, std::optional(time));
+}
+
+std::optional<Instant> StoreWatch::ConfigConfirmedAt() const {
+  return NeedsOperatorRecords() ? std::nullopt : operator_reader_.confirmed_at;
+}
+
 void StoreWatch::TakeEntryUpdates(protocol::HeartbeatUpdate* update) {
   update->base_server_offset = published_end_;
   update->entries = std::move(unpublished_entries_);
@@ -195,7 +207,8 @@
 protocol::ReadProgress StoreWatch::Progress(Instant now) const {
   const bool failing = operator_reader_.failing || server_reader_.failing;
   return {operator_reader_.relevant_end, server_reader_.relevant_end,
-          failing ? kNeverReadAge : now - server_reader_.read_at};
+          failing ? kNeverReadAge : now - server_reader_.read_at,
+          failing ? kNeverReadAge : now - operator_reader_.read_at};
 }
 
 void StoreWatch::Tick(Instant now, bool leading) {
@@ -248,6 +261,7 @@
   reader->failures = page ? 0 : reader->failures + 1;
   if (page) {
     reader->next = page->next;
+    Confirm(reader->read_at, reader);
     RecordAnnounced(reader->read_at, reader->announced, reader);
   }
 }
--- a/src/transport/store_watch.h
+++ b/src/transport/store_watch.h
@@ -72,6 +72,10 @@
   // Moves into the update the relevant server entries since the last call.
   void TakeEntryUpdates(protocol::HeartbeatUpdate* update);
 
+  // When this host last knew that it had all records of operators; nothing if
+  // it lacks some, or has never read them.
+  std::optional<state::Instant> ConfigConfirmedAt() const;
+
   // Whether this host lacks records of operators that the leader has read. They
   // are then fetched from another host; if that fails, this host reads the
   // store.
@@ -120,6 +124,10 @@
     // nothing if it is not ahead.
     std::int64_t announced = 0;
     std::optional<state::Instant> behind_since;
+    // When the leader read `announced`, and when this host last knew that it
+    // had all records: from a read of its own or from `announced`.
+    std::optional<state::Instant> announced_at;
+    std::optional<state::Instant> confirmed_at;
     // The number of consecutive failed reads.
     int failures = 0;
   };
@@ -135,6 +143,8 @@
                state::Duration interval) const;
   // Records the result of a read; no page means that it failed.
   void RecordRead(TopicReader* reader, const std::optional<TopicPage>& page);
+  // Records that this host had all records at `time`.
+  static void Confirm(state::Instant time, TopicReader* reader);
   // Records that the leader's relevant records end at `announced`.
   static void RecordAnnounced(state::Instant now,
                               std::int64_t announced,
--- a/tests/platform/settings_file_test.cc
+++ b/tests/platform/settings_file_test.cc
@@ -17,6 +17,7 @@
   "limits": {"memory_mb": 260},
   "bounds": ["retry_budget_ratio=0.2", "retry_budget_slack=56",
              "warmup_overage=1.5", "warmup_slack=5", "grace=6s",
+             "config_apply=2500ms",
              "hold_max=10000ms", "unheard_of=1", "no figure", "grace=soon"],
   "platform": {"address": "10.200.1.7:8384"},
   "something_new": [1, 2, 3]
@@ -38,6 +39,7 @@
   CHECK(profile->bounds.retry_slack == 56);
   CHECK(profile->bounds.cold_slack == 5);
   CHECK(profile->bounds.stop_grace == std::chrono::seconds(6));
+  CHECK(profile->bounds.config_apply == std::chrono::milliseconds(2500));
 }
 
 TEST_CASE("all missing and invalid settings are reported together") {
--- a/tests/protocol/host_messages_test.cc
+++ b/tests/protocol/host_messages_test.cc
@@ -81,12 +81,14 @@
   heartbeat.term = 4;
   heartbeat.revision = 8;
   heartbeat.number = 19;
-  heartbeat.progress = {5, 6, std::chrono::milliseconds(7)};
+  heartbeat.progress = {5, 6, std::chrono::milliseconds(7),
+                        std::chrono::milliseconds(8)};
   heartbeat.update = LargeUpdate();
   const auto read = protocol::DecodeMessage(protocol::EncodeMessage(heartbeat));
   REQUIRE(read);
   const auto& decoded = std::get<LeaderHeartbeat>(*read);
   CHECK(decoded.number == 19);
+  CHECK(decoded.progress.operators_age == std::chrono::milliseconds(8));
   CHECK(decoded.address == heartbeat.address);
   CHECK(decoded.relay_to == heartbeat.relay_to);
   REQUIRE(decoded.update);
--- a/tests/transport/relay_fixture.h
+++ b/tests/transport/relay_fixture.h
@@ -15,6 +15,7 @@
 #include "coordination/server_pool.h"
 #include "tests/support/log_pipe.h"
 #include "transport/caller_listener.h"
+#include "transport/clocks.h"
 #include "transport/event_log.h"
 #include "transport/request_relay.h"
 
@@ -41,6 +42,7 @@
             metrics_),
         callers_(context_, {"127.0.0.1", 0}, view_, relay_, log_) {
     view_.config = OneRouteConfig(kind);
+    view_.config_confirmed_at = transport::Now();
     pool_.SetConfig(*view_.config);
     state::ServerRecord record;
     record.incarnation = {"s1", 1};
@@ -125,6 +127,7 @@
     log_.Flush(state::Instant(std::chrono::seconds(1)));
     return log_pipe_.Read();
   }
+  state::RoutingView& view() { return view_; }
   std::string MetricsPage() const { return metrics_.Page(); }
   transport::CallerListener& callers() { return callers_; }
   state::HostProfile& profile() { return profile_; }
--- /dev/null
+++ b/tests/transport/store_watch_test.cc
@@ -0,0 +1,210 @@
+// What a host knows of the operators' records, from the store, from the leader
+// and from other hosts. The test plays all three.
+
+#include "transport/store_watch.h"
+
+#include <boost/endian/conversion.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "transport/clocks.h"
+#include "transport/http_listener.h"
+
+namespace mustardflow::tests {
+
+namespace {
+
+using std::chrono::milliseconds;
+using transport::asio::awaitable;
+using transport::asio::ip::tcp;
+
+std::uint16_t FreePort(transport::asio::io_context& context) {
+  const tcp::acceptor acceptor(
+      context, {transport::asio::ip::make_address("127.0.0.1"), 0});
+  return acceptor.local_endpoint().port();
+}
+
+std::string Config(int version) {
+  return R"({"version":)" + std::to_string(version) + R"(,"routes":{}})";
+}
+
+// A store whose operators' topic the test writes.
+class FakeStore {
+ public:
+  explicit FakeStore(transport::asio::io_context& context)
+      : context_(context),
+        address_{"127.0.0.1", FreePort(context)},
+        listener_(context.get_executor(),
+                  address_,
+                  {},
+                  [this](transport::HttpRequest request) {
+                    return Answer(std::move(request));
+                  }) {
+    listener_.Start();
+  }
+
+  const state::Address& address() const { return address_; }
+  // Appends a record without a value, which deletes the key, or with one.
+  void Put(std::string key, std::string value) {
+    records_.emplace_back(std::move(key), std::move(value));
+  }
+  // Sets the answer to reads of the newest records.
+  void SetNewest(std::string newest) { newest_ = std::move(newest); }
+  // How long answers are under way.
+  void SetDelay(milliseconds delay) { delay_ = delay; }
+  std::int64_t end() const {
+    return static_cast<std::int64_t>(records_.size());
+  }
+
+ private:
+  awaitable<transport::HttpReply> Answer(transport::HttpRequest request) {
+    transport::HttpReply reply;
+    reply.status = 200;
+    if (request.path == "/log-newest") {
+      reply.body = newest_;
+    } else {
+      reply.body = Page(request);
+    }
+    if (delay_ > milliseconds(0)) {
+      transport::asio::steady_timer timer(context_, delay_);
+      co_await timer.async_wait(transport::kNoThrow);
+    }
+    co_return reply;
+  }
+
+  std::string Page(const transport::HttpRequest& request) const {
+    const bool operators =
+        request.query.at("topic") == platform::kOperatorTopic;
+    const std::size_t end = operators ? records_.size() : 0;
+    std::string body;
+    AppendNumber(static_cast<std::uint64_t>(end), &body);
+    AppendNumber(std::uint64_t{0}, &body);
+    for (std::size_t i = std::stoull(request.query.at("from")); i < end; ++i) {
+      const auto& [key, value] = records_[i];
+      AppendNumber(static_cast<std::uint32_t>(1 + key.size() + value.size()),
+                   &body);
+      body += static_cast<char>(key.size());
+      body += key + value;
+    }
+    return body;
+  }
+
+  template <typename Number>
+  static void AppendNumber(Number number, std::string* body) {
+    const Number big = boost::endian::native_to_big(number);
+    body->append(reinterpret_cast<const char*>(&big), sizeof(big));
+  }
+
+  transport::asio::io_context& context_;
+  const state::Address address_;
+  std::vector<std::pair<std::string, std::string>> records_;
+  std::string newest_ = R"({"items":[],"has_more":false,"end":0})";
+  milliseconds delay_{0};
+  transport::HttpListener listener_;
+};
+
+// A host that follows the store and a leader.
+class WatchFixture {
+ public:
+  WatchFixture()
+      : store_(context_),
+        client_(context_.get_executor(), store_.address(), log_),
+        watch_(
+            context_.get_executor(),
+            client_,
+            pool_,
+            log_,
+            {[this](std::shared_ptr<const state::RoutingConfig> config) {
+               version_ = config->version();
+             },
+             [this](const std::set<std::string>& zones) { evacuated_ = zones; },
+             [] {}}) {}
+
+  // Runs the host for `time`.
+  void Run(milliseconds time) {
+    const auto end = transport::Now() + time;
+    while (transport::Now() < end) {
+      watch_.Tick(transport::Now(), false);
+      context_.restart();
+      context_.run_for(milliseconds(5));
+    }
+  }
+
+  // A heartbeat of a leader that has read the operators' records up to
+  // `operators`, and read them last `age` ago.
+  void HearLeader(std::int64_t operators, milliseconds age) {
+    protocol::LeaderHeartbeat heartbeat;
+    heartbeat.progress.operators = operators;
+    heartbeat.progress.operators_age = age;
+    watch_.HandleProgress(transport::Now(), heartbeat);
+  }
+
+  // How long ago the host last knew that it had the newest configuration.
+  std::optional<state::Duration> ConfigAge() const {
+    const auto confirmed = watch_.ConfigConfirmedAt();
+    return confirmed
+               ? std::optional<state::Duration>(transport::Now() - *confirmed)
+               : std::nullopt;
+  }
+
+  FakeStore& store() { return store_; }
+  transport::StoreWatch& watch() { return watch_; }
+  std::int64_t version() const { return version_; }
+  const std::set<std::string>& evacuated() const { return evacuated_; }
+
+ private:
+  transport::asio::io_context context_;
+  transport::EventLog log_{-1, "test"};
+  coordination::ServerPool pool_{"near", {}, [] { return 0.5; }};
+  FakeStore store_;
+  transport::StoreClient client_;
+  transport::StoreWatch watch_;
+  std::int64_t version_ = 0;
+  std::set<std::string> evacuated_;
+};
+
+}  // namespace
+
+TEST_CASE("a host knows how long ago its configuration was the newest",
+          "[Z7]") {
+  WatchFixture host;
+  CHECK_FALSE(host.ConfigAge());
+  host.store().Put("config", Config(3));
+  host.watch().Start();
+  // The first read of the newest records finds none, the second one this.
+  host.Run(milliseconds(1700));
+  REQUIRE(host.version() == 3);
+  REQUIRE(host.ConfigAge());
+  CHECK(*host.ConfigAge() < milliseconds(400));
+
+  SECTION("by the leader's reads") {
+    host.HearLeader(host.store().end(), milliseconds(0));
+    CHECK(*host.ConfigAge() < milliseconds(100));
+    host.Run(milliseconds(200));
+    host.HearLeader(host.store().end(), milliseconds(150));
+    CHECK(*host.ConfigAge() >= milliseconds(150));
+    CHECK(*host.ConfigAge() < milliseconds(250));
+  }
+  SECTION("not at all while the leader has read a newer record") {
+    host.HearLeader(host.store().end() + 1, milliseconds(0));
+    CHECK_FALSE(host.ConfigAge());
+    // Another host sends the record.
+    host.watch().HandleOperatorRecords(
+        {host.store().end() + 1, {{"config", Config(4)}}});
+    CHECK(host.version() == 4);
+    REQUIRE(host.ConfigAge());
+    CHECK(*host.ConfigAge() < milliseconds(100));
+  }
+  SECTION("longer and longer while neither store nor leader is heard") {
+    host.store().SetDelay(std::chrono::seconds(5));
+    host.Run(milliseconds(900));
+    CHECK(*host.ConfigAge() >= milliseconds(900));
+  }
+}
+
+}  // namespace mustardflow::tests
