store: Drop a page that was read before newer records came from another host

A host that reads the store slowly may get newer records from another host meanwhile. The late page was applied all the same: an evacuation that it had taken over was undone, the records that it hands to starting hosts went back, and a server that had registered again could count as gone until the next read.

A page that ends before the records that the host already has is dropped. The test failed before: the evacuated zone was in use again, and the records for other hosts had one entry instead of two.

--- a/src/transport/store_watch.cc
+++ b/src/transport/store_watch.cc
@@ -254,16 +254,18 @@
   return since >= (reader.failing ? retry : interval);
 }
 
-void StoreWatch::RecordRead(TopicReader* reader,
+bool StoreWatch::RecordRead(TopicReader* reader,
                             const std::optional<TopicPage>& page) {
   reader->read_at = Now();
   reader->failing = !page;
   reader->failures = page ? 0 : reader->failures + 1;
-  if (page) {
-    reader->next = page->next;
-    Confirm(reader->read_at, reader);
-    RecordAnnounced(reader->read_at, reader->announced, reader);
+  if (!page || page->next < reader->next) {
+    return false;
   }
+  reader->next = page->next;
+  Confirm(reader->read_at, reader);
+  RecordAnnounced(reader->read_at, reader->announced, reader);
+  return true;
 }
 
 awaitable<void> StoreWatch::WaitUntilReadDue(TopicReader* reader) {
@@ -285,8 +287,8 @@
     } else {
       page = co_await store_.ReadNewest(topic);
     }
-    RecordRead(&operator_reader_, page);
-    if (page && !page->records.empty()) {
+    const bool usable = RecordRead(&operator_reader_, page);
+    if (usable && !page->records.empty()) {
       ApplyOperators(*page);
       hooks_.progressed();
       co_await Sleep(executor_, kOperatorBatchDelay);
@@ -383,10 +385,14 @@
     } else {
       page = co_await store_.ReadNewest(topic);
     }
-    RecordRead(&server_reader_, page);
+    const bool usable = RecordRead(&server_reader_, page);
     const Instant now = server_reader_.read_at;
     if (page) {
       missing_entries_.HandleRead(now);
+    } else {
+      missing_entries_.HandleFailedRead(now);
+    }
+    if (usable) {
       const std::uint64_t change = pool_.change();
       ApplyServers(now, *page);
       servers_known_ = true;
@@ -394,8 +400,6 @@
         server_reader_.relevant_end = page->next;
         hooks_.progressed();
       }
-    } else {
-      missing_entries_.HandleFailedRead(now);
     }
     co_await WaitUntilReadDue(&server_reader_);
   }
--- a/src/transport/store_watch.h
+++ b/src/transport/store_watch.h
@@ -141,8 +141,11 @@
   bool ReadDue(state::Instant now,
                const TopicReader& reader,
                state::Duration interval) const;
-  // Records the result of a read; no page means that it failed.
-  void RecordRead(TopicReader* reader, const std::optional<TopicPage>& page);
+  // Records the result of a read; no page means that it failed. Returns whether
+  // the page is to be applied. It is not if newer records came from another
+  // host while it was under way.
+  static bool RecordRead(TopicReader* reader,
+                         const std::optional<TopicPage>& page);
   // Records that this host had all records at `time`.
   static void Confirm(state::Instant time, TopicReader* reader);
   // Records that the leader's relevant records end at `announced`.
--- a/tests/transport/store_watch_test.cc
+++ b/tests/transport/store_watch_test.cc
@@ -207,4 +207,29 @@
   }
 }
 
+// Guards against an evacuation that is undone, and passed on to other hosts as
+// undone, when an answer of the store arrives after newer records have come
+// from another host.
+TEST_CASE("a late answer of the store does not undo newer records", "[Z3]") {
+  WatchFixture host;
+  host.store().Put("config", Config(3));
+  // The configuration above, in base64.
+  host.store().SetNewest(
+      R"({"items":[{"key":"config","value":)"
+      R"("eyJ2ZXJzaW9uIjozLCJyb3V0ZXMiOnt9fQ==","offset":0}],)"
+      R"("has_more":false,"end":1})");
+  host.store().SetDelay(milliseconds(300));
+  host.watch().Start();
+  host.Run(milliseconds(100));
+  // The answer is under way.
+  host.store().Put("evacuate/north", "{}");
+  host.watch().HandleOperatorRecords(
+      {2, {{"config", Config(3)}, {"evacuate/north", "{}"}}});
+  REQUIRE(host.evacuated().contains("north"));
+  host.Run(milliseconds(400));
+  CHECK(host.evacuated().contains("north"));
+  CHECK(host.watch().operators().next == 2);
+  CHECK(host.watch().operators().records.size() == 2);
+}
+
 }  // namespace mustardflow::tests
