requests: Send a request without a key to the unkeyed part of a split

While a route was split between a keyed service and another, requests without a key got 400 whenever the weights chose the keyed service, though the other part could have served them, and callers do not come back after 400.

The weights now choose among the services that can serve the request; 400 is left for routes whose services are all keyed. The test failed before: the first request of eight was rejected and reached no server.

--- a/src/coordination/traffic_split.h
+++ b/src/coordination/traffic_split.h
@@ -3,6 +3,7 @@
 #ifndef MUSTARDFLOW_COORDINATION_TRAFFIC_SPLIT_H_
 #define MUSTARDFLOW_COORDINATION_TRAFFIC_SPLIT_H_
 
+#include <functional>
 #include <map>
 #include <string>
 
@@ -16,8 +17,11 @@
 // the weights even over few requests.
 class TrafficSplit {
  public:
-  // Selects the service for the next request of the route.
-  const std::string& Pick(const state::Route& route);
+  // Selects the service for the next request of the route among those that
+  // `can_serve` accepts; null if there is none.
+  const std::string* Pick(
+      const state::Route& route,
+      const std::function<bool(const std::string&)>& can_serve);
 
  private:
   // The credit of each service, by route and service name.
--- a/src/transport/request_relay.cc
+++ b/src/transport/request_relay.cc
@@ -230,15 +230,22 @@
   terms.target_latency = request->route->target_latency;
   terms.max_attempts = request->route->max_attempts;
   terms.end = terms.received + allowed;
-  terms.service = split_.Pick(*request->route);
-  const auto rules = request->config->services().find(terms.service);
-  if (rules != request->config->services().end() && rules->second.keyed) {
-    terms.key = KeyOf(*request);
-    if (!terms.key) {
-      RejectByConfig(request, "no-key", terms.service,
-                     {400, "Bad Request", {}, ""});
-      return false;
-    }
+  const auto key = KeyOf(*request);
+  const auto is_keyed = [&config = *request->config](const std::string& name) {
+    const auto rules = config.services().find(name);
+    return rules != config.services().end() && rules->second.keyed;
+  };
+  const std::string* service = split_.Pick(
+      *request->route,
+      [&](const std::string& name) { return key || !is_keyed(name); });
+  if (service == nullptr) {
+    RejectByConfig(request, "no-key", request->route->name,
+                   {400, "Bad Request", {}, ""});
+    return false;
+  }
+  terms.service = *service;
+  if (is_keyed(terms.service)) {
+    terms.key = key;
     // Scales the random fraction to an integer. The factor is 2^53, since a
     // double has 53 significant bits.
     samplers_.try_emplace(terms.service, kSamplesPerReport)
--- a/tests/transport/config_rejections_test.cc
+++ b/tests/transport/config_rejections_test.cc
@@ -3,7 +3,12 @@
 
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <map>
+#include <memory>
+#include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 #include "tests/transport/relay_fixture.h"
 
@@ -13,6 +18,26 @@
 
 using transport::asio::ip::tcp;
 
+// A configuration whose only route leads to these services. Of the services,
+// "shelf" is keyed and "desk" is not.
+std::shared_ptr<const state::RoutingConfig> ConfigOf(
+    std::vector<state::WeightedService> services) {
+  state::Route route;
+  route.name = "route";
+  route.hostname = "a.example";
+  route.prefix = "/desk/";
+  route.services = std::move(services);
+  state::ServiceRules keyed;
+  keyed.keyed = true;
+  return std::make_shared<state::RoutingConfig>(
+      2, std::vector<state::Route>{route},
+      std::map<std::string, state::ServiceRules>{{"desk", {}},
+                                                 {"shelf", keyed}},
+      state::IngressLimits());
+}
+
+constexpr std::string_view kRequestWithoutKey =
+    "GET /desk/1 HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: 1\r\n\r\n";
 constexpr std::string_view kUnknownRoute =
     "GET /new/1 HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: 1\r\n\r\n";
 
@@ -46,4 +71,21 @@
   CHECK(host.Receive(caller).starts_with("HTTP/1.1 404"));
 }
 
+// Guards against 400 for some of the requests without a key while a route is
+// split between a keyed service and another.
+TEST_CASE("requests without a key go to the unkeyed part of a split", "[Z7]") {
+  RelayFixture host;
+  host.view().config = ConfigOf({{"desk", 1}, {"shelf", 3}});
+  for (int i = 0; i < 8; ++i) {
+    tcp::socket caller = host.ConnectCaller();
+    Send(caller, kRequestWithoutKey);
+    tcp::socket server = host.AcceptFromRelay();
+    CHECK(Count(host.Receive(server), "GET /desk/1") == 1);
+    Send(server,
+         "HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\nX-Server-Signature: s\r\n"
+         "Connection: close\r\nContent-Length: 0\r\n\r\n");
+    CHECK(host.Receive(caller).starts_with("HTTP/1.1 200"));
+  }
+}
+
 }  // namespace mustardflow::tests
--- a/tests/transport/relay_fixture.h
+++ b/tests/transport/relay_fixture.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <map>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -67,7 +68,9 @@
         socket, [&](const boost::system::error_code&) { accepted = true; });
     context_.restart();
     while (!accepted) {
-      context_.run_one_for(std::chrono::seconds(5));
+      if (context_.run_one_for(std::chrono::seconds(5)) == 0) {
+        throw std::runtime_error("the relay opened no connection");
+      }
     }
     return socket;
   }
