store: Refuse what an unreadable route might allow, instead of 404

A route that could not be read was left out of the configuration and the rest went into force: its callers got 404 for good, or were served by the route with the next shorter prefix, which leads to another service.

A route whose host name and prefix can be read keeps its place and its requests are refused with 503 until a readable configuration comes. If a route cannot be placed, the host knows that its configuration is not complete and does not answer 404 by it. Both tests failed before: 404 in place of 503, and the route with the shorter prefix in place of the unreadable one.

--- a/src/platform/operator_config.cc
+++ b/src/platform/operator_config.cc
@@ -59,8 +59,8 @@
   return services;
 }
 
-// Returns nullopt if the host name, the prefix or all services are missing.
-// Other missing and invalid settings keep their defaults.
+// Returns nullopt if the host name or the prefix is missing. Other missing and
+// invalid settings keep their defaults.
 std::optional<state::Route> ReadRoute(const std::string& name,
                                       const json::value& value) {
   state::Route route;
@@ -68,8 +68,8 @@
   const auto hostname = TextMember(value, "hostname");
   const auto prefix = TextMember(value, "path_prefix");
   route.services = ReadServices(value);
-  if (!hostname || !prefix || route.services.empty() ||
-      !prefix->starts_with('/') || !prefix->ends_with('/')) {
+  if (!hostname || !prefix || !prefix->starts_with('/') ||
+      !prefix->ends_with('/')) {
     return std::nullopt;
   }
   route.hostname = *hostname;
@@ -142,13 +142,18 @@
     return nullptr;
   }
   std::vector<state::Route> read_routes;
+  bool complete = true;
   for (const auto& [name, value] : routes->get_object()) {
-    if (auto route = ReadRoute(std::string(name), value)) {
-      read_routes.push_back(std::move(*route));
-    } else {
+    auto route = ReadRoute(std::string(name), value);
+    if (!route || route->services.empty()) {
       findings->Add("/routes/" + std::string(name), "cannot be read",
                     "give host name, prefix and service");
     }
+    if (route) {
+      read_routes.push_back(std::move(*route));
+    } else {
+      complete = false;
+    }
   }
   std::map<std::string, state::ServiceRules> read_services;
   if (services != nullptr && services->is_object()) {
@@ -158,7 +163,7 @@
   }
   return std::make_shared<state::RoutingConfig>(
       *version, std::move(read_routes), std::move(read_services),
-      ReadLimits(*config));
+      ReadLimits(*config), complete);
 }
 
 }  // namespace mustardflow::platform
--- a/src/state/routing_config.cc
+++ b/src/state/routing_config.cc
@@ -10,11 +10,13 @@
 RoutingConfig::RoutingConfig(std::int64_t version,
                              std::vector<Route> routes,
                              std::map<std::string, ServiceRules> services,
-                             IngressLimits limits)
+                             IngressLimits limits,
+                             bool complete)
     : version_(version),
       routes_(std::move(routes)),
       services_(std::move(services)),
-      limits_(limits) {
+      limits_(limits),
+      complete_(complete) {
   for (std::size_t i = 0; i < routes_.size(); ++i) {
     by_hostname_[routes_[i].hostname].push_back(i);
   }
--- a/src/state/routing_config.h
+++ b/src/state/routing_config.h
@@ -55,7 +55,8 @@
   int max_attempts = 1;
   // 0 is the most urgent.
   int priority = 0;
-  // Never empty; one entry unless the traffic is split.
+  // One entry unless the traffic is split. Empty if no service could be read;
+  // the requests of the route are then refused.
   std::vector<WeightedService> services;
 };
 
@@ -89,7 +90,8 @@
   RoutingConfig(std::int64_t version,
                 std::vector<Route> routes,
                 std::map<std::string, ServiceRules> services,
-                IngressLimits limits);
+                IngressLimits limits,
+                bool complete = true);
   RoutingConfig(const RoutingConfig&) = delete;
   RoutingConfig& operator=(const RoutingConfig&) = delete;
 
@@ -105,12 +107,16 @@
     return services_;
   }
   const IngressLimits& limits() const { return limits_; }
+  // Whether all routes could be read. If not, it is not known of a request that
+  // matches no route whether the operators allow it.
+  bool complete() const { return complete_; }
 
  private:
   const std::int64_t version_;
   const std::vector<Route> routes_;
   const std::map<std::string, ServiceRules> services_;
   const IngressLimits limits_;
+  const bool complete_;
   // Maps a host name to indexes into routes_, sorted by descending length of
   // the prefix.
   std::unordered_map<std::string, std::vector<std::size_t>> by_hostname_;
--- a/src/transport/request_relay.cc
+++ b/src/transport/request_relay.cc
@@ -219,6 +219,11 @@
                    {404, "Not Found", {}, ""});
     return false;
   }
+  if (request->route->services.empty()) {
+    RejectRequest(request, "refused", "route-unreadable",
+                  RefusalAnswer(kNoConfigRetryAfter));
+    return false;
+  }
   Duration allowed = request->route->timeout;
   if (const auto deadline = MillisecondsOf(message, platform::kDeadlineField)) {
     allowed = std::min(allowed, *deadline);
@@ -260,7 +265,7 @@
                                   std::string_view reason,
                                   CallerAnswer answer) {
   const bool confirmed =
-      view_.config_confirmed_at &&
+      request->config->complete() && view_.config_confirmed_at &&
       Now() - *view_.config_confirmed_at <= profile_.bounds.config_apply;
   if (confirmed) {
     RejectRequest(request, event, reason, std::move(answer));
--- a/tests/platform/operator_config_test.cc
+++ b/tests/platform/operator_config_test.cc
@@ -45,6 +45,7 @@
   CHECK(config->routes().size() == 3);
   REQUIRE(findings.list().size() == 1);
   CHECK(findings.list().front().location == "/routes/bad");
+  CHECK_FALSE(config->complete());
   CHECK(config->services().at("one").keyed);
   CHECK(config->services().at("one").cold_rate == 19.0);
   CHECK_FALSE(config->services().at("two").keyed);
@@ -52,6 +53,26 @@
   CHECK(config->limits().idle_timeout == std::chrono::seconds(15));
 }
 
+// Guards against requests of a route that cannot be read in full being rejected
+// for good, or served as those of a route with a shorter prefix.
+TEST_CASE("a route without a readable service keeps its place", "[Z7]") {
+  protocol::Findings findings;
+  const auto config = platform::ParseOperatorConfig(
+      R"({"version": 1, "routes": {
+            "wide": {"hostname": "a.example", "path_prefix": "/",
+                     "service": "one"},
+            "odd": {"hostname": "a.example", "path_prefix": "/odd/",
+                    "service": 5}}})",
+      &findings);
+  REQUIRE(config);
+  CHECK(config->complete());
+  CHECK(findings.list().size() == 1);
+  const state::Route* odd = config->FindRoute("a.example", "/odd/1");
+  REQUIRE(odd != nullptr);
+  CHECK(odd->name == "odd");
+  CHECK(odd->services.empty());
+}
+
 TEST_CASE("the route with the longest matching prefix is chosen") {
   protocol::Findings findings;
   const auto config = platform::ParseOperatorConfig(kConfig, &findings);
--- a/tests/transport/config_rejections_test.cc
+++ b/tests/transport/config_rejections_test.cc
@@ -21,7 +21,8 @@
 // A configuration whose only route leads to these services. Of the services,
 // "shelf" is keyed and "desk" is not.
 std::shared_ptr<const state::RoutingConfig> ConfigOf(
-    std::vector<state::WeightedService> services) {
+    std::vector<state::WeightedService> services,
+    bool complete = true) {
   state::Route route;
   route.name = "route";
   route.hostname = "a.example";
@@ -33,7 +34,7 @@
       2, std::vector<state::Route>{route},
       std::map<std::string, state::ServiceRules>{{"desk", {}},
                                                  {"shelf", keyed}},
-      state::IngressLimits());
+      state::IngressLimits(), complete);
 }
 
 constexpr std::string_view kRequestWithoutKey =
@@ -56,6 +57,9 @@
   SECTION("it knows that there is a newer one") {
     host.view().config_confirmed_at.reset();
   }
+  SECTION("it could not read all of the configuration") {
+    host.view().config = ConfigOf({{"desk", 1}}, false);
+  }
   tcp::socket caller = host.ConnectCaller();
   Send(caller, kUnknownRoute);
   const std::string answer = host.Receive(caller);
@@ -64,6 +68,16 @@
   CHECK(Count(host.LogText(), R"("reason":"configuration-unconfirmed")") == 1);
 }
 
+TEST_CASE("a request of a route that could not be read may come again",
+          "[Z7]") {
+  RelayFixture host;
+  host.view().config = ConfigOf({});
+  tcp::socket caller = host.ConnectCaller();
+  Send(caller, kRequestWithoutKey);
+  CHECK(host.Receive(caller).starts_with("HTTP/1.1 503"));
+  CHECK(Count(host.LogText(), R"("reason":"route-unreadable")") == 1);
+}
+
 TEST_CASE("a host with the newest configuration rejects at once", "[Z7]") {
   RelayFixture host;
   tcp::socket caller = host.ConnectCaller();
