requests: Let a request that lacks a key since a change come again

When a route was moved to a keyed service, requests on their way got 400: they had been sent without a key, as the configuration before allowed, and callers do not come back after 400.

While a change is younger than the time in which it must be in force, such a request is refused with 503 and Retry-After; later it gets 400 as before. The test failed before with 400.

--- a/src/transport/request_relay.cc
+++ b/src/transport/request_relay.cc
@@ -23,8 +23,9 @@
 
 namespace {
 
-// Retry-After for requests that arrive before the first configuration, or that
-// a newer configuration might allow.
+// Retry-After for requests that arrive before the first configuration, and for
+// those that a newer configuration might allow or that a recent one has caught
+// on their way.
 constexpr Duration kNoConfigRetryAfter = std::chrono::milliseconds(500);
 // Maximum number of shard keys sampled for one load report of a service.
 constexpr std::size_t kSamplesPerReport = 120;
@@ -244,8 +245,14 @@
       *request->route,
       [&](const std::string& name) { return key || !is_keyed(name); });
   if (service == nullptr) {
-    RejectByConfig(request, "no-key", request->route->name,
-                   {400, "Bad Request", {}, ""});
+    if (Now() - view_.config_since <= profile_.bounds.config_apply) {
+      // The caller may have sent the request before the service was keyed.
+      RejectRequest(request, "refused", "configuration-recent",
+                    RefusalAnswer(kNoConfigRetryAfter));
+    } else {
+      RejectByConfig(request, "no-key", request->route->name,
+                     {400, "Bad Request", {}, ""});
+    }
     return false;
   }
   terms.service = *service;
--- a/tests/transport/config_rejections_test.cc
+++ b/tests/transport/config_rejections_test.cc
@@ -68,6 +68,29 @@
   CHECK(Count(host.LogText(), R"("reason":"configuration-unconfirmed")") == 1);
 }
 
+// Guards against 400 for requests that were on their way when their route was
+// moved to a keyed service.
+TEST_CASE("a request that lacks a key since a change may come again", "[Z7]") {
+  RelayFixture host;
+  host.view().config = ConfigOf({{"shelf", 1}});
+  tcp::socket caller = host.ConnectCaller();
+
+  SECTION("as long as callers may not know of the change") {
+    host.view().config_since = transport::Now();
+    Send(caller, kRequestWithoutKey);
+    CHECK(host.Receive(caller).starts_with("HTTP/1.1 503"));
+    CHECK(Count(host.LogText(), R"("reason":"configuration-recent")") == 1);
+  }
+  SECTION("but not later") {
+    host.view().config_since = transport::Now() -
+                               host.profile().bounds.config_apply -
+                               std::chrono::milliseconds(1);
+    Send(caller, kRequestWithoutKey);
+    CHECK(host.Receive(caller).starts_with("HTTP/1.1 400"));
+    CHECK(Count(host.LogText(), R"("event":"no-key")") == 1);
+  }
+}
+
 TEST_CASE("a request of a route that could not be read may come again",
           "[Z7]") {
   RelayFixture host;
