requests: Do not pass on rejections without the server's signature

Callers saw a 3xx or 4xx that no server had given, and never retry most of them. The host took any 3xx or 4xx that arrived on a server's connection for the server's answer, also without its signature: spoiled bytes, or the answer of another program that now has the server's address. Only successes and the statuses that promise something (408, 429, 503) were distrusted.

Such an answer now counts like a success without a signature: the server has failed, an idempotent request goes to another server within its attempts and budget, and all others end as unknown (502). An empty signature is none. A 5xx without a signature is still passed on, as it promises nothing and callers may retry it.

The wait of the fixture for a connection now ends with an error rather than never.

--- a/src/platform/server_protocol.h
+++ b/src/platform/server_protocol.h
@@ -19,8 +19,8 @@
 inline constexpr std::string_view kDeadlineField = "X-Deadline-Ms";
 // The id of the intended server. Any other server responds with status 421.
 inline constexpr std::string_view kServerIdField = "X-Target-Instance";
-// Shows that the backend server itself sent the response. A success without
-// this field is not trusted.
+// Shows that the backend server itself sent the response. A success or a
+// rejection (3xx, 4xx) without this field is not trusted.
 inline constexpr std::string_view kSignatureField = "X-Server-Signature";
 // States that the server did not run the request.
 inline constexpr std::string_view kNotExecutedField = "X-Not-Executed";
--- a/src/transport/request_relay.cc
+++ b/src/transport/request_relay.cc
@@ -108,6 +108,11 @@
   return kOriginNames[static_cast<std::size_t>(origin)];
 }
 
+bool IsSigned(const ServerAnswer& answer) {
+  const auto field = answer.fields.find(platform::kSignatureField);
+  return field != answer.fields.end() && !field->value().empty();
+}
+
 // Whether the status tells the caller that the request itself is wrong.
 bool IsRejection(int status) {
   return status >= 300 && status < 500;
@@ -447,14 +452,11 @@
            : answer.status == 400 ? SendResult::kMalformed
                                   : SendResult::kRefused;
   }
-  const bool is_signed =
-      answer.fields.find(platform::kSignatureField) != answer.fields.end();
-  const bool success = answer.status >= 200 && answer.status < 300;
-  // A success without a signature is not the server's own answer. 408, 429 and
-  // 503 would promise the caller that the request was not run, which is not
-  // certain.
-  if ((success && !is_signed) || answer.status == 408 || answer.status == 429 ||
-      answer.status == 503) {
+  // A success or a rejection is final for the caller, and without a signature
+  // it is not the server's own answer. 408, 429 and 503 would promise the
+  // caller that the request was not run, which is not certain.
+  if ((answer.status < 500 && !IsSigned(answer)) || answer.status == 408 ||
+      answer.status == 429 || answer.status == 503) {
     return SendResult::kUntrusted;
   }
   return answer.status >= 500 ? SendResult::kFailed : SendResult::kAnswered;
@@ -547,9 +549,7 @@
 }
 
 AnswerOrigin RequestRelay::OriginOf(const ServerAnswer& answer) {
-  return answer.fields.find(platform::kSignatureField) == answer.fields.end()
-             ? AnswerOrigin::kUnsigned
-             : AnswerOrigin::kServer;
+  return IsSigned(answer) ? AnswerOrigin::kServer : AnswerOrigin::kUnsigned;
 }
 
 void RequestRelay::RejectRequest(const RequestPtr& request,
--- a/tests/requests/request_cases_test.cc
+++ b/tests/requests/request_cases_test.cc
@@ -51,6 +51,35 @@
   CHECK(second->server.incarnation.id != first->server.incarnation.id);
 }
 
+// An answer that is not the server's own says nothing on whether the server has
+// run the request.
+TEST_CASE(
+    "after an answer that is not the server's own, only requests that may "
+    "run again are retried",
+    "[A2]") {
+  FlowFixture fixture;
+  fixture.AddServer("s1", "desk");
+  fixture.AddServer("s2", "desk");
+  const RequestKind kind =
+      GENERATE(RequestKind::kIdempotent, RequestKind::kNonIdempotent);
+  const FlowActions sent =
+      fixture.flow().Start(fixture.now(), 1, fixture.Terms(kind));
+  const auto* first = FlowFixture::FindAction<SendAttempt>(sent);
+  REQUIRE(first != nullptr);
+  const FlowActions ended = fixture.flow().HandleResult(
+      fixture.now(), 1, first->attempt, SendResult::kUntrusted);
+  const auto* second = FlowFixture::FindAction<SendAttempt>(ended);
+  const auto* conclusion = FlowFixture::FindAction<FinishRequest>(ended);
+  if (kind == RequestKind::kIdempotent) {
+    REQUIRE(second != nullptr);
+    CHECK(second->server.incarnation.id != first->server.incarnation.id);
+  } else {
+    CHECK(second == nullptr);
+    REQUIRE(conclusion != nullptr);
+    CHECK(conclusion->outcome == RequestOutcome::kUnknown);
+  }
+}
+
 TEST_CASE(
     "a request whose route allows one attempt is not retried after a "
     "failure",
--- a/tests/transport/relay_fixture.h
+++ b/tests/transport/relay_fixture.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <map>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -65,7 +66,9 @@
         socket, [&](const boost::system::error_code&) { accepted = true; });
     context_.restart();
     while (!accepted) {
-      context_.run_one_for(std::chrono::seconds(5));
+      if (context_.run_one_for(std::chrono::seconds(5)) == 0) {
+        throw std::runtime_error("the relay does not connect");
+      }
     }
     return socket;
   }
@@ -89,6 +92,20 @@
     return received;
   }
 
+  // Runs the event loop until `part` has arrived on `socket` or the connection
+  // has ended. Returns the bytes received.
+  std::string ReceiveUntil(tcp::socket& socket, std::string_view part) {
+    constexpr int kMaxTurns = 3000;
+    std::string received;
+    ended_ = false;
+    for (int turn = 0; turn < kMaxTurns && !ended_ &&
+                       received.find(part) == std::string::npos;
+         ++turn) {
+      received += Receive(socket, std::chrono::milliseconds(1));
+    }
+    return received;
+  }
+
   // Writes `text` again and again until the relay closes the connection, or
   // until `max_bytes` are written. Returns the bytes written.
   std::size_t SendUntilClosed(tcp::socket& socket,
--- /dev/null
+++ b/tests/transport/untrusted_answers_test.cc
@@ -0,0 +1,63 @@
+// Answers that a host cannot vouch for must not end a request as rejected.
+
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "tests/transport/relay_fixture.h"
+
+namespace mustardflow::tests {
+
+namespace {
+
+using state::RequestKind;
+using transport::asio::ip::tcp;
+
+constexpr std::string_view kHeadEnd = "\r\n\r\n";
+
+constexpr std::string_view kRequest =
+    "POST /desk/1 HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: 1\r\n"
+    "X-Shard-Key: 5\r\nContent-Length: 2\r\n\r\nhi";
+
+std::string Answer(int status, const std::string& fields) {
+  return "HTTP/1.1 " + std::to_string(status) +
+         " Status\r\nX-Attempt-Id: 1\r\n" + fields +
+         "Content-Length: 4\r\n\r\nbody";
+}
+
+}  // namespace
+
+// A rejection is final for the caller. Without the server's signature it may
+// come from spoiled bytes or from another program at the server's address.
+TEST_CASE("a rejection without the server's signature is not passed on",
+          "[R4]") {
+  const RequestKind kind =
+      GENERATE(RequestKind::kIdempotent, RequestKind::kNonIdempotent);
+  const int status = GENERATE(300, 302, 304, 400, 401, 403, 404, 413, 431, 499);
+  const std::string fields = GENERATE("", "X-Server-Signature: \r\n");
+  CAPTURE(static_cast<int>(kind), status, fields);
+  RelayFixture host(kind);
+  tcp::socket caller = host.ConnectCaller();
+  Send(caller, kRequest);
+  tcp::socket server = host.AcceptFromRelay();
+  host.ReceiveUntil(server, "hi");
+  Send(server, Answer(status, fields));
+  const std::string answer = host.ReceiveUntil(caller, kHeadEnd);
+  CHECK(answer.starts_with("HTTP/1.1 502"));
+  CHECK(Count(answer, "body") == 0);
+  CHECK(Count(host.LogText(), R"("event":"attempt-untrusted","id":"1")") == 1);
+}
+
+// A rejection that the server vouches for must still reach the caller.
+TEST_CASE("a signed rejection is passed on unchanged", "[R4]") {
+  RelayFixture host;
+  tcp::socket caller = host.ConnectCaller();
+  Send(caller, kRequest);
+  tcp::socket server = host.AcceptFromRelay();
+  host.ReceiveUntil(server, "hi");
+  Send(server, Answer(404, "X-Server-Signature: s\r\n"));
+  const std::string answer = host.ReceiveUntil(caller, "body");
+  CHECK(answer.starts_with("HTTP/1.1 404"));
+  CHECK(answer.ends_with("\r\n\r\nbody"));
+}
+
+}  // namespace mustardflow::tests
