requests: Do not answer 400 because a server says "not run"

Callers saw a 400, which they never retry, for a proper request: a server's 400 with X-Not-Executed became the host's own 400, for all kinds of requests and without another try. Servers answer so to a request without an id; a server in a spoiled state may answer any request so.

The statement is now one of "not run" like all others: the request goes to another server within its attempts and budget, or is refused with 503 and a time to come back. A request that really has no X-Attempt-Id, or an empty one, gets its 400 from the host at once (no-id in the log): every server refuses it, and an answer to it could not be matched. So no state of a server can cause a 400 of the host's own, and the result, the outcome and the log line malformed-at-server are gone. A gate's "failed" with 400 counts as unknown for the moment.

--- a/src/coordination/request_flow.cc
+++ b/src/coordination/request_flow.cc
@@ -74,7 +74,6 @@
     case SendResult::kNotOwner:
       return ServerResult::kCancelled;
     case SendResult::kRefused:
-    case SendResult::kMalformed:
       return ServerResult::kRefused;
     case SendResult::kAnswered:
       return ServerResult::kAnswered;
@@ -99,7 +98,6 @@
       return "attempt-untrusted";
     case SendResult::kNotOwner:
     case SendResult::kRefused:
-    case SendResult::kMalformed:
       return "attempt-not-run";
     case SendResult::kGateUnknown:
       return "gate-unknown";
@@ -207,11 +205,6 @@
       End(now, request,
           {id, RequestOutcome::kFailed, "", Duration(0), 0, server}, actions);
       return;
-    case SendResult::kMalformed:
-      End(now, request,
-          {id, RequestOutcome::kMalformed, "", Duration(0), 0, server},
-          actions);
-      return;
     case SendResult::kGateRefused:
       Refuse(now, request, "gate", retry_after.value_or(kDefaultRetryAfter),
              actions);
@@ -388,7 +381,6 @@
       break;
     case SendResult::kNotOwner:
     case SendResult::kRefused:
-    case SendResult::kMalformed:
       HandleNotRun(now, request, attempt, result, &actions);
       break;
     case SendResult::kAnswered:
@@ -438,13 +430,6 @@
                                SendResult result,
                                FlowActions* actions) {
   const RequestTerms& terms = request->terms;
-  if (result == SendResult::kMalformed) {
-    End(now, request,
-        {request->id, RequestOutcome::kMalformed, "", Duration(0), 0,
-         attempt.server.id},
-        actions);
-    return;
-  }
   if (!request->attempts.empty()) {
     return;
   }
--- a/src/coordination/request_flow.h
+++ b/src/coordination/request_flow.h
@@ -59,10 +59,9 @@
   // The connection closed before the response was complete.
   kLost,
   // The server states that it has not run the request: it does not own the
-  // key, it refuses the request, or it finds the request malformed.
+  // key, or it refuses the request.
   kNotOwner,
   kRefused,
-  kMalformed,
   // The server responded: with success, or with a failure of its own.
   kAnswered,
   kFailed,
@@ -103,8 +102,6 @@
   // The response of the attempt that has just ended is passed on.
   kAnswered,
   kFailed,
-  // The server found the request malformed.
-  kMalformed,
   // The request has not been run and will not be.
   kRefused,
   // The request may have been run.
--- a/src/transport/request_relay.cc
+++ b/src/transport/request_relay.cc
@@ -132,8 +132,6 @@
       return {"answered", ""};
     case RequestOutcome::kFailed:
       return {"failed", "answered-failure"};
-    case RequestOutcome::kMalformed:
-      return {"failed", "malformed-at-server"};
     case RequestOutcome::kRefused:
       return {"refused", "refused"};
     case RequestOutcome::kUnknown:
@@ -186,7 +184,7 @@
   requests_.emplace(request->id, request);
   const bool usable = source == RequestSource::kHost
                           ? ClassifyForwarded(request)
-                          : Classify(request);
+                          : Classify(request) && CheckAttemptId(request);
   if (usable) {
     Perform(flow_.Start(request->terms.received, request->id, request->terms));
   }
@@ -251,6 +249,15 @@
   return true;
 }
 
+bool RequestRelay::CheckAttemptId(const RequestPtr& request) {
+  if (!request->attempt_id.empty()) {
+    return true;
+  }
+  RejectRequest(request, "no-id", request->terms.service,
+                {400, "Bad Request", {}, ""});
+  return false;
+}
+
 bool RequestRelay::ClassifyForwarded(const RequestPtr& request) {
   const CallerMessage& message = request->message;
   request->attempt_id = std::string(message[platform::kAttemptIdField]);
@@ -427,7 +434,8 @@
     return SendResult::kGateTimedOut;
   }
   if (outcome == "failed") {
-    return answer.status == 400 ? SendResult::kMalformed : SendResult::kFailed;
+    return answer.status == 400 ? SendResult::kGateUnknown
+                                : SendResult::kFailed;
   }
   return SendResult::kGateUnknown;
 }
@@ -448,9 +456,7 @@
       answer.status == 421 ||
       answer.fields.find(platform::kNotExecutedField) != answer.fields.end();
   if (not_run) {
-    return answer.status == 421   ? SendResult::kNotOwner
-           : answer.status == 400 ? SendResult::kMalformed
-                                  : SendResult::kRefused;
+    return answer.status == 421 ? SendResult::kNotOwner : SendResult::kRefused;
   }
   // A success or a rejection is final for the caller, and without a signature
   // it is not the server's own answer. 408, 429 and 503 would promise the
@@ -516,9 +522,6 @@
       CopyEndToEndFields(request->answer.fields, &answer.fields);
       answer.body = std::move(request->answer.body);
       break;
-    case RequestOutcome::kMalformed:
-      answer = {400, "Bad Request", {}, ""};
-      break;
     case RequestOutcome::kRefused:
       answer = RefusalAnswer(conclusion.retry_after);
       break;
--- a/src/transport/request_relay.h
+++ b/src/transport/request_relay.h
@@ -154,6 +154,9 @@
   // Sets the route and the terms of the request. If that is impossible, rejects
   // the request and returns false.
   bool Classify(const RequestPtr& request);
+  // Rejects the request and returns false if it has no X-Attempt-Id. Every
+  // server refuses such a request, and its answer could not be matched.
+  bool CheckAttemptId(const RequestPtr& request);
   // Sets the terms from the header fields that the forwarding host added. If
   // one is missing or invalid, rejects the request and returns false.
   bool ClassifyForwarded(const RequestPtr& request);
--- a/tests/requests/request_fuzz_test.cc
+++ b/tests/requests/request_fuzz_test.cc
@@ -36,7 +36,6 @@
     case SendResult::kNotConnected:
     case SendResult::kNotOwner:
     case SendResult::kRefused:
-    case SendResult::kMalformed:
     case SendResult::kGateRefused:
       return false;
   }
--- a/tests/transport/untrusted_answers_test.cc
+++ b/tests/transport/untrusted_answers_test.cc
@@ -47,6 +47,39 @@
   CHECK(Count(host.LogText(), R"("event":"attempt-untrusted","id":"1")") == 1);
 }
 
+// A server in a spoiled state may answer any request so. The caller would take
+// a 400 as final although no server has judged its request.
+TEST_CASE("a server's 400 that says \"not run\" is a refusal", "[R4]") {
+  const RequestKind kind =
+      GENERATE(RequestKind::kIdempotent, RequestKind::kNonIdempotent);
+  CAPTURE(static_cast<int>(kind));
+  RelayFixture host(kind);
+  tcp::socket caller = host.ConnectCaller();
+  Send(caller, kRequest);
+  tcp::socket server = host.AcceptFromRelay();
+  host.ReceiveUntil(server, "hi");
+  Send(server, Answer(400, "X-Not-Executed: 1\r\n"));
+  const std::string answer = host.ReceiveUntil(caller, kHeadEnd);
+  CHECK(answer.starts_with("HTTP/1.1 503"));
+  CHECK(Count(answer, "Retry-After: ") == 1);
+  CHECK(Count(host.LogText(), R"("event":"attempt-not-run","id":"1")") == 1);
+}
+
+// Every server refuses a request without an id, so it would be sent in vain,
+// and a refusal would make the caller send it again.
+TEST_CASE("a request without an id is rejected and not sent", "[R4]") {
+  const std::string id = GENERATE("", "X-Attempt-Id: \r\n");
+  RelayFixture host;
+  tcp::socket caller = host.ConnectCaller();
+  Send(caller, "GET /desk/1 HTTP/1.1\r\nHost: a.example\r\n" + id + "\r\n");
+  const std::string answer = host.ReceiveUntil(caller, kHeadEnd);
+  CHECK(answer.starts_with("HTTP/1.1 400"));
+  CHECK_FALSE(host.HasNewConnection());
+  CHECK(Count(host.LogText(), R"("event":"no-id")") == 1);
+  CHECK(Count(host.MetricsPage(),
+              R"({origin="host",reason="no-id",status="400"} 1)") == 1);
+}
+
 // A rejection that the server vouches for must still reach the caller.
 TEST_CASE("a signed rejection is passed on unchanged", "[R4]") {
   RelayFixture host;
