--- a/src/transport/request_relay.cc
+++ b/src/transport/request_relay.cc
@@ -110,6 +110,11 @@
   return kOriginNames[static_cast<std::size_t>(origin)];
 }
 
+bool IsSigned(const ServerAnswer& answer) {
+  const auto field = answer.fields.find(platform::kSignatureField);
+  return field != answer.fields.end() && !field->value().empty();
+}
+
 // Whether the status tells the caller that the request itself is wrong.
 bool IsRejection(int status) {
   return status >= 300 && status < 500;
@@ -129,8 +134,6 @@
       return {"answered", ""};
     case RequestOutcome::kFailed:
       return {"failed", "answered-failure"};
-    case RequestOutcome::kMalformed:
-      return {"failed", "malformed-at-server"};
     case RequestOutcome::kRefused:
       return {"refused", "refused"};
     case RequestOutcome::kUnknown:
@@ -184,7 +187,7 @@
   requests_.emplace(request->id, request);
   const bool usable = source == RequestSource::kHost
                           ? ClassifyForwarded(request)
-                          : Classify(request);
+                          : Classify(request) && CheckAttemptId(request);
   if (usable) {
     Perform(flow_.Start(request->terms.received, request->id, request->terms));
   }
@@ -282,6 +285,15 @@
   }
 }
 
+bool RequestRelay::CheckAttemptId(const RequestPtr& request) {
+  if (!request->attempt_id.empty()) {
+    return true;
+  }
+  RejectRequest(request, "no-id", request->terms.service,
+                {400, "Bad Request", {}, ""});
+  return false;
+}
+
 bool RequestRelay::ClassifyForwarded(const RequestPtr& request) {
   const CallerMessage& message = request->message;
   request->attempt_id = std::string(message[platform::kAttemptIdField]);
@@ -458,7 +470,8 @@
     return SendResult::kGateTimedOut;
   }
   if (outcome == "failed") {
-    return answer.status == 400 ? SendResult::kMalformed : SendResult::kFailed;
+    return answer.status == 400 ? SendResult::kGateUnknown
+                                : SendResult::kFailed;
   }
   return SendResult::kGateUnknown;
 }
@@ -479,18 +492,13 @@
       answer.status == 421 ||
       answer.fields.find(platform::kNotExecutedField) != answer.fields.end();
   if (not_run) {
-    return answer.status == 421   ? SendResult::kNotOwner
-           : answer.status == 400 ? SendResult::kMalformed
-                                  : SendResult::kRefused;
-  }
-  const bool is_signed =
-      answer.fields.find(platform::kSignatureField) != answer.fields.end();
-  const bool success = answer.status >= 200 && answer.status < 300;
-  // A success without a signature is not the server's own answer. 408, 429 and
-  // 503 would promise the caller that the request was not run, which is not
-  // certain.
-  if ((success && !is_signed) || answer.status == 408 || answer.status == 429 ||
-      answer.status == 503) {
+    return answer.status == 421 ? SendResult::kNotOwner : SendResult::kRefused;
+  }
+  // A success or a rejection is final for the caller, and without a signature
+  // it is not the server's own answer. 408, 429 and 503 would promise the
+  // caller that the request was not run, which is not certain.
+  if ((answer.status < 500 && !IsSigned(answer)) || answer.status == 408 ||
+      answer.status == 429 || answer.status == 503) {
     return SendResult::kUntrusted;
   }
   return answer.status >= 500 ? SendResult::kFailed : SendResult::kAnswered;
@@ -550,9 +558,6 @@
       CopyEndToEndFields(request->answer.fields, &answer.fields);
       answer.body = std::move(request->answer.body);
       break;
-    case RequestOutcome::kMalformed:
-      answer = {400, "Bad Request", {}, ""};
-      break;
     case RequestOutcome::kRefused:
       answer = RefusalAnswer(conclusion.retry_after);
       break;
@@ -583,9 +588,7 @@
 }
 
 AnswerOrigin RequestRelay::OriginOf(const ServerAnswer& answer) {
-  return answer.fields.find(platform::kSignatureField) == answer.fields.end()
-             ? AnswerOrigin::kUnsigned
-             : AnswerOrigin::kServer;
+  return IsSigned(answer) ? AnswerOrigin::kServer : AnswerOrigin::kUnsigned;
 }
 
 void RequestRelay::RejectRequest(const RequestPtr& request,
--- a/src/transport/request_relay.h
+++ b/src/transport/request_relay.h
@@ -160,6 +160,9 @@
                       std::string_view event,
                       std::string_view reason,
                       CallerAnswer answer);
+  // Rejects the request and returns false if it has no X-Attempt-Id. Every
+  // server refuses such a request, and its answer could not be matched.
+  bool CheckAttemptId(const RequestPtr& request);
   // Sets the terms from the header fields that the forwarding host added. If
   // one is missing or invalid, rejects the request and returns false.
   bool ClassifyForwarded(const RequestPtr& request);
--- a/tests/transport/relay_fixture.h
+++ b/tests/transport/relay_fixture.h
@@ -94,6 +94,20 @@
     return received;
   }
 
+  // Runs the event loop until `part` has arrived on `socket` or the connection
+  // has ended. Returns the bytes received.
+  std::string ReceiveUntil(tcp::socket& socket, std::string_view part) {
+    constexpr int kMaxTurns = 3000;
+    std::string received;
+    ended_ = false;
+    for (int turn = 0; turn < kMaxTurns && !ended_ &&
+                       received.find(part) == std::string::npos;
+         ++turn) {
+      received += Receive(socket, std::chrono::milliseconds(1));
+    }
+    return received;
+  }
+
   // Writes `text` again and again until the relay closes the connection, or
   // until `max_bytes` are written. Returns the bytes written.
   std::size_t SendUntilClosed(tcp::socket& socket,
