requests: Send a request to the server if a gate cannot read it

Callers saw a 400 for a proper request that one host had forwarded and the other could not read (malformed-forward). The forwarding host took the gate's 400 for a judgement on the caller's request, but the gate had judged what that host sent: two versions side by side, or bytes spoiled on the way. A gate's 413 and 431 with the outcome "failed" were passed on in the same way.

The gate has sent nothing to the server. So the forwarding host now goes on as after a gate that does not accept its connection: it sends the request to the server itself, and the attempt counts neither towards the limit of attempts nor against the retry budget. The gate is not left out for other requests, since it answers. The log has gate-rejected for it.

Before the fix, the test over sockets failed for both kinds of requests and for 400, 408, 413 and 431: the host never connected to the server. The new result did not exist, so the test of RequestFlow could not run. The fuzzed invariants cover the new result: an attempt at a gate that ended so counts as not sent, and none as run.

--- a/src/coordination/request_flow.cc
+++ b/src/coordination/request_flow.cc
@@ -80,6 +80,7 @@
     case SendResult::kFailed:
     case SendResult::kUntrusted:
     case SendResult::kGateRefused:
+    case SendResult::kGateRejected:
     case SendResult::kGateUnknown:
     case SendResult::kGateTimedOut:
       break;
@@ -99,6 +100,8 @@
     case SendResult::kNotOwner:
     case SendResult::kRefused:
       return "attempt-not-run";
+    case SendResult::kGateRejected:
+      return "gate-rejected";
     case SendResult::kGateUnknown:
       return "gate-unknown";
     case SendResult::kGateRefused:
@@ -209,6 +212,11 @@
       Refuse(now, request, "gate", retry_after.value_or(kDefaultRetryAfter),
              actions);
       return;
+    case SendResult::kGateRejected:
+      // As without a connection: the gate has sent nothing to the server.
+      request->bypasses_gates = true;
+      HandleNotConnected(now, request, actions);
+      return;
     case SendResult::kGateTimedOut:
       request->may_have_run = true;
       End(now, request,
@@ -391,6 +399,7 @@
       HandleFailed(now, request, attempt, &actions);
       break;
     case SendResult::kGateRefused:
+    case SendResult::kGateRejected:
     case SendResult::kGateUnknown:
     case SendResult::kGateTimedOut:
       // Only gates return these results. From a server, each of them counts as
--- a/src/coordination/request_flow.h
+++ b/src/coordination/request_flow.h
@@ -68,9 +68,11 @@
   // The response cannot be passed on to the caller. The request may have been
   // run.
   kUntrusted,
-  // Reported by the gate that the request was forwarded to: not run; may have
-  // been run; may have been run and the deadline has passed.
+  // Reported by the gate that the request was forwarded to: not run; not run
+  // because the gate cannot read the request; may have been run; may have been
+  // run and the deadline has passed.
   kGateRefused,
+  kGateRejected,
   kGateUnknown,
   kGateTimedOut,
 };
--- a/src/transport/request_relay.cc
+++ b/src/transport/request_relay.cc
@@ -434,8 +434,10 @@
     return SendResult::kGateTimedOut;
   }
   if (outcome == "failed") {
-    return answer.status == 400 ? SendResult::kGateUnknown
-                                : SendResult::kFailed;
+    // A server's failure is a 5xx. A rejection is the gate's own, of a request
+    // that it cannot read.
+    return IsRejection(answer.status) ? SendResult::kGateRejected
+                                      : SendResult::kFailed;
   }
   return SendResult::kGateUnknown;
 }
--- a/tests/requests/request_cases_test.cc
+++ b/tests/requests/request_cases_test.cc
@@ -333,6 +333,31 @@
   CHECK_FALSE(direct->gate);
 }
 
+// Guards against a caller that is told its request was wrong because two hosts
+// do not understand one another. The attempt does not count, since the gate has
+// sent nothing to the server.
+TEST_CASE("a request goes directly to the server if the gate cannot read it",
+          "[L2]") {
+  const RequestKind kind =
+      GENERATE(RequestKind::kIdempotent, RequestKind::kNonIdempotent);
+  FlowFixture fixture;
+  fixture.AddServer("s1", "shelf");
+  fixture.SetOwner("s1");
+  fixture.view().table.gates["s1"] = {"10.0.0.1", 7201};
+  coordination::RequestTerms terms = fixture.Terms(kind, "shelf");
+  terms.max_attempts = 1;
+  const FlowActions sent =
+      fixture.flow().Start(fixture.now(), 1, std::move(terms));
+  const auto* attempt = FlowFixture::FindAction<SendAttempt>(sent);
+  REQUIRE(attempt != nullptr);
+  const FlowActions again = fixture.flow().HandleResult(
+      fixture.now(), 1, attempt->attempt, SendResult::kGateRejected);
+  const auto* direct = FlowFixture::FindAction<SendAttempt>(again);
+  REQUIRE(direct != nullptr);
+  CHECK_FALSE(direct->gate);
+  CHECK(fixture.flow().retries() == 0);
+}
+
 TEST_CASE("an idempotent request is cancelled when its caller disconnects",
           "[L6]") {
   FlowFixture fixture;
--- a/tests/requests/request_fuzz_test.cc
+++ b/tests/requests/request_fuzz_test.cc
@@ -37,11 +37,18 @@
     case SendResult::kNotOwner:
     case SendResult::kRefused:
     case SendResult::kGateRefused:
+    case SendResult::kGateRejected:
       return false;
   }
   return true;
 }
 
+// Whether nothing was sent to a server.
+bool NothingSent(SendResult result, bool at_gate) {
+  return result == SendResult::kNotConnected ||
+         (at_gate && result == SendResult::kGateRejected);
+}
+
 constexpr int kSendResults = static_cast<int>(SendResult::kGateTimedOut) + 1;
 
 // What the test knows about a request, independently of RequestFlow.
@@ -50,7 +57,8 @@
   state::Instant end;
   std::set<AttemptId> in_flight;
   std::set<AttemptId> connected;
-  // The number of ended attempts that were not kNotConnected.
+  std::set<AttemptId> at_gate;
+  // The number of ended attempts at which something was sent to a server.
   int reached = 0;
   bool may_have_run = false;
   bool caller_disconnected = false;
@@ -94,7 +102,8 @@
     request_state.in_flight.erase(chosen->second);
     request_state.may_have_run =
         request_state.may_have_run || MayHaveRun(result);
-    request_state.reached += result == SendResult::kNotConnected ? 0 : 1;
+    const bool at_gate = request_state.at_gate.contains(chosen->second);
+    request_state.reached += NothingSent(result, at_gate) ? 0 : 1;
     last_result_ = result;
     Check(fixture_.flow().HandleResult(fixture_.now(), chosen->first,
                                        chosen->second, result));
@@ -176,6 +185,9 @@
                   static_cast<int>(request_state.in_flight.size()) <
               3);
     request_state.in_flight.insert(send.attempt);
+    if (send.gate) {
+      request_state.at_gate.insert(send.attempt);
+    }
   }
 
   void HandleAbort(const AbortAttempt& abort) {
--- a/tests/transport/relay_fixture.h
+++ b/tests/transport/relay_fixture.h
@@ -30,6 +30,7 @@
   explicit RelayFixture(
       state::RequestKind kind = state::RequestKind::kNonIdempotent)
       : server_(context_, {transport::asio::ip::make_address("127.0.0.1"), 0}),
+        gate_(context_, {transport::asio::ip::make_address("127.0.0.1"), 0}),
         pool_("near", {}, [] { return 0.5; }),
         log_(log_pipe_.writer(), "test"),
         relay_(
@@ -59,10 +60,28 @@
     return caller;
   }
 
-  tcp::socket AcceptFromRelay() {
+  // Makes the service keyed and all keys those of the server, whose requests go
+  // through the gate of another host.
+  void UseGate(state::RequestKind kind) {
+    view_.config = OneRouteConfig(kind, true);
+    pool_.SetConfig(*view_.config);
+    state::OwnedRange range;
+    range.last = state::kShardKeyCount - 1;
+    range.holder = {"s1", 1};
+    range.serving = true;
+    view_.table.term = 1;
+    view_.table.revision = 1;
+    view_.table.services["desk"] = {range};
+    view_.table.gates["s1"] = {"127.0.0.1", gate_.local_endpoint().port()};
+  }
+
+  tcp::socket AcceptFromRelay() { return Accept(server_); }
+  tcp::socket AcceptAtGate() { return Accept(gate_); }
+
+  tcp::socket Accept(tcp::acceptor& acceptor) {
     tcp::socket socket(context_);
     bool accepted = false;
-    server_.async_accept(
+    acceptor.async_accept(
         socket, [&](const boost::system::error_code&) { accepted = true; });
     context_.restart();
     while (!accepted) {
@@ -154,7 +173,10 @@
   }
 
   static std::shared_ptr<const state::RoutingConfig> OneRouteConfig(
-      state::RequestKind kind) {
+      state::RequestKind kind,
+      bool keyed = false) {
+    state::ServiceRules rules;
+    rules.keyed = keyed;
     state::Route route;
     route.name = "desk";
     route.hostname = "a.example";
@@ -165,12 +187,13 @@
     route.services = {{"desk", 1}};
     return std::make_shared<state::RoutingConfig>(
         1, std::vector<state::Route>{route},
-        std::map<std::string, state::ServiceRules>{{"desk", {}}},
+        std::map<std::string, state::ServiceRules>{{"desk", rules}},
         state::IngressLimits());
   }
 
   transport::asio::io_context context_;
   tcp::acceptor server_;
+  tcp::acceptor gate_;
   state::HostProfile profile_ = SmallHost();
   state::RoutingView view_;
   coordination::ServerPool pool_;
--- a/tests/transport/untrusted_answers_test.cc
+++ b/tests/transport/untrusted_answers_test.cc
@@ -80,6 +80,26 @@
               R"({origin="host",reason="no-id",status="400"} 1)") == 1);
 }
 
+// The gate has judged what the forwarding host sent, not the caller's request,
+// and has sent nothing to the server.
+TEST_CASE("a gate that cannot read a forwarded request is bypassed", "[R4]") {
+  const RequestKind kind =
+      GENERATE(RequestKind::kIdempotent, RequestKind::kNonIdempotent);
+  const int status = GENERATE(400, 408, 413, 431);
+  CAPTURE(static_cast<int>(kind), status);
+  RelayFixture host;
+  host.UseGate(kind);
+  tcp::socket caller = host.ConnectCaller();
+  Send(caller, kRequest);
+  tcp::socket gate = host.AcceptAtGate();
+  host.ReceiveUntil(gate, "hi");
+  Send(gate, Answer(status, "X-Mustardflow-Outcome: failed\r\n"));
+  tcp::socket server = host.AcceptFromRelay();
+  CHECK(Count(host.ReceiveUntil(server, "hi"), "X-Target-Instance: s1") == 1);
+  Send(server, Answer(200, "X-Server-Signature: s\r\n"));
+  CHECK(host.ReceiveUntil(caller, "body").starts_with("HTTP/1.1 200"));
+}
+
 // A rejection that the server vouches for must still reach the caller.
 TEST_CASE("a signed rejection is passed on unchanged", "[R4]") {
   RelayFixture host;
