requests: Pass on from a gate only what it vouches for

What arrived on a connection to a gate with the outcome "answered" was passed on whatever it was: callers could see an unsigned 404, a signed 429 of a request that had run, or an unsigned success. An answer without an outcome, from another program at the gate's address or from the connection of a gate that did not accept the request, ended also idempotent requests as unknown, without another try, and the next requests went to the same address.

A gate's answer is now held to the same rule as a server's: "answered" only if it is signed and promises nothing, "failed" only with a 5xx other than 503. All else, and an answer without an outcome, counts like a lost connection: the gate is left out for a second, idempotent requests go to the server itself, all others end as unknown (502). A rejection without a signature can no longer reach a caller, so the log line rejected-unsigned is gone.

The route of the fixture now allows three attempts.

--- a/src/coordination/request_flow.cc
+++ b/src/coordination/request_flow.cc
@@ -28,7 +28,8 @@
 // at once.
 constexpr double kUsedRetryRatioFraction = 0.8;
 constexpr double kUsedRetrySlackFraction = 0.8;
-// A gate whose connection failed is bypassed for this time. The leader assigns
+// A gate whose connection failed, or whose answer is no gate's, is bypassed for
+// this time. The leader assigns
 // the servers of a lost host to other gates within two seconds.
 constexpr Duration kGateBlockTime = std::chrono::seconds(1);
 // The retry delay of refused callers if there is no better estimate, and the
@@ -191,13 +192,14 @@
   switch (result) {
     case SendResult::kNotConnected:
     case SendResult::kLost:
+    case SendResult::kUntrusted:
       blocked_gates_[*attempt.gate] = now + kGateBlockTime;
       request->bypasses_gates = true;
-      if (result == SendResult::kLost) {
+      if (result == SendResult::kNotConnected) {
+        HandleNotConnected(now, request, actions);
+      } else {
         request->may_have_run = true;
         HandleLost(now, request, actions);
-      } else {
-        HandleNotConnected(now, request, actions);
       }
       return;
     case SendResult::kAnswered:
@@ -225,7 +227,6 @@
     case SendResult::kGateUnknown:
     case SendResult::kNotOwner:
     case SendResult::kRefused:
-    case SendResult::kUntrusted:
       break;
   }
   request->may_have_run = true;
--- a/src/coordination/request_flow.h
+++ b/src/coordination/request_flow.h
@@ -65,8 +65,9 @@
   // The server responded: with success, or with a failure of its own.
   kAnswered,
   kFailed,
-  // The response cannot be passed on to the caller. The request may have been
-  // run.
+  // The response is not that of the server or gate, so it cannot be passed on
+  // to
+  // the caller. The request may have been run.
   kUntrusted,
   // Reported by the gate that the request was forwarded to: not run; not run
   // because the gate cannot read the request; may have been run; may have been
@@ -341,7 +342,7 @@
   const state::ServiceBounds& bounds_;
   const std::function<double()> random_;
   std::optional<state::Address> own_gate_;
-  // Gates whose connection failed, and until when they are bypassed.
+  // Gates that failed, and until when they are bypassed.
   std::map<state::Address, state::Instant> blocked_gates_;
   AttemptId last_attempt_ = 0;
   std::map<RequestId, Request> requests_;
--- a/src/transport/request_relay.cc
+++ b/src/transport/request_relay.cc
@@ -118,6 +118,25 @@
   return status >= 300 && status < 500;
 }
 
+// Whether the status promises the caller that the request was not run.
+bool PromisesNotRun(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+// Whether the answer is a success or a rejection of the server. Both are final
+// for the caller, so only the server's signature makes them its own answer. The
+// server does not sign a statement that it has not run the request.
+bool IsFinalAnswer(const ServerAnswer& answer) {
+  return answer.status < 500 && IsSigned(answer) &&
+         !PromisesNotRun(answer.status);
+}
+
+// Whether the answer is a failure that may be passed on without a signature,
+// since it promises nothing and the caller may retry.
+bool IsFailure(const ServerAnswer& answer) {
+  return answer.status >= 500 && !PromisesNotRun(answer.status);
+}
+
 // How the end of a request appears in the metrics and in the log.
 struct EndingLabels {
   // A value of the metrics' outcome label.
@@ -425,7 +444,8 @@
   const std::string outcome =
       field == answer.fields.end() ? "" : std::string(field->value());
   if (outcome == "answered") {
-    return SendResult::kAnswered;
+    return IsFinalAnswer(answer) ? SendResult::kAnswered
+                                 : SendResult::kUntrusted;
   }
   if (outcome == "refused") {
     return SendResult::kGateRefused;
@@ -433,13 +453,17 @@
   if (outcome == "timed-out") {
     return SendResult::kGateTimedOut;
   }
-  if (outcome == "failed") {
-    // A server's failure is a 5xx. A rejection is the gate's own, of a request
-    // that it cannot read.
-    return IsRejection(answer.status) ? SendResult::kGateRejected
-                                      : SendResult::kFailed;
+  if (outcome == "unknown") {
+    return SendResult::kGateUnknown;
+  }
+  if (outcome == "failed" && IsFailure(answer)) {
+    return SendResult::kFailed;
   }
-  return SendResult::kGateUnknown;
+  // A rejection is the gate's own, of a request that it cannot read.
+  if (outcome == "failed" && IsRejection(answer.status)) {
+    return SendResult::kGateRejected;
+  }
+  return SendResult::kUntrusted;
 }
 
 SendResult RequestRelay::InterpretServerAnswer(
@@ -460,14 +484,9 @@
   if (not_run) {
     return answer.status == 421 ? SendResult::kNotOwner : SendResult::kRefused;
   }
-  // A success or a rejection is final for the caller, and without a signature
-  // it is not the server's own answer. 408, 429 and 503 would promise the
-  // caller that the request was not run, which is not certain.
-  if ((answer.status < 500 && !IsSigned(answer)) || answer.status == 408 ||
-      answer.status == 429 || answer.status == 503) {
-    return SendResult::kUntrusted;
-  }
-  return answer.status >= 500 ? SendResult::kFailed : SendResult::kAnswered;
+  return IsFinalAnswer(answer) ? SendResult::kAnswered
+         : IsFailure(answer)   ? SendResult::kFailed
+                               : SendResult::kUntrusted;
 }
 
 void RequestRelay::RecordConnections(const Request& request) {
@@ -540,9 +559,8 @@
       conclusion.outcome == RequestOutcome::kAnswered &&
       Now() - request->terms.received > request->terms.target_latency;
   std::string_view event = late ? "answered-late" : labels.event;
-  if (ending.origin != AnswerOrigin::kHost && IsRejection(answer.status)) {
-    event = ending.origin == AnswerOrigin::kServer ? "rejected-by-server"
-                                                   : "rejected-unsigned";
+  if (ending.origin == AnswerOrigin::kServer && IsRejection(answer.status)) {
+    event = "rejected-by-server";
   }
   if (!event.empty()) {
     LogEnd(*request, event,
--- a/tests/transport/relay_fixture.h
+++ b/tests/transport/relay_fixture.h
@@ -182,6 +182,7 @@
     route.hostname = "a.example";
     route.prefix = "/desk/";
     route.kind = kind;
+    route.max_attempts = 3;
     route.timeout = std::chrono::seconds(20);
     route.target_latency = std::chrono::seconds(20);
     route.services = {{"desk", 1}};
--- a/tests/transport/untrusted_answers_test.cc
+++ b/tests/transport/untrusted_answers_test.cc
@@ -100,6 +100,44 @@
   CHECK(host.ReceiveUntil(caller, "body").starts_with("HTTP/1.1 200"));
 }
 
+// Without the outcome it is no gate that answers, and a gate may say "answered"
+// only of what the server has signed. Otherwise the server may have run the
+// request, and the status is nobody's.
+TEST_CASE("an answer that no gate vouches for is not passed on", "[R4]") {
+  const RequestKind kind =
+      GENERATE(RequestKind::kIdempotent, RequestKind::kNonIdempotent);
+  const std::string bytes =
+      GENERATE(Answer(200, "X-Server-Signature: s\r\n"), Answer(400, ""),
+               Answer(404, "X-Server-Signature: s\r\n"), Answer(431, ""),
+               Answer(503, "X-Not-Executed: 1\r\n"),
+               Answer(200, "X-Mustardflow-Outcome: answered\r\n"),
+               Answer(404, "X-Mustardflow-Outcome: answered\r\n"),
+               Answer(429,
+                      "X-Mustardflow-Outcome: answered\r\n"
+                      "X-Server-Signature: s\r\n"),
+               Answer(200, "X-Mustardflow-Outcome: failed\r\n"),
+               Answer(503, "X-Mustardflow-Outcome: failed\r\n"));
+  CAPTURE(static_cast<int>(kind), bytes);
+  RelayFixture host;
+  host.UseGate(kind);
+  tcp::socket caller = host.ConnectCaller();
+  Send(caller, kRequest);
+  tcp::socket gate = host.AcceptAtGate();
+  host.ReceiveUntil(gate, "hi");
+  Send(gate, bytes);
+  if (kind == RequestKind::kIdempotent) {
+    tcp::socket server = host.AcceptFromRelay();
+    host.ReceiveUntil(server, "hi");
+    Send(server, Answer(201, "X-Server-Signature: s\r\n"));
+    CHECK(host.ReceiveUntil(caller, "body").starts_with("HTTP/1.1 201"));
+  } else {
+    const std::string answer = host.ReceiveUntil(caller, kHeadEnd);
+    CHECK(answer.starts_with("HTTP/1.1 502"));
+    CHECK(Count(answer, "body") == 0);
+    CHECK_FALSE(host.HasNewConnection());
+  }
+}
+
 // A rejection that the server vouches for must still reach the caller.
 TEST_CASE("a signed rejection is passed on unchanged", "[R4]") {
   RelayFixture host;
