requests: A success that says "not run" proves nothing

A caller could get 503, the promise that its request was not run and will not be, or the request could go to another server, although a server had answered it with success: X-Not-Executed on an answer was believed whatever its status. A request that may run once only could so run twice.

The statement now counts on 3xx, 4xx and 5xx. A 2xx that bears it contradicts itself, so nothing in it is believed: it counts as an answer that is not the server's own.

--- a/src/coordination/request_flow.h
+++ b/src/coordination/request_flow.h
@@ -65,9 +65,8 @@
   // The server responded: with success, or with a failure of its own.
   kAnswered,
   kFailed,
-  // The response is not that of the server or gate, so it cannot be passed on
-  // to
-  // the caller. The request may have been run.
+  // The response is not that of the server or gate, so it cannot be passed on.
+  // The request may have been run.
   kUntrusted,
   // Reported by the gate that the request was forwarded to: not run; not run
   // because the gate cannot read the request; may have been run; may have been
--- a/src/transport/request_relay.cc
+++ b/src/transport/request_relay.cc
@@ -124,11 +124,13 @@
 }
 
 // Whether the answer is a success or a rejection of the server. Both are final
-// for the caller, so only the server's signature makes them its own answer. The
-// server does not sign a statement that it has not run the request.
+// for the caller, so only the server's signature makes them its own answer. A
+// status that promises that the request was not run is certain only if the
+// server states so as well.
 bool IsFinalAnswer(const ServerAnswer& answer) {
   return answer.status < 500 && IsSigned(answer) &&
-         !PromisesNotRun(answer.status);
+         !PromisesNotRun(answer.status) &&
+         answer.fields.find(platform::kNotExecutedField) == answer.fields.end();
 }
 
 // Whether the answer is a failure that may be passed on without a signature,
@@ -478,9 +480,11 @@
                        load->slowness);
     }
   }
+  // A success contradicts the statement, so it proves nothing.
   const bool not_run =
       answer.status == 421 ||
-      answer.fields.find(platform::kNotExecutedField) != answer.fields.end();
+      (answer.status >= 300 &&
+       answer.fields.find(platform::kNotExecutedField) != answer.fields.end());
   if (not_run) {
     return answer.status == 421 ? SendResult::kNotOwner : SendResult::kRefused;
   }
