requests: Take no head made of two answers for an answer

A server that breaks off in the head of one answer and then sends another makes a single head of both, if the break lies in a field's value. Callers then saw the 404 of the first with the signature of the second, or a 503 because of the first one's X-Not-Executed although the second told of success.

An answer with several X-Attempt-Id fields now breaks its connection, and one with several signatures counts as not signed. A server repeats one id and signs once, so no proper answer is lost. A first head that had neither an id nor a signature before the break cannot be told from one answer.

Before the fix, the new test failed in all six combinations (three heads, both kinds of requests): the status of the first head decided.

--- a/src/transport/request_relay.cc
+++ b/src/transport/request_relay.cc
@@ -108,9 +108,11 @@
   return kOriginNames[static_cast<std::size_t>(origin)];
 }
 
+// Whether the answer has one signature. With several, its head is made of the
+// heads of several answers.
 bool IsSigned(const ServerAnswer& answer) {
-  const auto field = answer.fields.find(platform::kSignatureField);
-  return field != answer.fields.end() && !field->value().empty();
+  return answer.fields.count(platform::kSignatureField) == 1 &&
+         !answer.fields.find(platform::kSignatureField)->value().empty();
 }
 
 // Whether the status tells the caller that the request itself is wrong.
--- a/src/transport/server_connection.cc
+++ b/src/transport/server_connection.cc
@@ -171,6 +171,12 @@
 
 bool ServerConnection::HandleMessage() {
   http::response<http::string_body>& message = parser_->get();
+  if (message.count(platform::kAttemptIdField) > 1) {
+    // The server broke off in the head of one answer and sent another: status
+    // and fields may belong to either.
+    FinishExchange(ExchangeResult::kBroken, {});
+    return true;
+  }
   const auto id = message.find(platform::kAttemptIdField);
   const bool interim = message.result_int() < 200;
   const bool of_earlier_request =
--- a/tests/transport/untrusted_answers_test.cc
+++ b/tests/transport/untrusted_answers_test.cc
@@ -141,6 +141,25 @@
   }
 }
 
+// A server that breaks off in a head and then answers sends one head that mixes
+// two: the status or the statement of the first, the signature of the second.
+TEST_CASE("a head made of two answers is none", "[R4]") {
+  const RequestKind kind =
+      GENERATE(RequestKind::kIdempotent, RequestKind::kNonIdempotent);
+  const std::string cut = GENERATE(
+      "HTTP/1.1 404 Status\r\nX-Attempt-Id: 1\r\nX-Cut: ",
+      "HTTP/1.1 404 Status\r\nX-Server-Signature: s\r\nX-Cut: ",
+      "HTTP/1.1 503 Status\r\nX-Attempt-Id: 1\r\nX-Not-Executed: 1\r\nX-Cut: ");
+  CAPTURE(static_cast<int>(kind), cut);
+  RelayFixture host(kind);
+  tcp::socket caller = host.ConnectCaller();
+  Send(caller, kRequest);
+  tcp::socket server = host.AcceptFromRelay();
+  host.ReceiveUntil(server, "hi");
+  Send(server, cut + Answer(200, "X-Server-Signature: s\r\n"));
+  CHECK(host.ReceiveUntil(caller, kHeadEnd).starts_with("HTTP/1.1 502"));
+}
+
 // A rejection that the server vouches for must still reach the caller.
 TEST_CASE("a signed rejection is passed on unchanged", "[R4]") {
   RelayFixture host;
