requests: Do not pass on a status above 599

Callers could get a status that HTTP does not have (600 to 999), signed or not: the host took it for a failure of the server and passed it on with its bytes. Such a status comes from spoiled bytes, and callers need not understand it.

It now counts as an answer that is not the server's own. Before the fix, the new test failed in all six combinations (600, 777 and 999, signed and not): the caller got the status.

--- a/src/transport/request_relay.cc
+++ b/src/transport/request_relay.cc
@@ -138,7 +138,8 @@
 // Whether the answer is a failure that may be passed on without a signature,
 // since it promises nothing and the caller may retry.
 bool IsFailure(const ServerAnswer& answer) {
-  return answer.status >= 500 && !PromisesNotRun(answer.status);
+  return answer.status >= 500 && answer.status < 600 &&
+         !PromisesNotRun(answer.status);
 }
 
 // How the end of a request appears in the metrics and in the log.
--- a/tests/transport/untrusted_answers_test.cc
+++ b/tests/transport/untrusted_answers_test.cc
@@ -160,6 +160,20 @@
   CHECK(host.ReceiveUntil(caller, kHeadEnd).starts_with("HTTP/1.1 502"));
 }
 
+// Callers know no such status, and it may come only from spoiled bytes.
+TEST_CASE("a status above 599 is not passed on", "[R4]") {
+  const int status = GENERATE(600, 777, 999);
+  const std::string fields = GENERATE("", "X-Server-Signature: s\r\n");
+  CAPTURE(status, fields);
+  RelayFixture host;
+  tcp::socket caller = host.ConnectCaller();
+  Send(caller, kRequest);
+  tcp::socket server = host.AcceptFromRelay();
+  host.ReceiveUntil(server, "hi");
+  Send(server, Answer(status, fields));
+  CHECK(host.ReceiveUntil(caller, kHeadEnd).starts_with("HTTP/1.1 502"));
+}
+
 // A rejection that the server vouches for must still reach the caller.
 TEST_CASE("a signed rejection is passed on unchanged", "[R4]") {
   RelayFixture host;
