--- a/src/transport/request_relay.cc
+++ b/src/transport/request_relay.cc
@@ -571,7 +571,7 @@
   }
   if (!event.empty()) {
     LogEnd(*request, event,
-           conclusion.reason.empty() ? std::string_view(conclusion.server)
+           conclusion.reason.empty() ? std::string_view{conclusion.server}
                                      : conclusion.reason,
            answer.status, conclusion.sends);
   }
