--- a/src/coordination/request_flow.cc
+++ b/src/coordination/request_flow.cc
@@ -28,8 +28,9 @@
 // at once.
 constexpr double kUsedRetryRatioFraction = 0.8;
 constexpr double kUsedRetrySlackFraction = 0.8;
-// A gate whose connection failed is bypassed for this time. The leader assigns
-// the servers of a lost host to other gates within two seconds.
+// A gate whose connection failed, or whose answer is no gate's, is bypassed for
+// this time. The leader assigns the servers of a lost host to other gates
+// within two seconds.
 constexpr Duration kGateBlockTime = std::chrono::seconds(1);
 // The retry delay of refused callers if there is no better estimate, and the
 // retry delay if there is no server or the key has no owner.
@@ -80,6 +81,7 @@
     case SendResult::kFailed:
     case SendResult::kUntrusted:
     case SendResult::kGateRefused:
+    case SendResult::kGateRejected:
     case SendResult::kGateUnknown:
     case SendResult::kGateTimedOut:
       break;
@@ -99,6 +101,8 @@
     case SendResult::kNotOwner:
     case SendResult::kRefused:
       return "attempt-not-run";
+    case SendResult::kGateRejected:
+      return "gate-rejected";
     case SendResult::kGateUnknown:
       return "gate-unknown";
     case SendResult::kGateRefused:
@@ -188,13 +192,14 @@
   switch (result) {
     case SendResult::kNotConnected:
     case SendResult::kLost:
+    case SendResult::kUntrusted:
       blocked_gates_[*attempt.gate] = now + kGateBlockTime;
       request->bypasses_gates = true;
-      if (result == SendResult::kLost) {
+      if (result == SendResult::kNotConnected) {
+        HandleNotConnected(now, request, actions);
+      } else {
         request->may_have_run = true;
         HandleLost(now, request, actions);
-      } else {
-        HandleNotConnected(now, request, actions);
       }
       return;
     case SendResult::kAnswered:
@@ -209,6 +214,11 @@
       Refuse(now, request, "gate", retry_after.value_or(kDefaultRetryAfter),
              actions);
       return;
+    case SendResult::kGateRejected:
+      // As without a connection: the gate has sent nothing to the server.
+      request->bypasses_gates = true;
+      HandleNotConnected(now, request, actions);
+      return;
     case SendResult::kGateTimedOut:
       request->may_have_run = true;
       End(now, request,
@@ -217,7 +227,6 @@
     case SendResult::kGateUnknown:
     case SendResult::kNotOwner:
     case SendResult::kRefused:
-    case SendResult::kUntrusted:
       break;
   }
   request->may_have_run = true;
@@ -391,6 +400,7 @@
       HandleFailed(now, request, attempt, &actions);
       break;
     case SendResult::kGateRefused:
+    case SendResult::kGateRejected:
     case SendResult::kGateUnknown:
     case SendResult::kGateTimedOut:
       // Only gates return these results. From a server, each of them counts as
--- a/src/transport/request_relay.cc
+++ b/src/transport/request_relay.cc
@@ -110,9 +110,11 @@
   return kOriginNames[static_cast<std::size_t>(origin)];
 }
 
+// Whether the answer has one signature. With several, its head is made of the
+// heads of several answers.
 bool IsSigned(const ServerAnswer& answer) {
-  const auto field = answer.fields.find(platform::kSignatureField);
-  return field != answer.fields.end() && !field->value().empty();
+  return answer.fields.count(platform::kSignatureField) == 1 &&
+         !answer.fields.find(platform::kSignatureField)->value().empty();
 }
 
 // Whether the status tells the caller that the request itself is wrong.
@@ -120,6 +122,28 @@
   return status >= 300 && status < 500;
 }
 
+// Whether the status promises the caller that the request was not run.
+bool PromisesNotRun(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+// Whether the answer is a success or a rejection of the server. Both are final
+// for the caller, so only the server's signature makes them its own answer. A
+// status that promises that the request was not run is certain only if the
+// server states so as well.
+bool IsFinalAnswer(const ServerAnswer& answer) {
+  return answer.status < 500 && IsSigned(answer) &&
+         !PromisesNotRun(answer.status) &&
+         answer.fields.find(platform::kNotExecutedField) == answer.fields.end();
+}
+
+// Whether the answer is a failure that may be passed on without a signature,
+// since it promises nothing and the caller may retry.
+bool IsFailure(const ServerAnswer& answer) {
+  return answer.status >= 500 && answer.status < 600 &&
+         !PromisesNotRun(answer.status);
+}
+
 // How the end of a request appears in the metrics and in the log.
 struct EndingLabels {
   // A value of the metrics' outcome label.
@@ -461,7 +485,8 @@
   const std::string outcome =
       field == answer.fields.end() ? "" : std::string(field->value());
   if (outcome == "answered") {
-    return SendResult::kAnswered;
+    return IsFinalAnswer(answer) ? SendResult::kAnswered
+                                 : SendResult::kUntrusted;
   }
   if (outcome == "refused") {
     return SendResult::kGateRefused;
@@ -469,11 +494,17 @@
   if (outcome == "timed-out") {
     return SendResult::kGateTimedOut;
   }
-  if (outcome == "failed") {
-    return answer.status == 400 ? SendResult::kGateUnknown
-                                : SendResult::kFailed;
+  if (outcome == "unknown") {
+    return SendResult::kGateUnknown;
+  }
+  if (outcome == "failed" && IsFailure(answer)) {
+    return SendResult::kFailed;
   }
-  return SendResult::kGateUnknown;
+  // A rejection is the gate's own, of a request that it cannot read.
+  if (outcome == "failed" && IsRejection(answer.status)) {
+    return SendResult::kGateRejected;
+  }
+  return SendResult::kUntrusted;
 }
 
 SendResult RequestRelay::InterpretServerAnswer(
@@ -488,20 +519,17 @@
                        load->slowness);
     }
   }
+  // A success contradicts the statement, so it proves nothing.
   const bool not_run =
       answer.status == 421 ||
-      answer.fields.find(platform::kNotExecutedField) != answer.fields.end();
+      (answer.status >= 300 &&
+       answer.fields.find(platform::kNotExecutedField) != answer.fields.end());
   if (not_run) {
     return answer.status == 421 ? SendResult::kNotOwner : SendResult::kRefused;
   }
-  // A success or a rejection is final for the caller, and without a signature
-  // it is not the server's own answer. 408, 429 and 503 would promise the
-  // caller that the request was not run, which is not certain.
-  if ((answer.status < 500 && !IsSigned(answer)) || answer.status == 408 ||
-      answer.status == 429 || answer.status == 503) {
-    return SendResult::kUntrusted;
-  }
-  return answer.status >= 500 ? SendResult::kFailed : SendResult::kAnswered;
+  return IsFinalAnswer(answer) ? SendResult::kAnswered
+         : IsFailure(answer)   ? SendResult::kFailed
+                               : SendResult::kUntrusted;
 }
 
 void RequestRelay::RecordConnections(const Request& request) {
@@ -574,13 +602,12 @@
       conclusion.outcome == RequestOutcome::kAnswered &&
       Now() - request->terms.received > request->terms.target_latency;
   std::string_view event = late ? "answered-late" : labels.event;
-  if (ending.origin != AnswerOrigin::kHost && IsRejection(answer.status)) {
-    event = ending.origin == AnswerOrigin::kServer ? "rejected-by-server"
-                                                   : "rejected-unsigned";
+  if (ending.origin == AnswerOrigin::kServer && IsRejection(answer.status)) {
+    event = "rejected-by-server";
   }
   if (!event.empty()) {
     LogEnd(*request, event,
-           conclusion.reason.empty() ? std::string_view(conclusion.server)
+           conclusion.reason.empty() ? std::string_view{conclusion.server}
                                      : conclusion.reason,
            answer.status, conclusion.sends);
   }
