requests: Judge a request by the limits in force when it arrives

Callers on kept connections got 431 or 413, which they never retry, for requests within the limits of the configuration in force.

The parser of a connection took its limits when the previous request ended, or when the connection was opened. A configuration that raised them after that did not count for the next request, nor did the first configuration for connections opened before it.

The limits are now read whenever bytes of a request arrive, and only raised while it arrives: a change in the middle of a request rejects nothing that either version allows. The connection checks the size of the body itself, since the parser counts the limit for a body in chunks down.

The fixture now gives up on a server connection that does not come, where such a failure hung the test.

--- a/src/transport/caller_connection.cc
+++ b/src/transport/caller_connection.cc
@@ -2,6 +2,8 @@
 
 #include "transport/caller_connection.h"
 
+#include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "platform/server_protocol.h"
@@ -24,9 +26,6 @@
   if (error == http::error::header_limit) {
     return 431;
   }
-  if (error == http::error::body_limit) {
-    return 413;
-  }
   return 400;
 }
 
@@ -55,13 +54,25 @@
 
 void CallerConnection::ResetParser() {
   parser_ = std::make_unique<Parser>();
-  const state::IngressLimits limits = Limits();
-  parser_->header_limit(static_cast<std::uint32_t>(limits.header_bytes));
-  parser_->body_limit(limits.body_bytes);
+  // The parser counts the limit for a body in chunks down, so it could not be
+  // raised; see CheckBodySize().
+  parser_->body_limit(boost::none);
   parser_->eager(true);
+  header_limit_ = 0;
+  body_limit_ = 0;
   request_started_at_.reset();
 }
 
+void CallerConnection::RaiseLimits() {
+  constexpr std::size_t kMaxHeaderLimit =
+      std::numeric_limits<std::uint32_t>::max();
+  const state::IngressLimits limits = Limits();
+  header_limit_ =
+      std::max(header_limit_, std::min(limits.header_bytes, kMaxHeaderLimit));
+  body_limit_ = std::max(body_limit_, limits.body_bytes);
+  parser_->header_limit(static_cast<std::uint32_t>(header_limit_));
+}
+
 state::IngressLimits CallerConnection::Limits() const {
   return view_.config ? view_.config->limits() : state::IngressLimits();
 }
@@ -105,6 +116,7 @@
     if (!request_started_at_) {
       request_started_at_ = Now();
     }
+    RaiseLimits();
     beast::error_code error;
     const std::size_t used = parser_->put(asio::buffer(input_buffer_), error);
     input_buffer_.erase(0, used);
@@ -117,6 +129,10 @@
         Reject(*rejection);
         break;
       }
+      if (const auto rejection = CheckBodySize()) {
+        Reject(*rejection);
+        break;
+      }
     }
     if (parser_->is_done()) {
       Dispatch();
@@ -175,6 +191,16 @@
   return std::nullopt;
 }
 
+std::optional<CallerConnection::Rejection> CallerConnection::CheckBodySize()
+    const {
+  const std::uint64_t stated = parser_->content_length().value_or(0);
+  if (std::max<std::uint64_t>(stated, parser_->get().body().size()) >
+      body_limit_) {
+    return Rejection{413, "body limit exceeded"};
+  }
+  return std::nullopt;
+}
+
 void CallerConnection::Dispatch() {
   CallerMessage message = parser_->release();
   ResetParser();
--- a/src/transport/caller_connection.h
+++ b/src/transport/caller_connection.h
@@ -70,6 +70,10 @@
   void HandleRead(const beast::error_code& error, std::size_t size);
   void Parse();
   void ResetParser();
+  // Judges the arriving request by the current limits where they are above
+  // those that it has been judged by so far, so that a change of the limits in
+  // the middle of a request does not reject it.
+  void RaiseLimits();
   // Asks the caller for the body of the arriving request.
   void WriteContinue();
   // Why a request is rejected before it is complete.
@@ -80,6 +84,8 @@
 
   // Returns what is wrong with the request line or the header, if anything.
   std::optional<Rejection> CheckHeader() const;
+  // Returns whether the body, as stated or as received so far, is too large.
+  std::optional<Rejection> CheckBodySize() const;
   // Passes the request that the parser has completed to the relay.
   void Dispatch();
   // Answers the arriving request with an error, as the last answer of the
@@ -107,6 +113,9 @@
   const RequestSource source_;
   ClosedHandler closed_handler_;
   std::unique_ptr<Parser> parser_;
+  // The sizes in bytes that the arriving request may have.
+  std::size_t header_limit_ = 0;
+  std::size_t body_limit_ = 0;
   std::array<char, 8 << 10> read_chunk_{};
   // Received bytes that have not been parsed yet.
   std::string input_buffer_;
--- a/tests/transport/caller_connection_test.cc
+++ b/tests/transport/caller_connection_test.cc
@@ -19,6 +19,25 @@
     "HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\nX-Server-Signature: s\r\n"
     "Content-Length: 4\r\n\r\ndone";
 
+state::IngressLimits LimitsOf(std::size_t header_bytes,
+                              std::size_t body_bytes) {
+  state::IngressLimits limits;
+  limits.header_bytes = header_bytes;
+  limits.body_bytes = body_bytes;
+  return limits;
+}
+
+// Returns a request whose header, up to and with its empty line, and body have
+// these sizes.
+std::string RequestOf(std::size_t header_bytes, std::size_t body_bytes) {
+  std::string header =
+      "POST /desk/1 HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: 1\r\n"
+      "Content-Length: " +
+      std::to_string(body_bytes) + "\r\nX-Padding: ";
+  header.append(header_bytes - header.size() - 4, 'p');
+  return header + "\r\n\r\n" + std::string(body_bytes, 'b');
+}
+
 }  // namespace
 
 // Guards against a request that arrives on a busy connection late during a
@@ -98,4 +117,89 @@
   CHECK(host.ended());
 }
 
+// A connection may be older than the configuration: judged by limits that are
+// no longer in force, a proper request would be rejected for good.
+TEST_CASE("a request is judged by the limits in force when it begins", "[R4]") {
+  RelayFixture host;
+  tcp::socket caller = host.ConnectCaller();
+  host.SetLimits(LimitsOf(400, 10));
+  Send(caller, kRequest);
+  tcp::socket server = host.AcceptFromRelay();
+  REQUIRE(Count(host.Receive(server), "POST ") == 1);
+  Send(server, kServerAnswer);
+  REQUIRE(Count(host.Receive(caller), "HTTP/1.1 200") == 1);
+
+  host.SetLimits(LimitsOf(1000, 100));
+  Send(caller, RequestOf(/*header_bytes=*/1000, /*body_bytes=*/100));
+  CHECK(Count(host.Receive(server), "POST ") == 1);
+  Send(server, kServerAnswer);
+  CHECK(Count(host.Receive(caller), "HTTP/1.1 200") == 1);
+}
+
+TEST_CASE("a connection from before the first configuration gets its limits",
+          "[R4]") {
+  RelayFixture host;
+  host.RemoveConfig();
+  tcp::socket caller = host.ConnectCaller();
+  host.Receive(caller);
+  constexpr std::size_t kHeaderBytes = 40 << 10;
+  host.SetLimits(LimitsOf(kHeaderBytes, 100));
+  Send(caller, RequestOf(kHeaderBytes, /*body_bytes=*/100));
+  tcp::socket server = host.AcceptFromRelay();
+  CHECK(Count(host.Receive(server), "POST ") == 1);
+}
+
+TEST_CASE("a limit that is raised while a request arrives counts for it",
+          "[R4]") {
+  RelayFixture host;
+  host.SetLimits(LimitsOf(400, 10));
+  tcp::socket caller = host.ConnectCaller();
+  SECTION("header, body with a length") {
+    const std::string request = RequestOf(1000, 100);
+    Send(caller, request.substr(0, 300));
+    host.Receive(caller);
+    host.SetLimits(LimitsOf(1000, 100));
+    Send(caller, request.substr(300));
+  }
+  SECTION("body in chunks") {
+    Send(caller,
+         "POST /desk/1 HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: 1\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n8\r\n12345678\r\n");
+    host.Receive(caller);
+    host.SetLimits(LimitsOf(1000, 16));
+    Send(caller, "8\r\n12345678\r\n0\r\n\r\n");
+  }
+  SECTION("limits that are lowered") {
+    const std::string request = RequestOf(390, 10);
+    Send(caller, request.substr(0, 300));
+    host.Receive(caller);
+    host.SetLimits(LimitsOf(100, 1));
+    Send(caller, request.substr(300));
+  }
+  tcp::socket server = host.AcceptFromRelay();
+  CHECK(Count(host.Receive(server), "POST ") == 1);
+}
+
+TEST_CASE("a request above the limits in force is rejected", "[R4]") {
+  RelayFixture host;
+  host.SetLimits(LimitsOf(400, 16));
+  tcp::socket caller = host.ConnectCaller();
+  SECTION("header") {
+    Send(caller, RequestOf(1000, 16));
+    CHECK(host.Receive(caller).starts_with("HTTP/1.1 431"));
+  }
+  SECTION("body with a length") {
+    Send(caller, RequestOf(400, 17));
+    CHECK(host.Receive(caller).starts_with("HTTP/1.1 413"));
+  }
+  SECTION("body in chunks") {
+    Send(caller,
+         "POST /desk/1 HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: 1\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n8\r\n12345678\r\n"
+         "9\r\n123456789\r\n0\r\n\r\n");
+    CHECK(host.Receive(caller).starts_with("HTTP/1.1 413"));
+  }
+  CHECK_FALSE(host.HasNewConnection());
+}
+
 }  // namespace mustardflow::tests
--- a/tests/transport/relay_fixture.h
+++ b/tests/transport/relay_fixture.h
@@ -6,8 +6,10 @@
 
 #include <array>
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -39,9 +41,15 @@
             [] { return 0.5; },
             log_,
             metrics_),
-        callers_(context_, {"127.0.0.1", 0}, view_, relay_, log_) {
-    view_.config = OneRouteConfig(kind);
-    pool_.SetConfig(*view_.config);
+        callers_(context_, {"127.0.0.1", 0}, view_, relay_, log_),
+        hosts_(context_,
+               {"127.0.0.1", 0},
+               view_,
+               relay_,
+               log_,
+               transport::RequestSource::kHost),
+        kind_(kind) {
+    SetLimits(state::IngressLimits());
     state::ServerRecord record;
     record.incarnation = {"s1", 1};
     record.sequence = 1;
@@ -58,14 +66,35 @@
     return caller;
   }
 
+  // Connects as a host that forwards requests.
+  tcp::socket ConnectHost() {
+    tcp::socket host(context_);
+    host.connect(hosts_.local_endpoint());
+    return host;
+  }
+
+  // Puts a configuration with these limits into force.
+  void SetLimits(const state::IngressLimits& limits) {
+    view_.config = OneRouteConfig(kind_, ++config_version_, limits);
+    pool_.SetConfig(*view_.config);
+  }
+
+  // Returns to the state before the first configuration.
+  void RemoveConfig() { view_.config = nullptr; }
+
   tcp::socket AcceptFromRelay() {
     tcp::socket socket(context_);
     bool accepted = false;
     server_.async_accept(
         socket, [&](const boost::system::error_code&) { accepted = true; });
     context_.restart();
+    const auto give_up_at =
+        std::chrono::steady_clock::now() + std::chrono::seconds(2);
     while (!accepted) {
-      context_.run_one_for(std::chrono::seconds(5));
+      if (std::chrono::steady_clock::now() > give_up_at) {
+        throw std::runtime_error("the relay has not connected to the server");
+      }
+      context_.run_one_until(give_up_at);
     }
     return socket;
   }
@@ -137,7 +166,9 @@
   }
 
   static std::shared_ptr<const state::RoutingConfig> OneRouteConfig(
-      state::RequestKind kind) {
+      state::RequestKind kind,
+      std::int64_t version,
+      const state::IngressLimits& limits) {
     state::Route route;
     route.name = "desk";
     route.hostname = "a.example";
@@ -147,9 +178,8 @@
     route.target_latency = std::chrono::seconds(20);
     route.services = {{"desk", 1}};
     return std::make_shared<state::RoutingConfig>(
-        1, std::vector<state::Route>{route},
-        std::map<std::string, state::ServiceRules>{{"desk", {}}},
-        state::IngressLimits());
+        version, std::vector<state::Route>{route},
+        std::map<std::string, state::ServiceRules>{{"desk", {}}}, limits);
   }
 
   transport::asio::io_context context_;
@@ -162,6 +192,9 @@
   transport::EntryMetrics metrics_;
   transport::RequestRelay relay_;
   transport::CallerListener callers_;
+  transport::CallerListener hosts_;
+  const state::RequestKind kind_;
+  std::int64_t config_version_ = 0;
   bool ended_ = false;
 };
 
