requests: Read forwarded requests without the limits for callers

The outcome of a keyed request near a size limit became unknown (502) where the request went through the gate of its server: the gate rejected it with 431 or 413.

The gate read forwarded requests with the limits for callers. The forwarding host adds fields, so a header just within the limit was above it at the gate, and a gate that did not have the newest configuration yet applied older limits.

Hosts now accept a header or a body of any size from one another: the forwarding host has checked them against the limits in force there.

Both sections of the new test failed before the change.

--- a/src/transport/caller_connection.cc
+++ b/src/transport/caller_connection.cc
@@ -74,7 +74,15 @@
 }
 
 state::IngressLimits CallerConnection::Limits() const {
-  return view_.config ? view_.config->limits() : state::IngressLimits();
+  state::IngressLimits limits =
+      view_.config ? view_.config->limits() : state::IngressLimits();
+  if (source_ == RequestSource::kHost) {
+    // The forwarding host has checked the sizes, perhaps by limits that are not
+    // known here, and has added fields of its own.
+    limits.header_bytes = std::numeric_limits<std::size_t>::max();
+    limits.body_bytes = std::numeric_limits<std::size_t>::max();
+  }
+  return limits;
 }
 
 void CallerConnection::Read() {
--- a/src/transport/caller_connection.h
+++ b/src/transport/caller_connection.h
@@ -64,7 +64,7 @@
   };
 
   // Returns the limits of the current configuration, or the defaults without a
-  // configuration.
+  // configuration. The sizes of forwarded requests are not limited.
   state::IngressLimits Limits() const;
   void Read();
   void HandleRead(const beast::error_code& error, std::size_t size);
--- a/tests/transport/caller_connection_test.cc
+++ b/tests/transport/caller_connection_test.cc
@@ -202,4 +202,24 @@
   CHECK_FALSE(host.HasNewConnection());
 }
 
+// The forwarding host adds fields, and may know limits that this host does not:
+// by the limits for callers, a proper request would end here, unknown to the
+// host that forwarded it.
+TEST_CASE("the limits for callers do not bind forwarded requests", "[R4]") {
+  RelayFixture host;
+  host.SetLimits(LimitsOf(400, 10));
+  tcp::socket forwarding_host = host.ConnectHost();
+  SECTION("header") {
+    Send(forwarding_host, RequestOf(/*header_bytes=*/600, /*body_bytes=*/10));
+  }
+  SECTION("body") {
+    Send(forwarding_host, RequestOf(/*header_bytes=*/390, /*body_bytes=*/20));
+  }
+  // Without the forwarding fields, the request gets to the relay but no
+  // further.
+  const std::string answer = host.Receive(forwarding_host);
+  CHECK(Count(answer, "X-Mustardflow-Outcome: ") == 1);
+  CHECK(Count(host.LogText(), "malformed-forward") == 1);
+}
+
 }  // namespace mustardflow::tests
