requests: Accept request targets in absolute form

A request whose target names scheme and host (GET http://a.example/desk/1) got 400, which callers never retry.

The connection accepted only targets that begin with a slash. HTTP/1.1 servers must accept the absolute form too (RFC 9112, section 3.2.2), and its host replaces the Host field.

The connection now replaces such a target by its path and query, and the Host field by the target's host, before the request is checked and routed; servers get the origin form. Other targets that are no paths are rejected as before.

--- a/src/transport/caller_connection.cc
+++ b/src/transport/caller_connection.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <string_view>
 #include <utility>
 
 #include "platform/server_protocol.h"
@@ -29,6 +30,37 @@
   return 400;
 }
 
+// A request target in absolute form (RFC 9112, section 3.2.2).
+struct AbsoluteTarget {
+  std::string authority;
+  // The path and the query.
+  std::string origin_form;
+};
+
+// Returns nullopt if the target is not an http or https URI with a host.
+std::optional<AbsoluteTarget> ParseAbsoluteTarget(std::string_view target) {
+  const std::size_t scheme_end = target.find("://");
+  if (scheme_end == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const beast::string_view scheme(target.data(), scheme_end);
+  if (!beast::iequals(scheme, "http") && !beast::iequals(scheme, "https")) {
+    return std::nullopt;
+  }
+  target.remove_prefix(scheme_end + 3);
+  const std::size_t authority_end =
+      std::min(target.find_first_of("/?"), target.size());
+  if (authority_end == 0) {
+    return std::nullopt;
+  }
+  AbsoluteTarget parsed{std::string(target.substr(0, authority_end)),
+                        std::string(target.substr(authority_end))};
+  if (!parsed.origin_form.starts_with('/')) {
+    parsed.origin_form.insert(0, 1, '/');
+  }
+  return parsed;
+}
+
 }  // namespace
 
 CallerConnection::CallerConnection(tcp::socket socket,
@@ -133,6 +165,7 @@
       break;
     }
     if (parser_->is_header_done()) {
+      UseOriginForm();
       if (const auto rejection = CheckHeader()) {
         Reject(*rejection);
         break;
@@ -180,6 +213,21 @@
       });
 }
 
+void CallerConnection::UseOriginForm() {
+  auto& message = parser_->get();
+  const auto absolute =
+      ParseAbsoluteTarget({message.target().data(), message.target().size()});
+  // HTTP/1.1 requires one Host field in this form too; see CheckHeader().
+  const bool valid_host_count =
+      message.count(http::field::host) == 1 ||
+      (message.version() == 10 && message.count(http::field::host) == 0);
+  if (!absolute || !valid_host_count) {
+    return;
+  }
+  message.target(absolute->origin_form);
+  message.set(http::field::host, absolute->authority);
+}
+
 std::optional<CallerConnection::Rejection> CallerConnection::CheckHeader()
     const {
   const auto& message = parser_->get();
--- a/src/transport/caller_connection.h
+++ b/src/transport/caller_connection.h
@@ -82,6 +82,9 @@
     std::string problem;
   };
 
+  // Replaces a target in absolute form by its path and query, and the Host
+  // field by the target's host.
+  void UseOriginForm();
   // Returns what is wrong with the request line or the header, if anything.
   std::optional<Rejection> CheckHeader() const;
   // Returns whether the body, as stated or as received so far, is too large.
--- a/tests/transport/caller_connection_test.cc
+++ b/tests/transport/caller_connection_test.cc
@@ -222,4 +222,52 @@
   CHECK(Count(host.LogText(), "malformed-forward") == 1);
 }
 
+// HTTP servers must accept a target with scheme and host; it was rejected for
+// good. Its host replaces the Host field, also where requests are routed by it.
+TEST_CASE("a target in absolute form is routed by its host and path", "[R4]") {
+  struct Case {
+    std::string_view target;
+    std::string_view host_field;
+    std::string_view sent_line;
+  };
+  const auto example = GENERATE(
+      Case{"http://a.example/desk/1", "a.example", "GET /desk/1 HTTP/1.1\r\n"},
+      Case{"HTTP://A.example:80/desk/1?q=http://b/", "b.example",
+           "GET /desk/1?q=http://b/ HTTP/1.1\r\n"},
+      Case{"https://a.example/desk/", "", "GET /desk/ HTTP/1.1\r\n"});
+  RelayFixture host;
+  tcp::socket caller = host.ConnectCaller();
+  Send(caller, "GET " + std::string(example.target) +
+                   " HTTP/1.1\r\nHost: " + std::string(example.host_field) +
+                   "\r\nX-Attempt-Id: 1\r\n\r\n");
+  tcp::socket server = host.AcceptFromRelay();
+  const std::string sent = host.Receive(server);
+  CHECK(sent.starts_with(example.sent_line));
+  CHECK(Count(sent, "Host: ") == 1);
+  CHECK(Count(sent, "b.example") == 0);
+}
+
+TEST_CASE("a target in absolute form without a path asks for the root",
+          "[R4]") {
+  const std::string target =
+      GENERATE("http://a.example", "http://a.example?q", "http://a.example/");
+  RelayFixture host;
+  tcp::socket caller = host.ConnectCaller();
+  Send(caller, "GET " + target +
+                   " HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: 1\r\n\r\n");
+  CHECK(host.Receive(caller).starts_with("HTTP/1.1 404"));
+  CHECK(Count(host.LogText(), R"("reason":"a.example/)") == 1);
+}
+
+TEST_CASE("a target that is neither a path nor a web address is rejected",
+          "[R4]") {
+  const std::string target =
+      GENERATE("desk/1", "http:///desk/1", "ftp://a.example/desk/1", "http:/x");
+  RelayFixture host;
+  tcp::socket caller = host.ConnectCaller();
+  Send(caller, "GET " + target +
+                   " HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: 1\r\n\r\n");
+  CHECK(host.Receive(caller).starts_with("HTTP/1.1 400"));
+}
+
 }  // namespace mustardflow::tests
