requests: Ignore empty lines before a request

Callers that send an empty line after a body, or before the first request of a connection, got 400, which they never retry, for the request that followed.

The connection took the line break for the start of a request line. HTTP/1.1 asks servers to ignore at least one empty line there (RFC 9112, section 2.2).

Line breaks between requests are now dropped before they reach the parser. They do not count as the start of a request, so neither the time for a header nor a stop waits for more after them.

Before the change, the test of ignored lines failed (nothing reached the server); the test of a stop passed then and passes now.

--- a/src/transport/caller_connection.cc
+++ b/src/transport/caller_connection.cc
@@ -154,6 +154,11 @@
   while (!input_buffer_.empty() && !reading_finished_ &&
          exchanges_.size() < kMaxPipelinedRequests) {
     if (!request_started_at_) {
+      // Empty lines before a request are ignored (RFC 9112, section 2.2).
+      input_buffer_.erase(0, input_buffer_.find_first_not_of("\r\n"));
+      if (input_buffer_.empty()) {
+        break;
+      }
       request_started_at_ = Now();
     }
     RaiseLimits();
--- a/tests/transport/caller_connection_test.cc
+++ b/tests/transport/caller_connection_test.cc
@@ -270,4 +270,38 @@
   CHECK(host.Receive(caller).starts_with("HTTP/1.1 400"));
 }
 
+// Some clients send an empty line after a body or before a request; HTTP asks
+// servers to ignore it. It was rejected for good.
+TEST_CASE("empty lines before a request are ignored", "[R4]") {
+  RelayFixture host;
+  tcp::socket caller = host.ConnectCaller();
+  Send(caller, "\r\n");
+  host.Receive(caller);
+  Send(caller, kRequest);
+  Send(caller, "\r\n");
+  tcp::socket server = host.AcceptFromRelay();
+  CHECK(Count(host.Receive(server), "POST ") == 1);
+  Send(server, kServerAnswer);
+  CHECK(Count(host.Receive(caller), "HTTP/1.1 200") == 1);
+
+  Send(caller, "\r");
+  host.Receive(caller);
+  Send(caller, "\n\r\n");
+  Send(caller, kRequest);
+  CHECK(Count(host.Receive(server), "POST ") == 1);
+  Send(server, kServerAnswer);
+  CHECK(Count(host.Receive(caller), "HTTP/1.1 200") == 1);
+}
+
+// An empty line is no request: after it, the connection still counts as idle.
+TEST_CASE("an empty line does not keep a stopping host waiting", "[A1]") {
+  RelayFixture host;
+  tcp::socket caller = host.ConnectCaller();
+  Send(caller, "\r\n");
+  host.Receive(caller);
+  host.callers().StopReading();
+  CHECK(host.Receive(caller).empty());
+  CHECK(host.ended());
+}
+
 }  // namespace mustardflow::tests
