requests: Ask for a body once the earlier answers are written

A caller that sent a request with "Expect: 100-continue" behind another one on its connection was never asked for the body. It waited until the time limit ended the request with 408.

The interim response was written only on receipt of bytes and only if no earlier answer was outstanding. When the earlier answer was written, nothing was left to parse, and nobody looked again.

The connection now looks after each write as well. The time for the body begins when the caller is asked for it, since it cannot send it before.

Before the change the new test failed: no interim response followed the earlier answer. Its check of the time limit was added with the change and was not run before it.

--- a/src/transport/caller_connection.cc
+++ b/src/transport/caller_connection.cc
@@ -184,15 +184,14 @@
       Dispatch();
       continue;
     }
-    if (parser_->is_header_done() && exchanges_.empty() && !writing_ &&
-        beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
-      parser_->get().erase(http::field::expect);
-      WriteContinue();
-    }
     if (error == http::error::need_more || used == 0) {
       break;
     }
   }
+  // The interim response has its place after the answers to earlier requests.
+  if (AwaitsContinue() && exchanges_.empty() && !writing_) {
+    WriteContinue();
+  }
   // At the limit reading pauses, so that TCP flow control holds the caller
   // back.
   if (exchanges_.size() < kMaxPipelinedRequests) {
@@ -200,8 +199,16 @@
   }
 }
 
+bool CallerConnection::AwaitsContinue() const {
+  return request_started_at_ && !reading_finished_ &&
+         parser_->is_header_done() &&
+         beast::iequals(parser_->get()[http::field::expect], "100-continue");
+}
+
 void CallerConnection::WriteContinue() {
   static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+  parser_->get().erase(http::field::expect);
+  request_started_at_ = Now();
   writing_ = true;
   asio::async_write(
       socket_, asio::buffer(kContinue),
@@ -419,6 +426,10 @@
     return;
   }
   const state::IngressLimits limits = Limits();
+  if (AwaitsContinue()) {
+    // The time for the body starts when the caller is asked for it.
+    return;
+  }
   if (request_started_at_ && !reading_finished_) {
     // A request with a body may take the idle timeout longer than a header.
     const state::Duration allowed =
--- a/src/transport/caller_connection.h
+++ b/src/transport/caller_connection.h
@@ -74,6 +74,8 @@
   // those that it has been judged by so far, so that a change of the limits in
   // the middle of a request does not reject it.
   void RaiseLimits();
+  // Whether the caller waits to be asked for the body of the arriving request.
+  bool AwaitsContinue() const;
   // Asks the caller for the body of the arriving request.
   void WriteContinue();
   // Why a request is rejected before it is complete.
--- a/tests/transport/caller_connection_test.cc
+++ b/tests/transport/caller_connection_test.cc
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "tests/transport/relay_fixture.h"
+#include "transport/clocks.h"
 
 namespace mustardflow::tests {
 
@@ -304,4 +305,26 @@
   CHECK(host.ended());
 }
 
+// While an earlier answer is outstanding, the interim response has to wait. It
+// was then never sent, and the request ended at the time limit.
+TEST_CASE("a request behind another one is asked for its body", "[R4]") {
+  RelayFixture host;
+  tcp::socket caller = host.ConnectCaller();
+  Send(caller, kRequest);
+  Send(caller,
+       "POST /desk/1 HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: 1\r\n"
+       "Expect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+  tcp::socket server = host.AcceptFromRelay();
+  REQUIRE(Count(host.Receive(server), "POST ") == 1);
+  // The time limit does not run while the caller waits to be asked.
+  host.callers().Tick(transport::Now() + std::chrono::seconds(60));
+  CHECK(host.Receive(caller).empty());
+  Send(server, kServerAnswer);
+  const std::string answers = host.Receive(caller);
+  CHECK(answers.starts_with("HTTP/1.1 200"));
+  CHECK(answers.ends_with("HTTP/1.1 100 Continue\r\n\r\n"));
+  Send(caller, "hi");
+  CHECK(Count(host.Receive(server), "POST ") == 1);
+}
+
 }  // namespace mustardflow::tests
