requests: Forward the fields of the protocol even if Connection lists them

A request with a Connection field that names X-Attempt-Id, X-Shard-Key or Host reached the server without that field; a server answers 400 to a request without an id.

Fields that Connection lists are hop-by-hop and are dropped. A sender must not list fields that are meant for all recipients (RFC 9110, section 7.6.1), but these fields are forwarded as they came, whatever else the caller says of them.

Host, the id, the key and the fields that make an answer the server's own are now always forwarded. Other listed fields are dropped as before.

--- a/src/transport/header_fields.cc
+++ b/src/transport/header_fields.cc
@@ -3,6 +3,7 @@
 #include "transport/header_fields.h"
 
 #include <algorithm>
+#include <array>
 #include <cctype>
 
 #include "platform/server_protocol.h"
@@ -40,6 +41,20 @@
                                            platform::kServerIdField.size()));
 }
 
+// Whether servers or callers depend on this field, so that it is forwarded even
+// if the Connection field lists it.
+bool IsAlwaysEndToEnd(const http::fields::value_type& field) {
+  constexpr std::array<std::string_view, 5> kNames = {
+      "Host", platform::kAttemptIdField, platform::kShardKeyField,
+      platform::kSignatureField, platform::kNotExecutedField};
+  const beast::string_view name = field.name_string();
+  return std::any_of(
+      kNames.begin(), kNames.end(), [&](std::string_view always) {
+        return beast::iequals(name,
+                              beast::string_view(always.data(), always.size()));
+      });
+}
+
 // Whether the Connection field lists this field as hop-by-hop.
 bool IsListedInConnection(const http::fields& fields,
                           const http::fields::value_type& field) {
@@ -61,7 +76,7 @@
 bool IsEndToEnd(const http::fields& fields,
                 const http::fields::value_type& field) {
   return !IsHopByHop(field) && !IsForwardingField(field) &&
-         !IsListedInConnection(fields, field);
+         (IsAlwaysEndToEnd(field) || !IsListedInConnection(fields, field));
 }
 
 }  // namespace
--- a/tests/transport/caller_connection_test.cc
+++ b/tests/transport/caller_connection_test.cc
@@ -327,4 +327,21 @@
   CHECK(Count(host.Receive(server), "POST ") == 1);
 }
 
+// Fields that servers need were dropped when the Connection field named them,
+// and servers reject a request without them.
+TEST_CASE("fields that servers need are never taken as hop-by-hop", "[R4]") {
+  RelayFixture host;
+  tcp::socket caller = host.ConnectCaller();
+  Send(caller,
+       "GET /desk/1 HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: 1\r\n"
+       "X-Shard-Key: 7\r\nX-Hop: 1\r\n"
+       "Connection: X-Attempt-Id, host, x-shard-key, X-Hop\r\n\r\n");
+  tcp::socket server = host.AcceptFromRelay();
+  const std::string sent = host.Receive(server);
+  CHECK(Count(sent, "Host: a.example\r\n") == 1);
+  CHECK(Count(sent, "X-Attempt-Id: 1\r\n") == 1);
+  CHECK(Count(sent, "X-Shard-Key: 7\r\n") == 1);
+  CHECK(Count(sent, "X-Hop: ") == 0);
+}
+
 }  // namespace mustardflow::tests
