requests: Leave the trailer of a request out of its header

Trailer fields of a request in chunks acted like header fields: a second Host there got the request rejected with 400, and a second id or a key would have reached the server or changed the routing.

The parser adds trailer fields to the header fields of the message, and the header was checked again after the trailer.

The connection now checks the header once, before the body, keeps it, and passes on the message with that header; the trailer is dropped. The parser stops after the header for this.

Before the change the new test failed: nothing reached the server.

--- a/src/transport/caller_connection.cc
+++ b/src/transport/caller_connection.cc
@@ -89,7 +89,11 @@
   // The parser counts the limit for a body in chunks down, so it could not be
   // raised; see CheckBodySize().
   parser_->body_limit(boost::none);
-  parser_->eager(true);
+  // The parser stops after the header, which then can be told apart from the
+  // trailer; see AcceptHeader().
+  parser_->eager(false);
+  header_accepted_ = false;
+  header_before_trailer_.reset();
   header_limit_ = 0;
   body_limit_ = 0;
   request_started_at_.reset();
@@ -170,8 +174,7 @@
       break;
     }
     if (parser_->is_header_done()) {
-      UseOriginForm();
-      if (const auto rejection = CheckHeader()) {
+      if (const auto rejection = AcceptHeader()) {
         Reject(*rejection);
         break;
       }
@@ -225,6 +228,22 @@
       });
 }
 
+std::optional<CallerConnection::Rejection> CallerConnection::AcceptHeader() {
+  if (header_accepted_) {
+    return std::nullopt;
+  }
+  UseOriginForm();
+  if (auto rejection = CheckHeader()) {
+    return rejection;
+  }
+  header_accepted_ = true;
+  if (parser_->chunked()) {
+    header_before_trailer_ = parser_->get().base();
+  }
+  parser_->eager(true);
+  return std::nullopt;
+}
+
 void CallerConnection::UseOriginForm() {
   auto& message = parser_->get();
   const auto absolute =
@@ -271,6 +290,11 @@
 
 void CallerConnection::Dispatch() {
   CallerMessage message = parser_->release();
+  if (header_before_trailer_) {
+    // The parser has added the trailer's fields, which nothing may depend on:
+    // the request was checked without them.
+    message.base() = *std::move(header_before_trailer_);
+  }
   ResetParser();
   auto exchange = std::make_shared<Exchange>();
   exchange->keep_alive = message.keep_alive();
--- a/src/transport/caller_connection.h
+++ b/src/transport/caller_connection.h
@@ -84,6 +84,9 @@
     std::string problem;
   };
 
+  // Checks the complete header once, and prepares to read the body. Returns why
+  // the request is rejected, if it is.
+  std::optional<Rejection> AcceptHeader();
   // Replaces a target in absolute form by its path and query, and the Host
   // field by the target's host.
   void UseOriginForm();
@@ -118,6 +121,11 @@
   const RequestSource source_;
   ClosedHandler closed_handler_;
   std::unique_ptr<Parser> parser_;
+  // Whether AcceptHeader() has accepted the header of the arriving request.
+  bool header_accepted_ = false;
+  // The header of a request with a body in chunks, as it was before the
+  // trailer.
+  std::optional<CallerMessage::header_type> header_before_trailer_;
   // The sizes in bytes that the arriving request may have.
   std::size_t header_limit_ = 0;
   std::size_t body_limit_ = 0;
--- a/tests/transport/caller_connection_test.cc
+++ b/tests/transport/caller_connection_test.cc
@@ -344,4 +344,21 @@
   CHECK(Count(sent, "X-Hop: ") == 0);
 }
 
+// The parser adds trailer fields to the header: a second id or host got to the
+// server, and a second Host field was rejected.
+TEST_CASE("trailer fields do not count as header fields", "[R4]") {
+  RelayFixture host;
+  tcp::socket caller = host.ConnectCaller();
+  Send(caller,
+       "POST /desk/1 HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: 1\r\n"
+       "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n"
+       "Host: b.example\r\nX-Attempt-Id: 2\r\nX-Shard-Key: 7\r\n\r\n");
+  tcp::socket server = host.AcceptFromRelay();
+  const std::string sent = host.Receive(server);
+  CHECK(Count(sent, "Host: ") == 1);
+  CHECK(Count(sent, "X-Attempt-Id: ") == 1);
+  CHECK(Count(sent, "X-Shard-Key: ") == 0);
+  CHECK(sent.ends_with("\r\n\r\nhi"));
+}
+
 }  // namespace mustardflow::tests
