--- a/src/transport/caller_connection.cc
+++ b/src/transport/caller_connection.cc
@@ -2,6 +2,9 @@
 
 #include "transport/caller_connection.h"
 
+#include <algorithm>
+#include <limits>
+#include <string_view>
 #include <utility>
 
 #include "platform/server_protocol.h"
@@ -24,12 +27,40 @@
   if (error == http::error::header_limit) {
     return 431;
   }
-  if (error == http::error::body_limit) {
-    return 413;
-  }
   return 400;
 }
 
+// A request target in absolute form (RFC 9112, section 3.2.2).
+struct AbsoluteTarget {
+  std::string authority;
+  // The path and the query.
+  std::string origin_form;
+};
+
+// Returns nullopt if the target is not an http or https URI with a host.
+std::optional<AbsoluteTarget> ParseAbsoluteTarget(std::string_view target) {
+  const std::size_t scheme_end = target.find("://");
+  if (scheme_end == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const beast::string_view scheme(target.data(), scheme_end);
+  if (!beast::iequals(scheme, "http") && !beast::iequals(scheme, "https")) {
+    return std::nullopt;
+  }
+  target.remove_prefix(scheme_end + 3);
+  const std::size_t authority_end =
+      std::min(target.find_first_of("/?"), target.size());
+  if (authority_end == 0) {
+    return std::nullopt;
+  }
+  AbsoluteTarget parsed{std::string(target.substr(0, authority_end)),
+                        std::string(target.substr(authority_end))};
+  if (!parsed.origin_form.starts_with('/')) {
+    parsed.origin_form.insert(0, 1, '/');
+  }
+  return parsed;
+}
+
 }  // namespace
 
 CallerConnection::CallerConnection(tcp::socket socket,
@@ -55,15 +86,39 @@
 
 void CallerConnection::ResetParser() {
   parser_ = std::make_unique<Parser>();
-  const state::IngressLimits limits = Limits();
-  parser_->header_limit(static_cast<std::uint32_t>(limits.header_bytes));
-  parser_->body_limit(limits.body_bytes);
-  parser_->eager(true);
+  // The parser counts the limit for a body in chunks down, so it could not be
+  // raised; see CheckBodySize().
+  parser_->body_limit(boost::none);
+  // The parser stops after the header, which then can be told apart from the
+  // trailer; see AcceptHeader().
+  parser_->eager(false);
+  header_accepted_ = false;
+  header_before_trailer_.reset();
+  header_limit_ = 0;
+  body_limit_ = 0;
   request_started_at_.reset();
 }
 
+void CallerConnection::RaiseLimits() {
+  constexpr std::size_t kMaxHeaderLimit =
+      std::numeric_limits<std::uint32_t>::max();
+  const state::IngressLimits limits = Limits();
+  header_limit_ =
+      std::max(header_limit_, std::min(limits.header_bytes, kMaxHeaderLimit));
+  body_limit_ = std::max(body_limit_, limits.body_bytes);
+  parser_->header_limit(static_cast<std::uint32_t>(header_limit_));
+}
+
 state::IngressLimits CallerConnection::Limits() const {
-  return view_.config ? view_.config->limits() : state::IngressLimits();
+  state::IngressLimits limits =
+      view_.config ? view_.config->limits() : state::IngressLimits();
+  if (source_ == RequestSource::kHost) {
+    // The forwarding host has checked the sizes, perhaps by limits that are not
+    // known here, and has added fields of its own.
+    limits.header_bytes = std::numeric_limits<std::size_t>::max();
+    limits.body_bytes = std::numeric_limits<std::size_t>::max();
+  }
+  return limits;
 }
 
 void CallerConnection::Read() {
@@ -103,8 +158,14 @@
   while (!input_buffer_.empty() && !reading_finished_ &&
          exchanges_.size() < kMaxPipelinedRequests) {
     if (!request_started_at_) {
+      // Empty lines before a request are ignored (RFC 9112, section 2.2).
+      input_buffer_.erase(0, input_buffer_.find_first_not_of("\r\n"));
+      if (input_buffer_.empty()) {
+        break;
+      }
       request_started_at_ = Now();
     }
+    RaiseLimits();
     beast::error_code error;
     const std::size_t used = parser_->put(asio::buffer(input_buffer_), error);
     input_buffer_.erase(0, used);
@@ -113,7 +174,11 @@
       break;
     }
     if (parser_->is_header_done()) {
-      if (const auto rejection = CheckHeader()) {
+      if (const auto rejection = AcceptHeader()) {
+        Reject(*rejection);
+        break;
+      }
+      if (const auto rejection = CheckBodySize()) {
         Reject(*rejection);
         break;
       }
@@ -122,15 +187,14 @@
       Dispatch();
       continue;
     }
-    if (parser_->is_header_done() && exchanges_.empty() && !writing_ &&
-        beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
-      parser_->get().erase(http::field::expect);
-      WriteContinue();
-    }
     if (error == http::error::need_more || used == 0) {
       break;
     }
   }
+  // The interim response has its place after the answers to earlier requests.
+  if (AwaitsContinue() && exchanges_.empty() && !writing_) {
+    WriteContinue();
+  }
   // At the limit reading pauses, so that TCP flow control holds the caller
   // back.
   if (exchanges_.size() < kMaxPipelinedRequests) {
@@ -138,8 +202,16 @@
   }
 }
 
+bool CallerConnection::AwaitsContinue() const {
+  return request_started_at_ && !reading_finished_ &&
+         parser_->is_header_done() &&
+         beast::iequals(parser_->get()[http::field::expect], "100-continue");
+}
+
 void CallerConnection::WriteContinue() {
   static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+  parser_->get().erase(http::field::expect);
+  request_started_at_ = Now();
   writing_ = true;
   asio::async_write(
       socket_, asio::buffer(kContinue),
@@ -156,6 +228,37 @@
       });
 }
 
+std::optional<CallerConnection::Rejection> CallerConnection::AcceptHeader() {
+  if (header_accepted_) {
+    return std::nullopt;
+  }
+  UseOriginForm();
+  if (auto rejection = CheckHeader()) {
+    return rejection;
+  }
+  header_accepted_ = true;
+  if (parser_->chunked()) {
+    header_before_trailer_ = parser_->get().base();
+  }
+  parser_->eager(true);
+  return std::nullopt;
+}
+
+void CallerConnection::UseOriginForm() {
+  auto& message = parser_->get();
+  const auto absolute =
+      ParseAbsoluteTarget({message.target().data(), message.target().size()});
+  // HTTP/1.1 requires one Host field in this form too; see CheckHeader().
+  const bool valid_host_count =
+      message.count(http::field::host) == 1 ||
+      (message.version() == 10 && message.count(http::field::host) == 0);
+  if (!absolute || !valid_host_count) {
+    return;
+  }
+  message.target(absolute->origin_form);
+  message.set(http::field::host, absolute->authority);
+}
+
 std::optional<CallerConnection::Rejection> CallerConnection::CheckHeader()
     const {
   const auto& message = parser_->get();
@@ -175,8 +278,23 @@
   return std::nullopt;
 }
 
+std::optional<CallerConnection::Rejection> CallerConnection::CheckBodySize()
+    const {
+  const std::uint64_t stated = parser_->content_length().value_or(0);
+  if (std::max<std::uint64_t>(stated, parser_->get().body().size()) >
+      body_limit_) {
+    return Rejection{413, "body limit exceeded"};
+  }
+  return std::nullopt;
+}
+
 void CallerConnection::Dispatch() {
   CallerMessage message = parser_->release();
+  if (header_before_trailer_) {
+    // The parser has added the trailer's fields, which nothing may depend on:
+    // the request was checked without them.
+    message.base() = *std::move(header_before_trailer_);
+  }
   ResetParser();
   auto exchange = std::make_shared<Exchange>();
   exchange->keep_alive = message.keep_alive();
@@ -332,6 +450,10 @@
     return;
   }
   const state::IngressLimits limits = Limits();
+  if (AwaitsContinue()) {
+    // The time for the body starts when the caller is asked for it.
+    return;
+  }
   if (request_started_at_ && !reading_finished_) {
     // A request with a body may take the idle timeout longer than a header.
     const state::Duration allowed =
--- a/src/transport/caller_connection.h
+++ b/src/transport/caller_connection.h
@@ -64,12 +64,18 @@
   };
 
   // Returns the limits of the current configuration, or the defaults without a
-  // configuration.
+  // configuration. The sizes of forwarded requests are not limited.
   state::IngressLimits Limits() const;
   void Read();
   void HandleRead(const beast::error_code& error, std::size_t size);
   void Parse();
   void ResetParser();
+  // Judges the arriving request by the current limits where they are above
+  // those that it has been judged by so far, so that a change of the limits in
+  // the middle of a request does not reject it.
+  void RaiseLimits();
+  // Whether the caller waits to be asked for the body of the arriving request.
+  bool AwaitsContinue() const;
   // Asks the caller for the body of the arriving request.
   void WriteContinue();
   // Why a request is rejected before it is complete.
@@ -78,8 +84,16 @@
     std::string problem;
   };
 
+  // Checks the complete header once, and prepares to read the body. Returns why
+  // the request is rejected, if it is.
+  std::optional<Rejection> AcceptHeader();
+  // Replaces a target in absolute form by its path and query, and the Host
+  // field by the target's host.
+  void UseOriginForm();
   // Returns what is wrong with the request line or the header, if anything.
   std::optional<Rejection> CheckHeader() const;
+  // Returns whether the body, as stated or as received so far, is too large.
+  std::optional<Rejection> CheckBodySize() const;
   // Passes the request that the parser has completed to the relay.
   void Dispatch();
   // Answers the arriving request with an error, as the last answer of the
@@ -107,6 +121,14 @@
   const RequestSource source_;
   ClosedHandler closed_handler_;
   std::unique_ptr<Parser> parser_;
+  // Whether AcceptHeader() has accepted the header of the arriving request.
+  bool header_accepted_ = false;
+  // The header of a request with a body in chunks, as it was before the
+  // trailer.
+  std::optional<CallerMessage::header_type> header_before_trailer_;
+  // The sizes in bytes that the arriving request may have.
+  std::size_t header_limit_ = 0;
+  std::size_t body_limit_ = 0;
   std::array<char, 8 << 10> read_chunk_{};
   // Received bytes that have not been parsed yet.
   std::string input_buffer_;
--- a/tests/transport/caller_connection_test.cc
+++ b/tests/transport/caller_connection_test.cc
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "tests/transport/relay_fixture.h"
+#include "transport/clocks.h"
 
 namespace mustardflow::tests {
 
@@ -19,6 +20,25 @@
     "HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\nX-Server-Signature: s\r\n"
     "Content-Length: 4\r\n\r\ndone";
 
+state::IngressLimits LimitsOf(std::size_t header_bytes,
+                              std::size_t body_bytes) {
+  state::IngressLimits limits;
+  limits.header_bytes = header_bytes;
+  limits.body_bytes = body_bytes;
+  return limits;
+}
+
+// Returns a request whose header, up to and with its empty line, and body have
+// these sizes.
+std::string RequestOf(std::size_t header_bytes, std::size_t body_bytes) {
+  std::string header =
+      "POST /desk/1 HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: 1\r\n"
+      "Content-Length: " +
+      std::to_string(body_bytes) + "\r\nX-Padding: ";
+  header.append(header_bytes - header.size() - 4, 'p');
+  return header + "\r\n\r\n" + std::string(body_bytes, 'b');
+}
+
 }  // namespace
 
 // Guards against a request that arrives on a busy connection late during a
@@ -98,4 +118,247 @@
   CHECK(host.ended());
 }
 
+// A connection may be older than the configuration: judged by limits that are
+// no longer in force, a proper request would be rejected for good.
+TEST_CASE("a request is judged by the limits in force when it begins", "[R4]") {
+  RelayFixture host;
+  tcp::socket caller = host.ConnectCaller();
+  host.SetLimits(LimitsOf(400, 10));
+  Send(caller, kRequest);
+  tcp::socket server = host.AcceptFromRelay();
+  REQUIRE(Count(host.Receive(server), "POST ") == 1);
+  Send(server, kServerAnswer);
+  REQUIRE(Count(host.Receive(caller), "HTTP/1.1 200") == 1);
+
+  host.SetLimits(LimitsOf(1000, 100));
+  Send(caller, RequestOf(/*header_bytes=*/1000, /*body_bytes=*/100));
+  CHECK(Count(host.Receive(server), "POST ") == 1);
+  Send(server, kServerAnswer);
+  CHECK(Count(host.Receive(caller), "HTTP/1.1 200") == 1);
+}
+
+TEST_CASE("a connection from before the first configuration gets its limits",
+          "[R4]") {
+  RelayFixture host;
+  host.RemoveConfig();
+  tcp::socket caller = host.ConnectCaller();
+  host.Receive(caller);
+  constexpr std::size_t kHeaderBytes = 40 << 10;
+  host.SetLimits(LimitsOf(kHeaderBytes, 100));
+  Send(caller, RequestOf(kHeaderBytes, /*body_bytes=*/100));
+  tcp::socket server = host.AcceptFromRelay();
+  CHECK(Count(host.Receive(server), "POST ") == 1);
+}
+
+TEST_CASE("a limit that is raised while a request arrives counts for it",
+          "[R4]") {
+  RelayFixture host;
+  host.SetLimits(LimitsOf(400, 10));
+  tcp::socket caller = host.ConnectCaller();
+  SECTION("header, body with a length") {
+    const std::string request = RequestOf(1000, 100);
+    Send(caller, request.substr(0, 300));
+    host.Receive(caller);
+    host.SetLimits(LimitsOf(1000, 100));
+    Send(caller, request.substr(300));
+  }
+  SECTION("body in chunks") {
+    Send(caller,
+         "POST /desk/1 HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: 1\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n8\r\n12345678\r\n");
+    host.Receive(caller);
+    host.SetLimits(LimitsOf(1000, 16));
+    Send(caller, "8\r\n12345678\r\n0\r\n\r\n");
+  }
+  SECTION("limits that are lowered") {
+    const std::string request = RequestOf(390, 10);
+    Send(caller, request.substr(0, 300));
+    host.Receive(caller);
+    host.SetLimits(LimitsOf(100, 1));
+    Send(caller, request.substr(300));
+  }
+  tcp::socket server = host.AcceptFromRelay();
+  CHECK(Count(host.Receive(server), "POST ") == 1);
+}
+
+TEST_CASE("a request above the limits in force is rejected", "[R4]") {
+  RelayFixture host;
+  host.SetLimits(LimitsOf(400, 16));
+  tcp::socket caller = host.ConnectCaller();
+  SECTION("header") {
+    Send(caller, RequestOf(1000, 16));
+    CHECK(host.Receive(caller).starts_with("HTTP/1.1 431"));
+  }
+  SECTION("body with a length") {
+    Send(caller, RequestOf(400, 17));
+    CHECK(host.Receive(caller).starts_with("HTTP/1.1 413"));
+  }
+  SECTION("body in chunks") {
+    Send(caller,
+         "POST /desk/1 HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: 1\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n8\r\n12345678\r\n"
+         "9\r\n123456789\r\n0\r\n\r\n");
+    CHECK(host.Receive(caller).starts_with("HTTP/1.1 413"));
+  }
+  CHECK_FALSE(host.HasNewConnection());
+}
+
+// The forwarding host adds fields, and may know limits that this host does not:
+// by the limits for callers, a proper request would end here, unknown to the
+// host that forwarded it.
+TEST_CASE("the limits for callers do not bind forwarded requests", "[R4]") {
+  RelayFixture host;
+  host.SetLimits(LimitsOf(400, 10));
+  tcp::socket forwarding_host = host.ConnectHost();
+  SECTION("header") {
+    Send(forwarding_host, RequestOf(/*header_bytes=*/600, /*body_bytes=*/10));
+  }
+  SECTION("body") {
+    Send(forwarding_host, RequestOf(/*header_bytes=*/390, /*body_bytes=*/20));
+  }
+  // Without the forwarding fields, the request gets to the relay but no
+  // further.
+  const std::string answer = host.Receive(forwarding_host);
+  CHECK(Count(answer, "X-Mustardflow-Outcome: ") == 1);
+  CHECK(Count(host.LogText(), "malformed-forward") == 1);
+}
+
+// HTTP servers must accept a target with scheme and host; it was rejected for
+// good. Its host replaces the Host field, also where requests are routed by it.
+TEST_CASE("a target in absolute form is routed by its host and path", "[R4]") {
+  struct Case {
+    std::string_view target;
+    std::string_view host_field;
+    std::string_view sent_line;
+  };
+  const auto example = GENERATE(
+      Case{"http://a.example/desk/1", "a.example", "GET /desk/1 HTTP/1.1\r\n"},
+      Case{"HTTP://A.example:80/desk/1?q=http://b/", "b.example",
+           "GET /desk/1?q=http://b/ HTTP/1.1\r\n"},
+      Case{"https://a.example/desk/", "", "GET /desk/ HTTP/1.1\r\n"});
+  RelayFixture host;
+  tcp::socket caller = host.ConnectCaller();
+  Send(caller, "GET " + std::string(example.target) +
+                   " HTTP/1.1\r\nHost: " + std::string(example.host_field) +
+                   "\r\nX-Attempt-Id: 1\r\n\r\n");
+  tcp::socket server = host.AcceptFromRelay();
+  const std::string sent = host.Receive(server);
+  CHECK(sent.starts_with(example.sent_line));
+  CHECK(Count(sent, "Host: ") == 1);
+  CHECK(Count(sent, "b.example") == 0);
+}
+
+TEST_CASE("a target in absolute form without a path asks for the root",
+          "[R4]") {
+  const std::string target =
+      GENERATE("http://a.example", "http://a.example?q", "http://a.example/");
+  RelayFixture host;
+  tcp::socket caller = host.ConnectCaller();
+  Send(caller, "GET " + target +
+                   " HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: 1\r\n\r\n");
+  CHECK(host.Receive(caller).starts_with("HTTP/1.1 404"));
+  CHECK(Count(host.LogText(), R"("reason":"a.example/)") == 1);
+}
+
+TEST_CASE("a target that is neither a path nor a web address is rejected",
+          "[R4]") {
+  const std::string target =
+      GENERATE("desk/1", "http:///desk/1", "ftp://a.example/desk/1", "http:/x");
+  RelayFixture host;
+  tcp::socket caller = host.ConnectCaller();
+  Send(caller, "GET " + target +
+                   " HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: 1\r\n\r\n");
+  CHECK(host.Receive(caller).starts_with("HTTP/1.1 400"));
+}
+
+// Some clients send an empty line after a body or before a request; HTTP asks
+// servers to ignore it. It was rejected for good.
+TEST_CASE("empty lines before a request are ignored", "[R4]") {
+  RelayFixture host;
+  tcp::socket caller = host.ConnectCaller();
+  Send(caller, "\r\n");
+  host.Receive(caller);
+  Send(caller, kRequest);
+  Send(caller, "\r\n");
+  tcp::socket server = host.AcceptFromRelay();
+  CHECK(Count(host.Receive(server), "POST ") == 1);
+  Send(server, kServerAnswer);
+  CHECK(Count(host.Receive(caller), "HTTP/1.1 200") == 1);
+
+  Send(caller, "\r");
+  host.Receive(caller);
+  Send(caller, "\n\r\n");
+  Send(caller, kRequest);
+  CHECK(Count(host.Receive(server), "POST ") == 1);
+  Send(server, kServerAnswer);
+  CHECK(Count(host.Receive(caller), "HTTP/1.1 200") == 1);
+}
+
+// An empty line is no request: after it, the connection still counts as idle.
+TEST_CASE("an empty line does not keep a stopping host waiting", "[A1]") {
+  RelayFixture host;
+  tcp::socket caller = host.ConnectCaller();
+  Send(caller, "\r\n");
+  host.Receive(caller);
+  host.callers().StopReading();
+  CHECK(host.Receive(caller).empty());
+  CHECK(host.ended());
+}
+
+// While an earlier answer is outstanding, the interim response has to wait. It
+// was then never sent, and the request ended at the time limit.
+TEST_CASE("a request behind another one is asked for its body", "[R4]") {
+  RelayFixture host;
+  tcp::socket caller = host.ConnectCaller();
+  Send(caller, kRequest);
+  Send(caller,
+       "POST /desk/1 HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: 1\r\n"
+       "Expect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+  tcp::socket server = host.AcceptFromRelay();
+  REQUIRE(Count(host.Receive(server), "POST ") == 1);
+  // The time limit does not run while the caller waits to be asked.
+  host.callers().Tick(transport::Now() + std::chrono::seconds(60));
+  CHECK(host.Receive(caller).empty());
+  Send(server, kServerAnswer);
+  const std::string answers = host.Receive(caller);
+  CHECK(answers.starts_with("HTTP/1.1 200"));
+  CHECK(answers.ends_with("HTTP/1.1 100 Continue\r\n\r\n"));
+  Send(caller, "hi");
+  CHECK(Count(host.Receive(server), "POST ") == 1);
+}
+
+// Fields that servers need were dropped when the Connection field named them,
+// and servers reject a request without them.
+TEST_CASE("fields that servers need are never taken as hop-by-hop", "[R4]") {
+  RelayFixture host;
+  tcp::socket caller = host.ConnectCaller();
+  Send(caller,
+       "GET /desk/1 HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: 1\r\n"
+       "X-Shard-Key: 7\r\nX-Hop: 1\r\n"
+       "Connection: X-Attempt-Id, host, x-shard-key, X-Hop\r\n\r\n");
+  tcp::socket server = host.AcceptFromRelay();
+  const std::string sent = host.Receive(server);
+  CHECK(Count(sent, "Host: a.example\r\n") == 1);
+  CHECK(Count(sent, "X-Attempt-Id: 1\r\n") == 1);
+  CHECK(Count(sent, "X-Shard-Key: 7\r\n") == 1);
+  CHECK(Count(sent, "X-Hop: ") == 0);
+}
+
+// The parser adds trailer fields to the header: a second id or host got to the
+// server, and a second Host field was rejected.
+TEST_CASE("trailer fields do not count as header fields", "[R4]") {
+  RelayFixture host;
+  tcp::socket caller = host.ConnectCaller();
+  Send(caller,
+       "POST /desk/1 HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: 1\r\n"
+       "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n"
+       "Host: b.example\r\nX-Attempt-Id: 2\r\nX-Shard-Key: 7\r\n\r\n");
+  tcp::socket server = host.AcceptFromRelay();
+  const std::string sent = host.Receive(server);
+  CHECK(Count(sent, "Host: ") == 1);
+  CHECK(Count(sent, "X-Attempt-Id: ") == 1);
+  CHECK(Count(sent, "X-Shard-Key: ") == 0);
+  CHECK(sent.ends_with("\r\n\r\nhi"));
+}
+
 }  // namespace mustardflow::tests
--- a/tests/transport/relay_fixture.h
+++ b/tests/transport/relay_fixture.h
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <stdexcept>
@@ -42,10 +43,16 @@
             [] { return 0.5; },
             log_,
             metrics_),
-        callers_(context_, {"127.0.0.1", 0}, view_, relay_, log_) {
-    view_.config = OneRouteConfig(kind);
+        callers_(context_, {"127.0.0.1", 0}, view_, relay_, log_),
+        hosts_(context_,
+               {"127.0.0.1", 0},
+               view_,
+               relay_,
+               log_,
+               transport::RequestSource::kHost),
+        kind_(kind) {
+    SetLimits(state::IngressLimits());
     view_.config_confirmed_at = transport::Now();
-    pool_.SetConfig(*view_.config);
     state::ServerRecord record;
     record.incarnation = {"s1", 1};
     record.sequence = 1;
@@ -62,11 +69,28 @@
     return caller;
   }
 
+  // Connects as a host that forwards requests.
+  tcp::socket ConnectHost() {
+    tcp::socket host(context_);
+    host.connect(hosts_.local_endpoint());
+    return host;
+  }
+
+  // Puts a configuration with these limits into force.
+  void SetLimits(const state::IngressLimits& limits) {
+    view_.config = OneRouteConfig(limits);
+    pool_.SetConfig(*view_.config);
+  }
+
+  // Returns to the state before the first configuration.
+  void RemoveConfig() { view_.config = nullptr; }
+
   // Makes the service keyed and all keys those of the server, whose requests go
   // through the gate of another host.
   void UseGate(state::RequestKind kind) {
-    view_.config = OneRouteConfig(kind, true);
-    pool_.SetConfig(*view_.config);
+    kind_ = kind;
+    keyed_ = true;
+    SetLimits(state::IngressLimits());
     state::OwnedRange range;
     range.last = state::kShardKeyCount - 1;
     range.holder = {"s1", 1};
@@ -86,10 +110,13 @@
     acceptor.async_accept(
         socket, [&](const boost::system::error_code&) { accepted = true; });
     context_.restart();
+    const auto give_up_at =
+        std::chrono::steady_clock::now() + std::chrono::seconds(2);
     while (!accepted) {
-      if (context_.run_one_for(std::chrono::seconds(5)) == 0) {
+      if (std::chrono::steady_clock::now() > give_up_at) {
         throw std::runtime_error("the relay opened no connection");
       }
+      context_.run_one_until(give_up_at);
     }
     return socket;
   }
@@ -175,24 +202,22 @@
     return profile;
   }
 
-  static std::shared_ptr<const state::RoutingConfig> OneRouteConfig(
-      state::RequestKind kind,
-      bool keyed = false) {
+  std::shared_ptr<const state::RoutingConfig> OneRouteConfig(
+      const state::IngressLimits& limits) {
     state::ServiceRules rules;
-    rules.keyed = keyed;
+    rules.keyed = keyed_;
     state::Route route;
     route.name = "desk";
     route.hostname = "a.example";
     route.prefix = "/desk/";
-    route.kind = kind;
+    route.kind = kind_;
     route.max_attempts = 3;
     route.timeout = std::chrono::seconds(20);
     route.target_latency = std::chrono::seconds(20);
     route.services = {{"desk", 1}};
     return std::make_shared<state::RoutingConfig>(
-        1, std::vector<state::Route>{route},
-        std::map<std::string, state::ServiceRules>{{"desk", rules}},
-        state::IngressLimits());
+        ++config_version_, std::vector<state::Route>{route},
+        std::map<std::string, state::ServiceRules>{{"desk", rules}}, limits);
   }
 
   transport::asio::io_context context_;
@@ -206,6 +231,10 @@
   transport::EntryMetrics metrics_;
   transport::RequestRelay relay_;
   transport::CallerListener callers_;
+  transport::CallerListener hosts_;
+  state::RequestKind kind_;
+  bool keyed_ = false;
+  std::int64_t config_version_ = 0;
   bool ended_ = false;
 };
 
