requests: Test that a gate without a gate's answer is left out

An answer that is no gate's leaves the gate out for a second, as a lost connection does. Nothing tested that the next request goes to the server itself. The new test fails if only lost connections leave the gate out, and passes as it is.

--- a/tests/requests/request_cases_test.cc
+++ b/tests/requests/request_cases_test.cc
@@ -333,6 +333,36 @@
   CHECK_FALSE(direct->gate);
 }
 
+// Guards against further requests for another program that has the gate's
+// address: each that may run once only would end as unknown.
+TEST_CASE("a gate whose answer is no gate's is left out for a second", "[L2]") {
+  FlowFixture fixture;
+  fixture.AddServer("s1", "shelf");
+  fixture.SetOwner("s1");
+  fixture.view().table.gates["s1"] = {"10.0.0.1", 7201};
+  const auto start = [&fixture](coordination::RequestId id) {
+    return fixture.flow().Start(
+        fixture.now(), id, fixture.Terms(RequestKind::kNonIdempotent, "shelf"));
+  };
+  const FlowActions sent = start(1);
+  const auto* attempt = FlowFixture::FindAction<SendAttempt>(sent);
+  REQUIRE(attempt != nullptr);
+  REQUIRE(attempt->gate);
+  const FlowActions ended = fixture.flow().HandleResult(
+      fixture.now(), 1, attempt->attempt, SendResult::kUntrusted);
+  REQUIRE(FlowFixture::FindAction<FinishRequest>(ended) != nullptr);
+  CHECK(FlowFixture::FindAction<FinishRequest>(ended)->outcome ==
+        RequestOutcome::kUnknown);
+
+  const FlowActions next = start(2);
+  REQUIRE(FlowFixture::FindAction<SendAttempt>(next) != nullptr);
+  CHECK_FALSE(FlowFixture::FindAction<SendAttempt>(next)->gate);
+  fixture.now() += milliseconds(1100);
+  const FlowActions later = start(3);
+  REQUIRE(FlowFixture::FindAction<SendAttempt>(later) != nullptr);
+  CHECK(FlowFixture::FindAction<SendAttempt>(later)->gate);
+}
+
 // Guards against a caller that is told its request was wrong because two hosts
 // do not understand one another. The attempt does not count, since the gate has
 // sent nothing to the server.
