requests: Do not reject by limits that may be outdated

A host that had lost touch rejected requests with 413 or 431 by the limits that it knew, though a newer configuration may have raised them, and callers do not come back after these.

As for 404, the host now rejects by its limits only while it knows that it has the newest configuration; otherwise it refuses with 503 and Retry-After. Both sections of the test failed before (431 and 413).

--- a/src/transport/caller_connection.cc
+++ b/src/transport/caller_connection.cc
@@ -314,24 +314,28 @@
 
 void CallerConnection::Reject(const Rejection& rejection) {
   static constexpr std::string_view kEvent = "malformed";
-  const int status = rejection.status;
+  const bool by_limit = rejection.status == 413 || rejection.status == 431;
+  CallerAnswer answer;
+  if (by_limit && !relay_.ConfigConfirmed()) {
+    answer = RequestRelay::UnconfirmedAnswer();
+  } else {
+    const auto status = static_cast<http::status>(rejection.status);
+    answer = {
+        rejection.status, std::string(http::obsolete_reason(status)), {}, ""};
+  }
   const beast::string_view id = parser_->get()[beast::string_view(
       platform::kAttemptIdField.data(), platform::kAttemptIdField.size())];
   log_.Write(LogPart::kCaller, kEvent,
              {{"id", std::string_view(id.data(), id.size())},
-              {"status", static_cast<std::int64_t>(status)},
+              {"status", static_cast<std::int64_t>(answer.status)},
               {"problem", rejection.problem},
               {"forwarded", source_ == RequestSource::kHost},
               {"earlier_requests", requests_},
               {"config", view_.config ? view_.config->version() : -1}});
-  relay_.CountRejection(source_, status, kEvent);
+  relay_.CountRejection(source_, answer.status, kEvent);
   auto exchange = std::make_shared<Exchange>();
   exchange->keep_alive = false;
-  exchange->answer = CallerAnswer{
-      status,
-      std::string(http::obsolete_reason(static_cast<http::status>(status))),
-      {},
-      ""};
+  exchange->answer = std::move(answer);
   exchanges_.push_back(exchange);
   reading_finished_ = true;
   WriteNextAnswer();
--- a/src/transport/request_relay.cc
+++ b/src/transport/request_relay.cc
@@ -298,17 +298,24 @@
                                   std::string_view event,
                                   std::string_view reason,
                                   CallerAnswer answer) {
-  const bool confirmed =
-      request->config->complete() && view_.config_confirmed_at &&
-      Now() - *view_.config_confirmed_at <= profile_.bounds.config_apply;
-  if (confirmed) {
+  if (ConfigConfirmed()) {
     RejectRequest(request, event, reason, std::move(answer));
   } else {
     RejectRequest(request, "refused", "configuration-unconfirmed",
-                  RefusalAnswer(kNoConfigRetryAfter));
+                  UnconfirmedAnswer());
   }
 }
 
+bool RequestRelay::ConfigConfirmed() const {
+  return view_.config && view_.config->complete() &&
+         view_.config_confirmed_at &&
+         Now() - *view_.config_confirmed_at <= profile_.bounds.config_apply;
+}
+
+CallerAnswer RequestRelay::UnconfirmedAnswer() {
+  return RefusalAnswer(kNoConfigRetryAfter);
+}
+
 bool RequestRelay::CheckAttemptId(const RequestPtr& request) {
   if (!request->attempt_id.empty()) {
     return true;
--- a/src/transport/request_relay.h
+++ b/src/transport/request_relay.h
@@ -101,6 +101,12 @@
   // process exits.
   void EndAll();
 
+  // Whether this host knows that it has the newest configuration, and all of
+  // it. Only then can it tell that a request is not allowed.
+  bool ConfigConfirmed() const;
+  // The answer to a request that a newer configuration might allow.
+  static CallerAnswer UnconfirmedAnswer();
+
   // Counts the answer to a request that was rejected before it was complete.
   // `reason` is the event in the log.
   void CountRejection(RequestSource source,
--- a/tests/transport/config_rejections_test.cc
+++ b/tests/transport/config_rejections_test.cc
@@ -91,6 +91,30 @@
   }
 }
 
+// Guards against 413 and 431 by limits that a newer configuration has raised.
+TEST_CASE("a host that may lack a configuration does not reject by its limits",
+          "[Z7]") {
+  RelayFixture host;
+  state::IngressLimits limits;
+  limits.header_bytes = 500;
+  limits.body_bytes = 1000;
+  host.SetLimits(limits);
+  host.view().config_confirmed_at.reset();
+  tcp::socket caller = host.ConnectCaller();
+  std::string request = "POST /desk/1 HTTP/1.1\r\nHost: a.example\r\n";
+  SECTION("of a header") {
+    request += "X-Long: " + std::string(500, 'x') + "\r\n\r\n";
+  }
+  SECTION("of a body") {
+    request += "Content-Length: 1001\r\n\r\n";
+  }
+  Send(caller, request);
+  const std::string answer = host.Receive(caller);
+  CHECK(answer.starts_with("HTTP/1.1 503"));
+  CHECK(Count(answer, "Retry-After: 0.50") == 1);
+  CHECK(Count(answer, "Connection: close") == 1);
+}
+
 TEST_CASE("a request of a route that could not be read may come again",
           "[Z7]") {
   RelayFixture host;
