requests: Let a gate say that it could not read a forwarded request

The connection of a gate rejected a forwarded request that it could not parse with a bare 400 or 408. Without an outcome the forwarding host had to take it for lost, so a request that may run once only ended as unknown (502) although nothing had been sent to its server.

Such an answer now has the outcome and the request's id, as those of the relay have, and the forwarding host sends the request to the server itself. The test failed before: neither field was there.

--- a/src/transport/caller_connection.cc
+++ b/src/transport/caller_connection.cc
@@ -333,6 +333,12 @@
               {"earlier_requests", requests_},
               {"config", view_.config ? view_.config->version() : -1}});
   relay_.CountRejection(source_, answer.status, kEvent);
+  if (source_ == RequestSource::kHost) {
+    answer.fields.emplace_back(kOutcomeField, "failed");
+    if (!id.empty()) {
+      answer.fields.emplace_back(platform::kAttemptIdField, std::string(id));
+    }
+  }
   auto exchange = std::make_shared<Exchange>();
   exchange->keep_alive = false;
   exchange->answer = std::move(answer);
--- a/tests/transport/caller_connection_test.cc
+++ b/tests/transport/caller_connection_test.cc
@@ -109,6 +109,20 @@
   CHECK(host.Receive(caller).starts_with("HTTP/1.1 404"));
 }
 
+// Guards against a request that ends as unknown although the gate has not
+// passed it on: the forwarding host needs the outcome and the id to tell.
+TEST_CASE("a gate says that it could not read a forwarded request", "[R3]") {
+  RelayFixture host;
+  tcp::socket forwarder = host.ConnectHost();
+  Send(forwarder,
+       "GET /desk/1 HTTP/1.1\r\nX-Attempt-Id: 7\r\nHost: a.example\r\n"
+       "Host: b.example\r\n\r\n");
+  const std::string answer = host.Receive(forwarder);
+  CHECK(answer.starts_with("HTTP/1.1 400"));
+  CHECK(Count(answer, "X-Mustardflow-Outcome: failed") == 1);
+  CHECK(Count(answer, "X-Attempt-Id: 7") == 1);
+}
+
 TEST_CASE("a stopping host closes idle connections", "[A1]") {
   RelayFixture host;
   tcp::socket caller = host.ConnectCaller();
