soak: Check rejections against the configurations in force

Cause: a proper request that each configuration in force allows must not end with a 3xx or 4xx of a host's own, and no server may run what none of them allows. The soak checked neither, and its changes of the configuration changed only the version.

Change: versions now add, remove, move and split routes (between keyed and other services), change time-outs and limits, come in quick succession and grow to 600 routes. Callers pipeline, send bodies up to 360 KB with a length or in chunks and headers up to the smallest limit that may be in force, and half of them leave their connections idle for seconds. Each answer and each run is checked against the versions that may be in force at the host: the newest, and for two seconds (plus trouble of its process or path to the store) those before. A 404 for what every version has is a violation of any host at any time. Servers check that they run what was sent, with its body; callers check whose answer it is and its signed status. A report shows the hosts' log lines of each violation.

--- a/tests/soak/http_server.py
+++ b/tests/soak/http_server.py
@@ -5,17 +5,25 @@
 
 
 class Request:
-    """A request with its fields in lower case."""
+    """A request with its fields in lower case; `writer` answers it early."""
 
-    def __init__(self, method, target, fields, body):
+    def __init__(self, method, target, fields, reader, writer):
         self.method = method
         self.target = target
         self.fields = fields
-        self.body = body
+        self.writer = writer
+        self.reader = reader
+        self.body = None
 
+    async def read_body(self):
+        if self.body is None:
+            self.body = await self.reader.readexactly(
+                int(self.fields.get("content-length", 0)))
+        return self.body
 
-async def read_request(reader):
-    """The next request, or None at the end of the connection."""
+
+async def read_request(reader, writer):
+    """The head of the next request."""
     head = await reader.readuntil(b"\r\n\r\n")
     lines = head.decode("latin-1").split("\r\n")
     method, target, _ = lines[0].split(" ", 2)
@@ -24,8 +32,7 @@
         if ":" in line:
             name, value = line.split(":", 1)
             fields[name.strip().lower()] = value.strip()
-    body = await reader.readexactly(int(fields.get("content-length", 0)))
-    return Request(method, target, fields, body)
+    return Request(method, target, fields, reader, writer)
 
 
 def format_answer(status, fields, body):
@@ -46,8 +53,9 @@
     async def connected(reader, writer):
         try:
             while True:
-                request = await read_request(reader)
+                request = await read_request(reader, writer)
                 answer = await handle(request)
+                await request.read_body()
                 if answer is None:
                     writer.transport.abort()
                     return
@@ -57,4 +65,4 @@
                 asyncio.LimitOverrunError, asyncio.CancelledError):
             writer.transport.abort()
 
-    return await asyncio.start_server(connected, *address)
+    return await asyncio.start_server(connected, *address, limit=1 << 20)
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -10,12 +10,23 @@
 KEYS = 65536
 
 
+def body_of(attempt, size):
+    """The body of a request: its own bytes, whatever part is looked at."""
+    text = f"{attempt}.".encode()
+    return (text * (size // len(text) + 1))[:size]
+
+
 class Oracle:
-    """What servers have run. Violations are collected as texts."""
+    """What callers sent and servers have run. Violations are collected as
+    texts."""
 
     def __init__(self):
+        # By attempt.
+        self.requests = {}
         self.runs = {}
+        self.given = {}
         self.violations = []
+        self.began = time.monotonic()
         self.servers = []
 
     def check_owner(self, server, first, last):
@@ -26,19 +37,45 @@
             for (low, high), lease in other.leases.items():
                 # Clocks of servers may run 2 % slow, not faster.
                 if low <= last and first <= high and lease[1] > now:
-                    self.violations.append(
+                    self.violate(
                         f"keys {first}-{last} granted to {server.id} while "
                         f"{other.id} holds {low}-{high} for "
                         f"{lease[1] - now:.3f} s")
 
-    def note_run(self, attempt, may_repeat):
+    def violate(self, text):
+        self.violations.append(
+            f"{time.monotonic() - self.began:.2f} s: {text}")
+
+    def note_run(self, server, received, attempt):
         self.runs[attempt] = self.runs.get(attempt, 0) + 1
-        if self.runs[attempt] > 1 and not may_repeat:
-            self.violations.append(f"{attempt} has run twice")
+        request = self.requests.get(attempt)
+        if request is None or (received.method, received.target) != (
+                request.method, request.path):
+            self.violate(f"{server.id} runs what nobody sent: {attempt} "
+                         f"{received.method} {received.target}")
+            return
+        if self.runs[attempt] > 1 and not request.repeatable:
+            self.violate(f"{request} has run twice")
+        may = self.changes.in_force(request.host, request.sent,
+                                    time.monotonic())
+        if not any(server.service in version.services(request.path)
+                   for version in may):
+            ever = any(server.service in version.services(request.path)
+                       for version in self.changes.versions)
+            self.violate(f"{'CONFIG' if ever else 'ROUTE'}: {request} run by "
+                         f"{server.id}; in force "
+                         f"{[version.number for version in may]}")
+
+    def check_body(self, server, attempt, body):
+        request = self.requests.get(attempt)
+        if request and body != body_of(attempt, request.body_bytes):
+            self.violate(f"{server.id} got another body of {request}: "
+                         f"{len(body)} bytes, {body[:40]!r}")
 
 
 class Server:
-    def __init__(self, oracle, store, number, service, address, entry_address):
+    def __init__(self, oracle, store, number, service, address,
+                 entry_address):
         self.oracle = oracle
         self.store = store
         self.id = f"{service}-{number}"
@@ -50,6 +87,7 @@
         self.born = 0
         self.seq = 0
         self.running = 0
+        self.writers = set()
         # By range: fence and end of the lease.
         self.leases = {}
         self.seen = []
@@ -69,6 +107,9 @@
         self.up = False
         self.listener.close()
         self.leases = {}
+        for writer in self.writers:
+            writer.transport.abort()
+        self.writers = set()
 
     async def keep_registered(self):
         while True:
@@ -118,36 +159,41 @@
         born = self.born
         if not self.up:
             return None
+        self.writers.add(request.writer)
         target = request.fields.get("x-target-instance")
         if target not in (None, self.id):
             return format_answer(421, {"X-Not-Executed": "1"}, b"")
         if request.target == "/grant":
-            return format_answer(self.grant(json.loads(request.body)), {}, b"")
+            order = json.loads(await request.read_body())
+            return format_answer(self.grant(order), {}, b"")
         if request.target == "/release":
-            order = json.loads(request.body)
+            order = json.loads(await request.read_body())
             self.cut(order["from"], order["target"])
             while self.running > 0 and self.up:
                 await asyncio.sleep(0.01)
                 break
             return format_answer(200, {"X-Handover": "h"}, b"")
-        return await self.run(request, born)
-
-    async def run(self, request, born):
         attempt = request.fields.get("x-attempt-id", "")
-        fields = {"X-Attempt-Id": attempt}
+        self.oracle.check_body(self, attempt, await request.read_body())
+        return await self.run(request, attempt, born)
+
+    def answer(self, status, attempt, body):
+        fields = {"X-Attempt-Id": attempt, "X-Server-Signature": "s",
+                  "X-Server-Load": f"{self.running},0,{SLOTS},100"}
+        self.oracle.given.setdefault(attempt, set()).add(status)
+        return format_answer(status, fields, body)
+
+    async def run(self, request, attempt, born):
+        not_run = {"X-Attempt-Id": attempt, "X-Not-Executed": "1"}
         key = request.fields.get("x-shard-key")
         if self.service == "shelf" and not self.holds(int(key or -1)):
-            return format_answer(421, dict(fields, **{"X-Not-Executed": "1"}),
-                                 b"")
+            return format_answer(421, not_run, b"")
         if self.running >= 2 * SLOTS:
-            return format_answer(503, dict(fields, **{"X-Not-Executed": "1"}),
-                                 b"")
+            return format_answer(503, not_run, b"")
         self.running += 1
-        self.oracle.note_run(attempt, request.method == "GET")
+        self.oracle.note_run(self, request, attempt)
         await asyncio.sleep(0.02)
         self.running -= 1
         if not self.up or born != self.born:
             return None
-        fields["X-Server-Signature"] = "s"
-        fields["X-Server-Load"] = f"{self.running},0,{SLOTS},100"
-        return format_answer(200, fields, f"own {attempt}".encode())
+        return self.answer(200, attempt, f"own {attempt}".encode())
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -3,16 +3,19 @@
 Plays hosts, a store and backend servers on loopback, injects faults in series
 that overlap, and checks the promises from what callers and servers see:
 one owner a key, run once at most, refused means not run, whole own answers,
-all keys served again when the trouble ends. Prints the seed and each violation;
-exits with 1 if there is one.
+no rejection of what each configuration in force allows, nothing run that none
+of them allows, all keys served again when the trouble ends. Prints the seed
+and each violation; exits with 1 if there is one.
 """
 
 import argparse
 import asyncio
+import contextlib
 import json
 import os
 import pathlib
 import random
+import re
 import shutil
 import signal
 import socket
@@ -20,13 +23,15 @@
 import tempfile
 import time
 
+from callers import Callers
+from changes import Changes, MOVED, OPTIONAL
 from proxy import Proxy
 from servers import KEYS, Oracle, Server
 from store import Store
 
-HOSTS = 4
-SERVERS = 9
-FAULT_S = 12
+FAULT_S = 20
+FAULTS = ["kill", "term", "pause", "crash", "store-down", "store-lost",
+          "store-slow", "silent", "one-way", "reset", "delay"]
 # From the platform's pages: service is back within 15 s of the last fault.
 RECOVER_S = 15
 
@@ -41,17 +46,13 @@
     return ports
 
 
-def config(version):
-    def route(service, kind, prefix):
-        return {"hostname": "a.example", "path_prefix": prefix, "type": kind,
-                "service": service, "timeout": "2000ms",
-                "target_latency": "500ms", "max_attempts": 2, "priority": 0}
-    routes = {"get-shelf": route("shelf", "idempotent", "/sg/"),
-              "put-shelf": route("shelf", "non_idempotent", "/sp/"),
-              "put-desk": route("desk", "non_idempotent", "/dp/")}
-    rules = {"max_connections": 100, "warmup": "0ms", "warmup_per_s": 50}
-    return {"version": version, "routes": routes, "limits": {},
-            "services": {"shelf": dict(rules, sharded=True), "desk": rules}}
+@contextlib.contextmanager
+def trouble(hosts):
+    span = [time.monotonic(), None]
+    for host in hosts:
+        host.troubles.append(span)
+    yield
+    span[1] = time.monotonic()
 
 
 class Host:
@@ -80,6 +81,9 @@
         self.settings.write_text(json.dumps(settings))
         self.log = open(folder / f"{self.name}.log", "ab")
         self.process = None
+        # Begin and end of each trouble of the process or of its path to the
+        # store; the end is None while it lasts.
+        self.troubles = []
 
     async def start(self):
         self.process = await asyncio.create_subprocess_exec(
@@ -93,133 +97,107 @@
 
 
 class Soak:
-    def __init__(self, program, seed, folder):
+    def __init__(self, program, seed, folder, hosts, servers):
         self.random = random.Random(seed)
         self.oracle = Oracle()
-        self.store = Store()
+        self.store = Store(random.Random(f"store {seed}"))
         self.store_address = ("127.0.0.1", free_ports(1)[0])
-        local = [("127.0.0.1", port) for port in free_ports(2 * SERVERS + HOSTS)]
+        local = [("127.0.0.1", port)
+                 for port in free_ports(2 * servers + hosts)]
+        # Five ninths are keyed; the others are of two services.
+        services = (["shelf"] * 5 + ["desk"] * 2 + ["annex"] * 2) * servers
         self.servers = [
-            Server(self.oracle, self.store, i, "shelf" if i < 6 else "desk",
-                   local[i], local[SERVERS + i]) for i in range(SERVERS)]
+            Server(self.oracle, self.store, i, services[i], local[i],
+                   local[servers + i])
+            for i in range(servers)]
         self.proxies = [Proxy(server.entry_address, server.address)
                         for server in self.servers]
-        self.store_proxies = [Proxy(local[2 * SERVERS + i], self.store_address)
-                              for i in range(HOSTS)]
+        self.store_proxies = [Proxy(local[2 * servers + i], self.store_address)
+                              for i in range(hosts)]
         self.hosts = [Host(program, folder, i, self.store_proxies[i].address)
-                      for i in range(HOSTS)]
-        self.version = 1
-        self.attempts = 0
-        self.counts = {}
-        self.refused = []
-        self.stopping = False
-
-    async def ask(self, host, method, prefix, key=None, kept=None):
-        """One request, on a connection of `kept` by host where there is one;
-        returns the status, or None if there was no whole answer."""
-        self.attempts += 1
-        attempt = f"t{self.attempts}"
-        fields = (f"Host: a.example\r\nX-Attempt-Id: {attempt}\r\n"
-                  f"X-Deadline-Ms: 2000\r\nContent-Length: 0\r\n")
-        if key is not None:
-            fields += f"X-Shard-Key: {key}\r\n"
-        try:
-            status, body = await asyncio.wait_for(
-                self.exchange(host, f"{method} {prefix}{attempt} HTTP/1.1\r\n"
-                              f"{fields}\r\n", {} if kept is None else kept),
-                2.5)
-        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError,
-                ValueError):
-            status, body = None, b""
-        self.counts[status] = self.counts.get(status, 0) + 1
-        if status == 200 and body != f"own {attempt}".encode():
-            self.oracle.violations.append(f"{attempt} got {body!r}")
-        if status in (408, 421, 429, 503):
-            self.refused.append(attempt)
-        return status
-
-    async def exchange(self, host, text, kept):
-        reader, writer = kept.pop(host, None) or await asyncio.open_connection(
-            *host.callers)
-        usable = False
-        try:
-            writer.write(text.encode())
-            head = await reader.readuntil(b"\r\n\r\n")
-            lines = head.decode("latin-1").lower().split("\r\n")
-            length = [int(line.split(":")[1]) for line in lines
-                      if line.startswith("content-length")]
-            body = await reader.readexactly(length[0] if length else 0)
-            usable = "connection: close" not in lines
-            return int(lines[0].split()[1]), body
-        finally:
-            if usable:
-                kept[host] = (reader, writer)
-            else:
-                writer.close()
-
-    async def call_often(self):
-        # Used until their host is gone.
-        kept = {}
-        while not self.stopping:
-            host = self.random.choice(self.hosts)
-            kind = self.random.randrange(3)
-            key = self.random.randrange(KEYS)
-            if kind == 0:
-                await self.ask(host, "GET", "/sg/", key, kept)
-            elif kind == 1:
-                await self.ask(host, "POST", "/sp/", key, kept)
-            else:
-                await self.ask(host, "POST", "/dp/", None, kept)
-            await asyncio.sleep(0.01)
+                      for i in range(hosts)]
+        self.changes = Changes(self.random, self.store)
+        self.oracle.changes = self.changes
+        self.callers = Callers(self.random, self.hosts, self.changes,
+                               self.oracle)
+        # Some seeds are of few kinds, so that the faults which excuse a host
+        # for a while leave room for those that do not.
+        self.kinds = self.random.sample(
+            FAULTS, self.random.randint(2, len(FAULTS)))
+        self.ending = False
+        self.longest_lag_s = 0.0
 
     async def fault(self):
         """One fault at random, until it is over."""
         host = self.random.choice(self.hosts)
         server = self.random.choice(self.servers)
         length = self.random.uniform(0.2, 3)
-        kind = self.random.choice(
-            ["kill", "term", "pause", "crash", "store-down", "store-lost",
-             "store-slow", "config", "silent", "one-way", "reset", "delay"])
-        print(f"  {time.monotonic() - self.began:5.1f} s {kind} "
-              f"{host.name} {server.id} {length:.1f} s", flush=True)
+        kind = self.random.choice(self.kinds)
+        self.say(f"{kind} {host.name} {server.id} {length:.1f} s")
         if kind in ("kill", "term"):
             how = signal.SIGKILL if kind == "kill" else signal.SIGTERM
-            await host.lock.acquire()
-            await host.end(how)
-            await host.start()
-            host.lock.release()
+            async with host.lock:
+                with trouble([host]):
+                    await host.end(how)
+                    await host.start()
         elif kind == "pause":
             async with host.lock:
-                host.process.send_signal(signal.SIGSTOP)
-                await asyncio.sleep(length)
-                host.process.send_signal(signal.SIGCONT)
+                with trouble([host]):
+                    host.process.send_signal(signal.SIGSTOP)
+                    await asyncio.sleep(length)
+                    host.process.send_signal(signal.SIGCONT)
         elif kind == "crash":
             if server.up:
                 await server.crash()
                 await asyncio.sleep(length)
                 await server.start()
-        elif kind == "store-down":
+        elif kind.startswith("store-"):
+            with trouble(self.hosts):
+                await self.disturb_store(kind, length)
+        else:
+            place = self.random.randrange(len(self.proxies + self.hosts))
+            if place < len(self.proxies):
+                await self.disturb(self.proxies[place], kind, length)
+            else:
+                place -= len(self.proxies)
+                with trouble([self.hosts[place]]):
+                    await self.disturb(self.store_proxies[place], kind, length)
+
+    async def disturb_store(self, kind, length):
+        if kind == "store-down":
             self.store.down = True
-            await asyncio.sleep(length)
-            self.store.down = False
         elif kind == "store-lost":
             self.store.lose_answers = 0.4
-            await asyncio.sleep(length)
-            self.store.lose_answers = 0.0
-        elif kind == "store-slow":
+        else:
             self.store.delay_s = 0.2
-            await asyncio.sleep(length)
-            self.store.delay_s = 0.0
-        elif kind in ("silent", "one-way", "reset", "delay"):
-            await self.disturb(
-                self.random.choice(self.proxies + self.store_proxies), kind,
-                length)
+        await asyncio.sleep(length)
+        if kind == "store-down":
+            self.store.down = False
+        elif kind == "store-lost":
+            self.store.lose_answers = 0.0
         else:
-            self.version += 1
-            self.store.put("keyed.op", "config", config(self.version))
+            self.store.delay_s = 0.0
+
+    def say(self, text):
+        print(f"  {time.monotonic() - self.oracle.began:5.1f} s {text}",
+              flush=True)
+
+    async def change_often(self):
+        """Changes of the configuration, alone and in quick succession."""
+        while not self.ending:
+            self.say(self.changes.change())
+            await asyncio.sleep(self.random.choice([0.05, 0.2, 1, 2.5, 4]))
+
+    async def watch_lag(self):
+        """How late this process itself runs: a violation that a busy machine
+        might explain is told from others by it."""
+        while True:
+            due = time.monotonic() + 0.05
+            await asyncio.sleep(0.05)
+            self.longest_lag_s = max(self.longest_lag_s, time.monotonic() - due)
 
     async def disturb(self, proxy, kind, length):
-        """A fault of one proxy, towards a server or from a host to the store."""
+        """A fault of a proxy, towards a server or from a host to the store."""
         if kind == "reset":
             proxy.reset_all()
         elif kind == "delay":
@@ -234,10 +212,16 @@
             proxy.reset_all()
 
     async def all_served(self):
-        """Whether a sample of keys is served at each host."""
+        """Whether a sample of keys and the newest routes are served at each
+        host."""
+        routes = self.changes.versions[-1].config["routes"]
+        sample = [("/sg/", key) for key in range(0, KEYS, 4096)] + [
+            (entry["path_prefix"], 1) for name, entry in routes.items()
+            if name in MOVED | OPTIONAL]
         for host in self.hosts:
-            for key in range(0, KEYS, 4096):
-                if await self.ask(host, "GET", "/sg/", key) != 200:
+            for prefix, key in sample:
+                request = self.callers.new(host, "GET", prefix, key=key)
+                if await self.callers.ask(host, [request]) != 200:
                     return False
         return True
 
@@ -250,10 +234,8 @@
         return False
 
     async def play(self):
-        self.began = time.monotonic()
         await self.store.start(self.store_address)
-        self.store.put("keyed.op", "config", config(self.version))
-        background = []
+        background = [asyncio.create_task(self.watch_lag())]
         for server in self.servers:
             await server.start()
             background.append(asyncio.create_task(server.keep_registered()))
@@ -261,40 +243,78 @@
             await proxy.start()
         for host in self.hosts:
             host.lock = asyncio.Lock()
-            await host.start()
+            with trouble([host]):
+                await host.start()
         if not await self.await_service(RECOVER_S):
-            self.oracle.violations.append("not all keys served at the start")
-        callers = [asyncio.create_task(self.call_often()) for _ in range(12)]
+            self.oracle.violate("not all keys served at the start")
+        # Half of them use their connections seldom, which then have outlasted
+        # changes of the configuration.
+        callers = [asyncio.create_task(self.callers.call_often(pause_s))
+                   for pause_s in [0.02, 2] * max(10, len(self.hosts))]
+        changes = asyncio.create_task(self.change_often())
         faults = []
         end = time.monotonic() + FAULT_S
         while time.monotonic() < end:
             faults.append(asyncio.create_task(self.fault()))
             await asyncio.sleep(self.random.uniform(0.3, 2))
         await asyncio.gather(*faults)
+        self.ending = True
+        await changes
         if not await self.await_service(RECOVER_S):
-            self.oracle.violations.append("not all keys served at the end")
-        self.stopping = True
+            self.oracle.violate("not all keys served at the end")
+        self.callers.stopping = True
         await asyncio.gather(*callers)
         for host in self.hosts:
-            await host.end(signal.SIGKILL)
+            if host.process.returncode is not None:
+                self.oracle.violate(f"{host.name} ended by itself")
+            else:
+                await host.end(signal.SIGKILL)
         for task in background:
             task.cancel()
-        for attempt in self.refused:
+        for attempt in self.callers.refused:
             if attempt in self.oracle.runs:
-                self.oracle.violations.append(f"{attempt} refused and run")
+                self.oracle.violate(
+                    f"{self.oracle.requests[attempt]} refused and run")
         return self.oracle.violations
 
 
-def play(program, seed):
+def log_lines(folder, attempts):
+    """What the hosts wrote of these attempts, by attempt."""
+    lines = {}
+    for path in folder.glob("*.log"):
+        for line in path.read_text(errors="replace").splitlines():
+            found = re.search(r'"id":"(t\d+)"', line)
+            if found and found[1] in attempts:
+                lines.setdefault(found[1], []).append(line)
+    return lines
+
+
+def report(violations, folder):
+    """Prints some violations of each kind, with the hosts' lines on them."""
+    attempts = [re.search(r"\bt\d+", text) for text in violations]
+    attempts = [found[0] if found else "" for found in attempts]
+    lines = log_lines(folder, set(attempts))
+    kinds = {}
+    for text, attempt in zip(violations, attempts):
+        events = {json.loads(line)["event"] for line in lines.get(attempt, [])}
+        kinds.setdefault(", ".join(sorted(events)) or "no line", []).append(
+            (text, attempt))
+    for kind, members in kinds.items():
+        print(f"  {len(members)} VIOLATIONS ({kind})")
+        for text, attempt in members[:4]:
+            print("   ", "\n      ".join([text] + lines.get(attempt, [])))
+    print(f"  logs in {folder}")
+
+
+def play(options, seed):
     folder = pathlib.Path(tempfile.mkdtemp(prefix="mustardflow-soak-"))
     print(f"seed {seed}", flush=True)
-    soak = Soak(program, seed, folder)
+    soak = Soak(options.program, seed, folder, 4, 9)
     violations = asyncio.run(soak.play())
-    print(f"  answers by status: {soak.counts}")
-    for violation in violations[:10]:
-        print(f"  VIOLATION {violation}")
+    print(f"  answers by status: {soak.callers.counts}; the soak itself was "
+          f"late by {soak.longest_lag_s:.2f} s at most")
     if violations:
-        print(f"  logs in {folder}")
+        report(violations, folder)
     else:
         shutil.rmtree(folder)
     return not violations
@@ -311,10 +331,10 @@
         end = time.monotonic() + options.minutes * 60
         failed = 0
         while time.monotonic() < end:
-            failed += not play(options.program, random.randrange(1 << 32))
+            failed += not play(options, random.randrange(1 << 32))
     else:
         first = options.seed if options.seed is not None else 1
-        failed = sum(not play(options.program, seed)
+        failed = sum(not play(options, seed)
                      for seed in range(first, first + options.seeds))
     print(f"{failed} seeds failed")
     sys.exit(1 if failed else 0)
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -3,7 +3,6 @@
 import asyncio
 import base64
 import json
-import random
 import struct
 import urllib.parse
 
@@ -31,12 +30,12 @@
     """Faults: `down` refuses all calls, `lose_answers` is the part of appends
     that are done and not answered, `delay_s` slows each call."""
 
-    def __init__(self):
+    def __init__(self, random):
         self.topics = {}
         self.down = False
         self.lose_answers = 0.0
         self.delay_s = 0.0
-        self.random = random.Random(1)
+        self.random = random
 
     def topic(self, name):
         return self.topics.setdefault(name, Topic())
@@ -54,7 +53,7 @@
         arguments = dict(urllib.parse.parse_qsl(query))
         topic = self.topic(arguments["topic"])
         if path == "/log-append":
-            answer = self.append(topic, arguments, request.body)
+            answer = self.append(topic, arguments, await request.read_body())
             if self.random.random() < self.lose_answers:
                 return None
             return answer
