soak: Add servers that answer wrongly, and addresses used again

Cause: the servers of the soak always answered properly, so the soak could not show what a host makes of an answer that is not the server's own.

Change: a fault "mood" makes a server, for a while and on three tenths of the requests, answer before it has read the body, answer twice, answer with a 3xx or 4xx (three tenths signed), spoil its answer, or say 400 "not executed". A fault "reuse" ends a server for good and starts one of another service at its address two seconds after its entry is gone. Buffers on the way to servers are small, so that a long body is still being sent when the early answer comes.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -187,8 +187,9 @@
     async def call_often(self, pause_s):
         # Used until their host is gone.
         kept = {}
+        hosts = self.random.sample(self.hosts, min(4, len(self.hosts)))
         while not self.stopping:
-            host = self.random.choice(self.hosts)
+            host = self.random.choice(hosts)
             requests = [self.choose(host, 0)]
             if requests[0].method == "GET" and self.random.random() < 0.1:
                 for i in range(self.random.randint(1, 5)):
--- a/tests/soak/http_server.py
+++ b/tests/soak/http_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import socket
 
 
 class Request:
@@ -46,6 +47,13 @@
     return text.encode() + body
 
 
+def keep_little(server):
+    """Small buffers, so that a long body is still on its way when an early
+    answer comes."""
+    for listener in server.sockets:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+
+
 async def serve(address, handle):
     """Serves until closed. `handle` returns an answer's bytes, or None to
     close the connection without one."""
@@ -65,4 +73,6 @@
                 asyncio.LimitOverrunError, asyncio.CancelledError):
             writer.transport.abort()
 
-    return await asyncio.start_server(connected, *address, limit=1 << 20)
+    server = await asyncio.start_server(connected, *address)
+    keep_little(server)
+    return server
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from http_server import keep_little
+
 
 class Proxy:
     """`mode`: "pass"; "silent": nothing goes through, nothing is closed;
@@ -15,7 +17,9 @@
         self.writers = set()
 
     async def start(self):
-        return await asyncio.start_server(self.connected, *self.address)
+        server = await asyncio.start_server(self.connected, *self.address,
+                                            limit=8192)
+        keep_little(server)
 
     def reset_all(self):
         for writer in list(self.writers):
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -8,6 +8,9 @@
 
 SLOTS = 6
 KEYS = 65536
+# An address is used again after this time.
+REUSE_S = 2.0
+MOODS = ["early", "twice", "rejects", "spoils", "says-not-run"]
 
 
 def body_of(attempt, size):
@@ -74,10 +77,12 @@
 
 
 class Server:
-    def __init__(self, oracle, store, number, service, address,
+    def __init__(self, random, oracle, store, number, service, address,
                  entry_address):
+        self.random = random
         self.oracle = oracle
         self.store = store
+        self.number = number
         self.id = f"{service}-{number}"
         self.service = service
         self.address = address
@@ -87,6 +92,8 @@
         self.born = 0
         self.seq = 0
         self.running = 0
+        # Spoils a part of the answers; one of MOODS.
+        self.mood = None
         self.writers = set()
         # By range: fence and end of the lease.
         self.leases = {}
@@ -111,6 +118,16 @@
             writer.transport.abort()
         self.writers = set()
 
+    async def replace(self, service, length):
+        """Ends for good; a server of `service` takes over the address."""
+        await self.crash()
+        await asyncio.sleep(length)
+        self.store.put("keyed.servers", self.id, None)
+        await asyncio.sleep(REUSE_S)
+        self.service = service
+        self.id = f"{service}-{self.number}-{self.born}"
+        await self.start()
+
     async def keep_registered(self):
         while True:
             if self.up and not self.store.down:
@@ -173,27 +190,54 @@
                 await asyncio.sleep(0.01)
                 break
             return format_answer(200, {"X-Handover": "h"}, b"")
+        mood = self.mood if self.random.random() < 0.3 else None
         attempt = request.fields.get("x-attempt-id", "")
-        self.oracle.check_body(self, attempt, await request.read_body())
-        return await self.run(request, attempt, born)
-
-    def answer(self, status, attempt, body):
-        fields = {"X-Attempt-Id": attempt, "X-Server-Signature": "s",
-                  "X-Server-Load": f"{self.running},0,{SLOTS},100"}
-        self.oracle.given.setdefault(attempt, set()).add(status)
+        if mood != "early":
+            self.oracle.check_body(self, attempt, await request.read_body())
+        answer = await self.run(request, attempt, mood, born)
+        if mood == "early" and answer is not None:
+            request.writer.write(answer)
+            await asyncio.sleep(0.05)
+            self.oracle.check_body(self, attempt, await request.read_body())
+            return b""
+        if mood == "twice" and answer is not None:
+            request.writer.write(answer)
+            await asyncio.sleep(self.random.choice([0, 0, 0.03]))
+        return answer
+
+    def answer(self, status, attempt, signed=True, body=b""):
+        fields = {"X-Attempt-Id": attempt}
+        if signed:
+            fields["X-Server-Signature"] = "s"
+            fields["X-Server-Load"] = f"{self.running},0,{SLOTS},100"
+            self.oracle.given.setdefault(attempt, set()).add(status)
         return format_answer(status, fields, body)
 
-    async def run(self, request, attempt, born):
+    async def run(self, request, attempt, mood, born):
         not_run = {"X-Attempt-Id": attempt, "X-Not-Executed": "1"}
         key = request.fields.get("x-shard-key")
         if self.service == "shelf" and not self.holds(int(key or -1)):
             return format_answer(421, not_run, b"")
         if self.running >= 2 * SLOTS:
             return format_answer(503, not_run, b"")
+        if mood == "says-not-run":
+            return format_answer(400, not_run, b"")
         self.running += 1
         self.oracle.note_run(self, request, attempt)
-        await asyncio.sleep(0.02)
+        await asyncio.sleep(0 if mood == "early" else 0.02)
         self.running -= 1
         if not self.up or born != self.born:
             return None
-        return self.answer(200, attempt, f"own {attempt}".encode())
+        if mood == "rejects":
+            return self.answer(self.random.choice([302, 400, 403, 404, 409]),
+                               attempt, self.random.random() < 0.3)
+        answer = self.answer(200, attempt, True, f"own {attempt}".encode())
+        if mood == "spoils":
+            return self.random.choice([
+                answer.replace(b"HTTP/1.1 200", b"HTTP/1.1 404").replace(
+                    b"X-Server-S", b"X-Server-?"),
+                answer.replace(b"X-Server-Signature", b"X-S\0rver-Signature"),
+                answer.replace(b"HTTP/1.1", b"HT\xffP/1.1"),
+                b"\0\0" + answer, answer + b"HTTP/1.1 404 X\r\n\r\n",
+                answer[:-3]])
+        return answer
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -26,12 +26,13 @@
 from callers import Callers
 from changes import Changes, MOVED, OPTIONAL
 from proxy import Proxy
-from servers import KEYS, Oracle, Server
+from servers import KEYS, MOODS, Oracle, Server
 from store import Store
 
 FAULT_S = 20
 FAULTS = ["kill", "term", "pause", "crash", "store-down", "store-lost",
-          "store-slow", "silent", "one-way", "reset", "delay"]
+          "store-slow", "silent", "one-way", "reset", "delay", "mood", "mood",
+          "reuse"]
 # From the platform's pages: service is back within 15 s of the last fault.
 RECOVER_S = 15
 
@@ -107,8 +108,8 @@
         # Five ninths are keyed; the others are of two services.
         services = (["shelf"] * 5 + ["desk"] * 2 + ["annex"] * 2) * servers
         self.servers = [
-            Server(self.oracle, self.store, i, services[i], local[i],
-                   local[servers + i])
+            Server(random.Random(f"server {i} {seed}"), self.oracle, self.store,
+                   i, services[i], local[i], local[servers + i])
             for i in range(servers)]
         self.proxies = [Proxy(server.entry_address, server.address)
                         for server in self.servers]
@@ -151,6 +152,17 @@
                 await server.crash()
                 await asyncio.sleep(length)
                 await server.start()
+        elif kind == "reuse":
+            service = self.random.choice(["shelf", "desk", "annex"])
+            others = sum(other.up and other.service == server.service
+                         for other in self.servers if other is not server)
+            if server.up and others:
+                await server.replace(service, length)
+        elif kind == "mood":
+            server.mood = self.random.choice(MOODS)
+            self.say(f"{server.id} {server.mood}")
+            await asyncio.sleep(length)
+            server.mood = None
         elif kind.startswith("store-"):
             with trouble(self.hosts):
                 await self.disturb_store(kind, length)
@@ -247,10 +259,11 @@
                 await host.start()
         if not await self.await_service(RECOVER_S):
             self.oracle.violate("not all keys served at the start")
-        # Half of them use their connections seldom, which then have outlasted
-        # changes of the configuration.
+        # Half of them at least use their connections seldom, which then have
+        # outlasted changes of the configuration.
         callers = [asyncio.create_task(self.callers.call_often(pause_s))
-                   for pause_s in [0.02, 2] * max(10, len(self.hosts))]
+                   for pause_s in [0.02] * 10 + [2] * max(
+                       10, 2 * len(self.hosts))]
         changes = asyncio.create_task(self.change_often())
         faults = []
         end = time.monotonic() + FAULT_S
