soak: Send requests in further proper forms, and in two parts

Cause: callers wrote each request in one form and at once, so the soak could not show whether a host refuses forms that HTTP/1.1 tells a server to take.

Change: one in a hundred requests each has a Host with a port and in other case, a query, a target with scheme and host, or an empty line before it; one in twenty exchanges arrives in two parts.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -7,6 +7,12 @@
 from servers import KEYS, body_of
 
 DEADLINE_S = 2.0
+# Proper forms of a request's first lines.
+FORMS = ["{method} {path} HTTP/1.1\r\nHost: a.example\r\n"] * 96 + [
+    "{method} {path} HTTP/1.1\r\nhost:A.Example:80\r\n",
+    "{method} {path}?to=/s0/&a HTTP/1.1\r\nHost: a.example\r\n",
+    "{method} http://a.example{path} HTTP/1.1\r\nHost: a.example\r\n",
+    "\r\n{method} {path} HTTP/1.1\r\nHost: a.example\r\n"]
 # With these a host promises that a request has not run.
 PROMISES = (408, 421, 429, 503)
 
@@ -15,7 +21,7 @@
     """A request with its bytes and, when it has ended, its answer."""
 
     def __init__(self, attempt, host, method, prefix, key=None, body_bytes=0,
-                 chunk=0, fill_to=0):
+                 chunk=0, fill_to=0, form=FORMS[0]):
         self.attempt = attempt
         self.host = host
         self.method = method
@@ -23,7 +29,8 @@
         self.repeatable = KINDS[prefix] != "non_idempotent"
         self.key = key
         self.body_bytes = body_bytes
-        head = (f"{method} {self.path} HTTP/1.1\r\nHost: a.example\r\n"
+        self.form = form
+        head = (form.format(method=method, path=self.path) +
                 f"X-Attempt-Id: {attempt}\r\n"
                 f"X-Deadline-Ms: {int(DEADLINE_S * 1000)}\r\n")
         if key is not None:
@@ -47,7 +54,8 @@
 
     def __str__(self):
         key = "no key" if self.key is None else f"key {self.key}"
-        return (f"{self.attempt} ({self.method} {self.path}, {key}, head "
+        form = "" if self.form == FORMS[0] else f"form {self.form!r}, "
+        return (f"{self.attempt} ({self.method} {self.path}, {form}{key}, head "
                 f"{self.head_bytes}, body {self.body_bytes}, {self.host.name})")
 
 
@@ -95,7 +103,14 @@
             reader, writer = await asyncio.open_connection(*host.callers)
         usable = False
         try:
-            writer.write(b"".join(request.bytes for request in requests))
+            data = b"".join(request.bytes for request in requests)
+            if self.random.random() < 0.05:
+                # Arrives in two parts.
+                part = self.random.randrange(len(data))
+                writer.write(data[:part])
+                data = data[part:]
+                await asyncio.sleep(self.random.uniform(0, 0.5))
+            writer.write(data)
             for request in requests:
                 usable = False
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -163,7 +178,7 @@
         else:
             entry = self.random.choice(list(newest.values()))
         prefix = entry["path_prefix"]
-        how = {}
+        how = {"form": self.random.choice(FORMS)}
         # Few requests lack a key that they may need.
         keyed = any(version.services(prefix) & KEYED for version in may)
         if self.random.random() < (0.95 if keyed else 0.5):
