--- a/tests/soak/http_server.py
+++ b/tests/soak/http_server.py
@@ -2,20 +2,29 @@
 
 import asyncio
 import json
+import socket
 
 
 class Request:
-    """A request with its fields in lower case."""
+    """A request with its fields in lower case; `writer` answers it early."""
 
-    def __init__(self, method, target, fields, body):
+    def __init__(self, method, target, fields, reader, writer):
         self.method = method
         self.target = target
         self.fields = fields
-        self.body = body
+        self.writer = writer
+        self.reader = reader
+        self.body = None
 
+    async def read_body(self):
+        if self.body is None:
+            self.body = await self.reader.readexactly(
+                int(self.fields.get("content-length", 0)))
+        return self.body
 
-async def read_request(reader):
-    """The next request, or None at the end of the connection."""
+
+async def read_request(reader, writer):
+    """The head of the next request."""
     head = await reader.readuntil(b"\r\n\r\n")
     lines = head.decode("latin-1").split("\r\n")
     method, target, _ = lines[0].split(" ", 2)
@@ -24,8 +33,7 @@
         if ":" in line:
             name, value = line.split(":", 1)
             fields[name.strip().lower()] = value.strip()
-    body = await reader.readexactly(int(fields.get("content-length", 0)))
-    return Request(method, target, fields, body)
+    return Request(method, target, fields, reader, writer)
 
 
 def format_answer(status, fields, body):
@@ -39,6 +47,13 @@
     return text.encode() + body
 
 
+def keep_little(server):
+    """Small buffers, so that a long body is still on its way when an early
+    answer comes."""
+    for listener in server.sockets:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+
+
 async def serve(address, handle):
     """Serves until closed. `handle` returns an answer's bytes, or None to
     close the connection without one."""
@@ -46,8 +61,9 @@
     async def connected(reader, writer):
         try:
             while True:
-                request = await read_request(reader)
+                request = await read_request(reader, writer)
                 answer = await handle(request)
+                await request.read_body()
                 if answer is None:
                     writer.transport.abort()
                     return
@@ -57,4 +73,6 @@
                 asyncio.LimitOverrunError, asyncio.CancelledError):
             writer.transport.abort()
 
-    return await asyncio.start_server(connected, *address)
+    server = await asyncio.start_server(connected, *address)
+    keep_little(server)
+    return server
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -8,14 +8,28 @@
 
 SLOTS = 6
 KEYS = 65536
+# An address is used again after this time.
+REUSE_S = 2.0
+MOODS = ["early", "twice", "rejects", "spoils", "says-not-run"]
+
+
+def body_of(attempt, size):
+    """The body of a request: its own bytes, whatever part is looked at."""
+    text = f"{attempt}.".encode()
+    return (text * (size // len(text) + 1))[:size]
 
 
 class Oracle:
-    """What servers have run. Violations are collected as texts."""
+    """What callers sent and servers have run. Violations are collected as
+    texts."""
 
     def __init__(self):
+        # By attempt.
+        self.requests = {}
         self.runs = {}
+        self.given = {}
         self.violations = []
+        self.began = time.monotonic()
         self.servers = []
 
     def check_owner(self, server, first, last):
@@ -26,21 +40,50 @@
             for (low, high), lease in other.leases.items():
                 # Clocks of servers may run 2 % slow, not faster.
                 if low <= last and first <= high and lease[1] > now:
-                    self.violations.append(
+                    self.violate(
                         f"keys {first}-{last} granted to {server.id} while "
                         f"{other.id} holds {low}-{high} for "
                         f"{lease[1] - now:.3f} s")
 
-    def note_run(self, attempt, may_repeat):
+    def violate(self, text):
+        self.violations.append(
+            f"{time.monotonic() - self.began:.2f} s: {text}")
+
+    def note_run(self, server, received, attempt):
         self.runs[attempt] = self.runs.get(attempt, 0) + 1
-        if self.runs[attempt] > 1 and not may_repeat:
-            self.violations.append(f"{attempt} has run twice")
+        request = self.requests.get(attempt)
+        path = received.target.removeprefix("http://a.example").split("?")[0]
+        if request is None or (received.method, path) != (
+                request.method, request.path):
+            self.violate(f"{server.id} runs what nobody sent: {attempt} "
+                         f"{received.method} {received.target}")
+            return
+        if self.runs[attempt] > 1 and not request.repeatable:
+            self.violate(f"{request} has run twice")
+        may = self.changes.in_force(request.host, request.sent,
+                                    time.monotonic())
+        if not any(server.service in version.services(request.path)
+                   for version in may):
+            ever = any(server.service in version.services(request.path)
+                       for version in self.changes.versions)
+            self.violate(f"{'CONFIG' if ever else 'ROUTE'}: {request} run by "
+                         f"{server.id}; in force "
+                         f"{[version.number for version in may]}")
+
+    def check_body(self, server, attempt, body):
+        request = self.requests.get(attempt)
+        if request and body != body_of(attempt, request.body_bytes):
+            self.violate(f"{server.id} got another body of {request}: "
+                         f"{len(body)} bytes, {body[:40]!r}")
 
 
 class Server:
-    def __init__(self, oracle, store, number, service, address, entry_address):
+    def __init__(self, random, oracle, store, number, service, address,
+                 entry_address):
+        self.random = random
         self.oracle = oracle
         self.store = store
+        self.number = number
         self.id = f"{service}-{number}"
         self.service = service
         self.address = address
@@ -50,6 +93,9 @@
         self.born = 0
         self.seq = 0
         self.running = 0
+        # Spoils a part of the answers; one of MOODS.
+        self.mood = None
+        self.writers = set()
         # By range: fence and end of the lease.
         self.leases = {}
         self.seen = []
@@ -69,6 +115,19 @@
         self.up = False
         self.listener.close()
         self.leases = {}
+        for writer in self.writers:
+            writer.transport.abort()
+        self.writers = set()
+
+    async def replace(self, service, length):
+        """Ends for good; a server of `service` takes over the address."""
+        await self.crash()
+        await asyncio.sleep(length)
+        self.store.put("keyed.servers", self.id, None)
+        await asyncio.sleep(REUSE_S)
+        self.service = service
+        self.id = f"{service}-{self.number}-{self.born}"
+        await self.start()
 
     async def keep_registered(self):
         while True:
@@ -118,36 +177,68 @@
         born = self.born
         if not self.up:
             return None
+        self.writers.add(request.writer)
         target = request.fields.get("x-target-instance")
         if target not in (None, self.id):
             return format_answer(421, {"X-Not-Executed": "1"}, b"")
         if request.target == "/grant":
-            return format_answer(self.grant(json.loads(request.body)), {}, b"")
+            order = json.loads(await request.read_body())
+            return format_answer(self.grant(order), {}, b"")
         if request.target == "/release":
-            order = json.loads(request.body)
+            order = json.loads(await request.read_body())
             self.cut(order["from"], order["target"])
             while self.running > 0 and self.up:
                 await asyncio.sleep(0.01)
                 break
             return format_answer(200, {"X-Handover": "h"}, b"")
-        return await self.run(request, born)
-
-    async def run(self, request, born):
+        mood = self.mood if self.random.random() < 0.3 else None
         attempt = request.fields.get("x-attempt-id", "")
+        if mood != "early":
+            self.oracle.check_body(self, attempt, await request.read_body())
+        answer = await self.run(request, attempt, mood, born)
+        if mood == "early" and answer is not None:
+            request.writer.write(answer)
+            await asyncio.sleep(0.05)
+            self.oracle.check_body(self, attempt, await request.read_body())
+            return b""
+        if mood == "twice" and answer is not None:
+            request.writer.write(answer)
+            await asyncio.sleep(self.random.choice([0, 0, 0.03]))
+        return answer
+
+    def answer(self, status, attempt, signed=True, body=b""):
         fields = {"X-Attempt-Id": attempt}
+        if signed:
+            fields["X-Server-Signature"] = "s"
+            fields["X-Server-Load"] = f"{self.running},0,{SLOTS},100"
+            self.oracle.given.setdefault(attempt, set()).add(status)
+        return format_answer(status, fields, body)
+
+    async def run(self, request, attempt, mood, born):
+        not_run = {"X-Attempt-Id": attempt, "X-Not-Executed": "1"}
         key = request.fields.get("x-shard-key")
         if self.service == "shelf" and not self.holds(int(key or -1)):
-            return format_answer(421, dict(fields, **{"X-Not-Executed": "1"}),
-                                 b"")
+            return format_answer(421, not_run, b"")
         if self.running >= 2 * SLOTS:
-            return format_answer(503, dict(fields, **{"X-Not-Executed": "1"}),
-                                 b"")
+            return format_answer(503, not_run, b"")
+        if mood == "says-not-run":
+            return format_answer(400, not_run, b"")
         self.running += 1
-        self.oracle.note_run(attempt, request.method == "GET")
-        await asyncio.sleep(0.02)
+        self.oracle.note_run(self, request, attempt)
+        await asyncio.sleep(0 if mood == "early" else 0.02)
         self.running -= 1
         if not self.up or born != self.born:
             return None
-        fields["X-Server-Signature"] = "s"
-        fields["X-Server-Load"] = f"{self.running},0,{SLOTS},100"
-        return format_answer(200, fields, f"own {attempt}".encode())
+        if mood == "rejects":
+            return self.answer(self.random.choice([302, 400, 403, 404, 409]),
+                               attempt, self.random.random() < 0.3)
+        answer = self.answer(200, attempt, True, f"own {attempt}".encode())
+        if mood == "spoils":
+            return self.random.choice([
+                answer.replace(b"HTTP/1.1 200", b"HTTP/1.1 404").replace(
+                    b"X-Server-S", b"X-Server-?"),
+                answer.replace(b"X-Server-Signature", b"X-S\0rver-Signature"),
+                answer.replace(b"HTTP/1.1", b"HT\xffP/1.1"),
+                b"\0\0" + answer, answer + b"HTTP/1.1 404 X\r\n\r\n",
+                answer[:-3]])
+        return answer
