logs: Tell a refusal by limits that may be outdated from a malformed request

Such a refusal (503) was logged and counted as malformed. It is now refused in the log and configuration-unconfirmed in mustardflow_answers_total. A test shows that it also covers a host without a configuration, which judged requests by default limits that nobody had set.

--- a/src/transport/caller_connection.cc
+++ b/src/transport/caller_connection.cc
@@ -313,10 +313,11 @@
 }
 
 void CallerConnection::Reject(const Rejection& rejection) {
-  static constexpr std::string_view kEvent = "malformed";
   const bool by_limit = rejection.status == 413 || rejection.status == 431;
+  const bool refused = by_limit && !relay_.ConfigConfirmed();
+  const std::string_view event = refused ? "refused" : "malformed";
   CallerAnswer answer;
-  if (by_limit && !relay_.ConfigConfirmed()) {
+  if (refused) {
     answer = RequestRelay::UnconfirmedAnswer();
   } else {
     const auto status = static_cast<http::status>(rejection.status);
@@ -325,14 +326,15 @@
   }
   const beast::string_view id = parser_->get()[beast::string_view(
       platform::kAttemptIdField.data(), platform::kAttemptIdField.size())];
-  log_.Write(LogPart::kCaller, kEvent,
+  log_.Write(LogPart::kCaller, event,
              {{"id", std::string_view(id.data(), id.size())},
               {"status", static_cast<std::int64_t>(answer.status)},
               {"problem", rejection.problem},
               {"forwarded", source_ == RequestSource::kHost},
               {"earlier_requests", requests_},
               {"config", view_.config ? view_.config->version() : -1}});
-  relay_.CountRejection(source_, answer.status, kEvent);
+  relay_.CountRejection(source_, answer.status,
+                        refused ? "configuration-unconfirmed" : event);
   if (source_ == RequestSource::kHost) {
     answer.fields.emplace_back(kOutcomeField, "failed");
     if (!id.empty()) {
--- a/tests/transport/caller_connection_test.cc
+++ b/tests/transport/caller_connection_test.cc
@@ -375,4 +375,24 @@
   CHECK(sent.ends_with("\r\n\r\nhi"));
 }
 
+// Before the first configuration no limits are known: a request may be within
+// those that will come, and must not be rejected for good.
+TEST_CASE("without a configuration a large request is told to come again",
+          "[R4]") {
+  RelayFixture host;
+  host.RemoveConfig();
+  tcp::socket caller = host.ConnectCaller();
+  SECTION("header") {
+    Send(caller, RequestOf(/*header_bytes=*/40 << 10, /*body_bytes=*/1));
+  }
+  SECTION("body") {
+    Send(caller,
+         "POST /desk/1 HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: 1\r\n"
+         "Content-Length: 100000000\r\n\r\n");
+  }
+  const std::string answer = host.Receive(caller);
+  CHECK(answer.starts_with("HTTP/1.1 503"));
+  CHECK(Count(answer, "Retry-After: 0.50\r\n") == 1);
+}
+
 }  // namespace mustardflow::tests
