--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -10,7 +10,7 @@
 KEYS = 65536
 # An address is used again after this time.
 REUSE_S = 2.0
-MOODS = ["early", "twice", "rejects", "spoils", "says-not-run"]
+WRONG_ANSWERS = ["early", "twice", "rejects", "spoils", "says-not-run"]
 
 
 def body_of(attempt, size):
@@ -93,8 +93,8 @@
         self.born = 0
         self.seq = 0
         self.running = 0
-        # Spoils a part of the answers; one of MOODS.
-        self.mood = None
+        # Spoils a part of the answers; one of WRONG_ANSWERS.
+        self.wrong_answers = None
         self.writers = set()
         # By range: fence and end of the lease.
         self.leases = {}
@@ -191,17 +191,17 @@
                 await asyncio.sleep(0.01)
                 break
             return format_answer(200, {"X-Handover": "h"}, b"")
-        mood = self.mood if self.random.random() < 0.3 else None
+        wrong = self.wrong_answers if self.random.random() < 0.3 else None
         attempt = request.fields.get("x-attempt-id", "")
-        if mood != "early":
+        if wrong != "early":
             self.oracle.check_body(self, attempt, await request.read_body())
-        answer = await self.run(request, attempt, mood, born)
-        if mood == "early" and answer is not None:
+        answer = await self.run(request, attempt, wrong, born)
+        if wrong == "early" and answer is not None:
             request.writer.write(answer)
             await asyncio.sleep(0.05)
             self.oracle.check_body(self, attempt, await request.read_body())
             return b""
-        if mood == "twice" and answer is not None:
+        if wrong == "twice" and answer is not None:
             request.writer.write(answer)
             await asyncio.sleep(self.random.choice([0, 0, 0.03]))
         return answer
@@ -214,26 +214,26 @@
             self.oracle.given.setdefault(attempt, set()).add(status)
         return format_answer(status, fields, body)
 
-    async def run(self, request, attempt, mood, born):
+    async def run(self, request, attempt, wrong, born):
         not_run = {"X-Attempt-Id": attempt, "X-Not-Executed": "1"}
         key = request.fields.get("x-shard-key")
         if self.service == "shelf" and not self.holds(int(key or -1)):
             return format_answer(421, not_run, b"")
         if self.running >= 2 * SLOTS:
             return format_answer(503, not_run, b"")
-        if mood == "says-not-run":
+        if wrong == "says-not-run":
             return format_answer(400, not_run, b"")
         self.running += 1
         self.oracle.note_run(self, request, attempt)
-        await asyncio.sleep(0 if mood == "early" else 0.02)
+        await asyncio.sleep(0 if wrong == "early" else 0.02)
         self.running -= 1
         if not self.up or born != self.born:
             return None
-        if mood == "rejects":
+        if wrong == "rejects":
             return self.answer(self.random.choice([302, 400, 403, 404, 409]),
                                attempt, self.random.random() < 0.3)
         answer = self.answer(200, attempt, True, f"own {attempt}".encode())
-        if mood == "spoils":
+        if wrong == "spoils":
             return self.random.choice([
                 answer.replace(b"HTTP/1.1 200", b"HTTP/1.1 404").replace(
                     b"X-Server-S", b"X-Server-?"),
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -26,13 +26,13 @@
 from callers import Callers
 from changes import Changes, MOVED, OPTIONAL
 from proxy import Proxy
-from servers import KEYS, MOODS, Oracle, Server
+from servers import KEYS, WRONG_ANSWERS, Oracle, Server
 from store import Store
 
 FAULT_S = 20
 FAULTS = ["kill", "term", "pause", "crash", "store-down", "store-lost",
-          "store-slow", "silent", "one-way", "reset", "delay", "mood", "mood",
-          "reuse"]
+          "store-slow", "silent", "one-way", "reset", "delay",
+          "wrong-answers", "wrong-answers", "reuse"]
 # From the platform's pages: service is back within 15 s of the last fault.
 RECOVER_S = 15
 
@@ -179,11 +179,11 @@
                          for other in self.servers if other is not server)
             if server.up and others:
                 await server.replace(service, length)
-        elif kind == "mood":
-            server.mood = self.random.choice(MOODS)
-            self.say(f"{server.id} {server.mood}")
+        elif kind == "wrong-answers":
+            server.wrong_answers = self.random.choice(WRONG_ANSWERS)
+            self.say(f"{server.id} {server.wrong_answers}")
             await asyncio.sleep(length)
-            server.mood = None
+            server.wrong_answers = None
         elif kind.startswith("store-"):
             with trouble(self.hosts):
                 await self.disturb_store(kind, length)
