--- a/src/transport/request_relay.cc
+++ b/src/transport/request_relay.cc
@@ -263,6 +263,11 @@
   terms.target_latency = request->route->target_latency;
   terms.max_attempts = request->route->max_attempts;
   terms.end = terms.received + allowed;
+  return ChooseService(request);
+}
+
+bool RequestRelay::ChooseService(const RequestPtr& request) {
+  coordination::RequestTerms& terms = request->terms;
   const auto key = KeyOf(*request);
   const auto is_keyed = [&config = *request->config](const std::string& name) {
     const auto rules = config.services().find(name);
--- a/src/transport/request_relay.h
+++ b/src/transport/request_relay.h
@@ -166,6 +166,10 @@
                       std::string_view event,
                       std::string_view reason,
                       CallerAnswer answer);
+  // Sets the service of the request, and its shard key if the service is keyed.
+  // If none of the route's services can take the request, rejects it and
+  // returns false.
+  bool ChooseService(const RequestPtr& request);
   // Rejects the request and returns false if it has no X-Attempt-Id. Every
   // server refuses such a request, and its answer could not be matched.
   bool CheckAttemptId(const RequestPtr& request);
