requests: Bound the sizes of forwarded requests

A forwarding port accepted any size since limits for callers no longer apply to it: a stated length of 10^15 bytes made the parser allocate it, and std::bad_alloc ended the process. Header and body now have fixed bounds that do not depend on the configuration. The test failed before with std::bad_alloc.

--- a/src/transport/caller_connection.cc
+++ b/src/transport/caller_connection.cc
@@ -19,6 +19,10 @@
 
 // Maximum number of requests of one connection under way at the same time.
 constexpr std::size_t kMaxPipelinedRequests = 32;
+// Sizes of forwarded requests. They bound what bytes that no host has sent can
+// allocate, and exceed what operators allow callers to send.
+constexpr std::size_t kMaxForwardedHeaderBytes = 1 << 20;
+constexpr std::size_t kMaxForwardedBodyBytes = 256 << 20;
 // How long a connection whose sending side is closed waits for the caller to
 // close its side.
 constexpr state::Duration kLingerTimeout = std::chrono::seconds(1);
@@ -115,8 +119,8 @@
   if (source_ == RequestSource::kHost) {
     // The forwarding host has checked the sizes, perhaps by limits that are not
     // known here, and has added fields of its own.
-    limits.header_bytes = std::numeric_limits<std::size_t>::max();
-    limits.body_bytes = std::numeric_limits<std::size_t>::max();
+    limits.header_bytes = kMaxForwardedHeaderBytes;
+    limits.body_bytes = kMaxForwardedBodyBytes;
   }
   return limits;
 }
--- a/src/transport/caller_connection.h
+++ b/src/transport/caller_connection.h
@@ -64,7 +64,7 @@
   };
 
   // Returns the limits of the current configuration, or the defaults without a
-  // configuration. The sizes of forwarded requests are not limited.
+  // configuration. Those on the sizes of forwarded requests are fixed.
   state::IngressLimits Limits() const;
   void Read();
   void HandleRead(const beast::error_code& error, std::size_t size);
@@ -92,7 +92,7 @@
   void UseOriginForm();
   // Returns what is wrong with the request line or the header, if anything.
   std::optional<Rejection> CheckHeader() const;
-  // Returns whether the body, as stated or as received so far, is too large.
+  // Rejects a body that is too large, as stated or as received so far.
   std::optional<Rejection> CheckBodySize() const;
   // Passes the request that the parser has completed to the relay.
   void Dispatch();
--- a/tests/transport/caller_connection_test.cc
+++ b/tests/transport/caller_connection_test.cc
@@ -109,6 +109,17 @@
   CHECK(host.Receive(caller).starts_with("HTTP/1.1 404"));
 }
 
+// Guards against bytes on the port for hosts that make the process allocate
+// whatever length they state.
+TEST_CASE("a gate does not take a forwarded request of any size", "[S5]") {
+  RelayFixture host;
+  tcp::socket forwarder = host.ConnectHost();
+  Send(forwarder,
+       "POST /desk/1 HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: 1\r\n"
+       "Content-Length: 1000000000000000\r\n\r\nhi");
+  CHECK(host.Receive(forwarder).starts_with("HTTP/1.1 413"));
+}
+
 // Guards against a request that ends as unknown although the gate has not
 // passed it on: the forwarding host needs the outcome and the id to tell.
 TEST_CASE("a gate says that it could not read a forwarded request", "[R3]") {
