requests: Find a second status line in the head of an answer

A server that broke off in a reason or a field value, before its id and its signature, and then sent another answer still made one head of both: callers got a 404 with the signature and the body of a success, or 503 although the server had answered with success, so that the request could run twice.

An answer whose reason or fields contain a status line breaks its connection. The three new cases failed before, for requests that may run once only.

--- a/src/transport/server_connection.cc
+++ b/src/transport/server_connection.cc
@@ -2,6 +2,7 @@
 
 #include "transport/server_connection.h"
 
+#include <algorithm>
 #include <charconv>
 #include <limits>
 #include <utility>
@@ -20,6 +21,36 @@
 // answer to a request. A server in trouble may send them without end.
 constexpr int kMaxSkippedMessages = 16;
 
+bool IsDigit(char character) {
+  return character >= '0' && character <= '9';
+}
+
+// Whether the text contains the begin of a status line, "HTTP/1.1 200".
+bool ContainsStatusLine(beast::string_view text) {
+  constexpr beast::string_view kProtocol = "HTTP/1.";
+  // The minor version, a space and the status.
+  constexpr std::size_t kRestBytes = 5;
+  for (std::size_t at = text.find(kProtocol); at != beast::string_view::npos;
+       at = text.find(kProtocol, at + 1)) {
+    const beast::string_view rest = text.substr(at + kProtocol.size());
+    if (rest.size() >= kRestBytes && IsDigit(rest[0]) && rest[1] == ' ' &&
+        std::all_of(rest.begin() + 2, rest.begin() + kRestBytes, IsDigit)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+// Whether the server broke off in the head of one answer and sent another, so
+// that status and fields may belong to either.
+bool IsOfTwoAnswers(const http::response_header<>& head) {
+  return head.count(platform::kAttemptIdField) > 1 ||
+         ContainsStatusLine(head.reason()) ||
+         std::any_of(head.begin(), head.end(), [](const auto& field) {
+           return ContainsStatusLine(field.value());
+         });
+}
+
 }  // namespace
 
 ServerConnection::ServerConnection(asio::io_context& context,
@@ -171,9 +202,7 @@
 
 bool ServerConnection::HandleMessage() {
   http::response<http::string_body>& message = parser_->get();
-  if (message.count(platform::kAttemptIdField) > 1) {
-    // The server broke off in the head of one answer and sent another: status
-    // and fields may belong to either.
+  if (IsOfTwoAnswers(message.base())) {
     FinishExchange(ExchangeResult::kBroken, {});
     return true;
   }
--- a/tests/transport/untrusted_answers_test.cc
+++ b/tests/transport/untrusted_answers_test.cc
@@ -149,7 +149,9 @@
   const std::string cut = GENERATE(
       "HTTP/1.1 404 Status\r\nX-Attempt-Id: 1\r\nX-Cut: ",
       "HTTP/1.1 404 Status\r\nX-Server-Signature: s\r\nX-Cut: ",
-      "HTTP/1.1 503 Status\r\nX-Attempt-Id: 1\r\nX-Not-Executed: 1\r\nX-Cut: ");
+      "HTTP/1.1 503 Status\r\nX-Attempt-Id: 1\r\nX-Not-Executed: 1\r\nX-Cut: ",
+      "HTTP/1.1 404 Status\r\nX-Cut: ", "HTTP/1.1 404 Sta",
+      "HTTP/1.1 503 Status\r\nX-Not-Executed: 1\r\nX-Cut: ");
   CAPTURE(static_cast<int>(kind), cut);
   RelayFixture host(kind);
   tcp::socket caller = host.ConnectCaller();
