store: Confirm a configuration only by what a read shows

A host took its configuration for the newest when a read ended. But a page may end before the topic does, so that a host which came back to several versions counted an old one as the newest, and told all others so if it led; and an answer may be older than a change that was made while it was under way.

A read now confirms only if its page reaches the end of the topic, as of the time at which the store must have known that: when the call was sent, or after the wait if there were no records. The leader announces that time. After records it reads once more without a wait. Both sections of the test failed before.

--- a/src/protocol/host_messages.h
+++ b/src/protocol/host_messages.h
@@ -31,7 +31,8 @@
   // Time since the leader last read the store. While the leader's reads fail,
   // longer than any age that hosts accept.
   state::Duration age{0};
-  // The same for the operators' topic, which is read separately.
+  // Time since the leader last knew that it had all records of the operators'
+  // topic.
   state::Duration operators_age{0};
 };
 
--- a/src/transport/store_client.cc
+++ b/src/transport/store_client.cc
@@ -52,6 +52,7 @@
 awaitable<std::optional<TopicPage>> StoreClient::ReadNewest(std::string topic) {
   TopicPage page;
   page.covers_all_keys = true;
+  page.as_of = Now();
   std::string after;
   bool first = true;
   for (bool has_more = true; has_more;) {
@@ -82,6 +83,7 @@
 awaitable<std::optional<TopicPage>> StoreClient::ReadFrom(std::string topic,
                                                           std::int64_t from,
                                                           Duration wait) {
+  const state::Instant sent = Now();
   const auto reply =
       co_await Send(platform::ReadCall(topic, from, wait), wait + kCallTimeout);
   if (!reply) {
@@ -99,6 +101,10 @@
   }
   TopicPage page;
   page.next = read->records.empty() ? from : read->records.back().offset + 1;
+  page.reaches_end = page.next >= read->end;
+  // The store answers without records only after the wait.
+  page.as_of =
+      read->records.empty() && Now() - sent >= wait ? sent + wait : sent;
   page.records = std::move(read->records);
   co_return page;
 }
--- a/src/transport/store_client.h
+++ b/src/transport/store_client.h
@@ -26,6 +26,10 @@
   std::vector<platform::KeyedRecord> records;
   // The offset at which the next read continues.
   std::int64_t next = 0;
+  // Whether the page reaches the end that the topic had at the time `as_of`. If
+  // not, further records follow.
+  bool reaches_end = true;
+  state::Instant as_of{};
 };
 
 // One client serves all components of a host. A call counts as failed if there
--- a/src/transport/store_watch.cc
+++ b/src/transport/store_watch.cc
@@ -208,7 +208,9 @@
   const bool failing = operator_reader_.failing || server_reader_.failing;
   return {operator_reader_.relevant_end, server_reader_.relevant_end,
           failing ? kNeverReadAge : now - server_reader_.read_at,
-          failing ? kNeverReadAge : now - operator_reader_.read_at};
+          failing || !operator_reader_.confirmed_at
+              ? kNeverReadAge
+              : now - *operator_reader_.confirmed_at};
 }
 
 void StoreWatch::Tick(Instant now, bool leading) {
@@ -263,7 +265,9 @@
     return false;
   }
   reader->next = page->next;
-  Confirm(reader->read_at, reader);
+  if (page->reaches_end) {
+    Confirm(page->as_of, reader);
+  }
   RecordAnnounced(reader->read_at, reader->announced, reader);
   return true;
 }
@@ -277,18 +281,22 @@
 
 awaitable<void> StoreWatch::FollowOperators() {
   const std::string topic(platform::kOperatorTopic);
+  bool found_records = false;
   while (true) {
     std::optional<TopicPage> page;
     if (operator_reader_.next) {
       // Only the leader waits for new records. The other hosts learn of them
-      // from its heartbeats.
-      const Duration wait = leading_ ? kOperatorLongPollTime : Duration(0);
+      // from its heartbeats. After records, a read without a wait shows whether
+      // there are more.
+      const Duration wait =
+          leading_ && !found_records ? kOperatorLongPollTime : Duration(0);
       page = co_await store_.ReadFrom(topic, *operator_reader_.next, wait);
     } else {
       page = co_await store_.ReadNewest(topic);
     }
     const bool usable = RecordRead(&operator_reader_, page);
-    if (usable && !page->records.empty()) {
+    found_records = usable && !page->records.empty();
+    if (found_records) {
       ApplyOperators(*page);
       hooks_.progressed();
       co_await Sleep(executor_, kOperatorBatchDelay);
--- a/tests/transport/store_watch_test.cc
+++ b/tests/transport/store_watch_test.cc
@@ -3,6 +3,7 @@
 
 #include "transport/store_watch.h"
 
+#include <algorithm>
 #include <boost/endian/conversion.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
@@ -55,6 +56,8 @@
   }
   // Sets the answer to reads of the newest records.
   void SetNewest(std::string newest) { newest_ = std::move(newest); }
+  // The maximum number of records in an answer.
+  void SetPageSize(std::size_t records) { page_size_ = records; }
   // How long answers are under way.
   void SetDelay(milliseconds delay) { delay_ = delay; }
   std::int64_t end() const {
@@ -80,11 +83,13 @@
   std::string Page(const transport::HttpRequest& request) const {
     const bool operators =
         request.query.at("topic") == platform::kOperatorTopic;
-    const std::size_t end = operators ? records_.size() : 0;
+    std::size_t end = operators ? records_.size() : 0;
     std::string body;
     AppendNumber(static_cast<std::uint64_t>(end), &body);
     AppendNumber(std::uint64_t{0}, &body);
-    for (std::size_t i = std::stoull(request.query.at("from")); i < end; ++i) {
+    const std::size_t from = std::stoull(request.query.at("from"));
+    end = std::min(end, from + page_size_);
+    for (std::size_t i = from; i < end; ++i) {
       const auto& [key, value] = records_[i];
       AppendNumber(static_cast<std::uint32_t>(1 + key.size() + value.size()),
                    &body);
@@ -105,6 +110,7 @@
   std::vector<std::pair<std::string, std::string>> records_;
   std::string newest_ = R"({"items":[],"has_more":false,"end":0})";
   milliseconds delay_{0};
+  std::size_t page_size_ = 1000;
   transport::HttpListener listener_;
 };
 
@@ -207,6 +213,39 @@
   }
 }
 
+// Guards against a page that does not reach the end of the topic, and against an
+// answer that is older than a change, being taken for proof of the newest
+// configuration.
+TEST_CASE("only a read that shows all records confirms a configuration",
+          "[Z7]") {
+  WatchFixture host;
+  host.store().Put("config", Config(3));
+  host.watch().Start();
+  host.Run(milliseconds(1700));
+  REQUIRE(host.version() == 3);
+
+  SECTION("not a page with newer records behind it") {
+    host.store().SetPageSize(1);
+    for (int version = 4; version < 9; ++version) {
+      host.store().Put("config", Config(version));
+    }
+    host.Run(milliseconds(1420));
+    REQUIRE(host.version() < 8);
+    REQUIRE(host.ConfigAge());
+    CHECK(*host.ConfigAge() > milliseconds(800));
+  }
+  SECTION("not an answer that was under way when the record was written") {
+    host.store().SetDelay(milliseconds(700));
+    host.Run(milliseconds(1500));
+    host.store().Put("config", Config(4));
+    const state::Instant written = transport::Now();
+    host.Run(milliseconds(650));
+    REQUIRE(host.version() == 3);
+    REQUIRE(host.ConfigAge());
+    CHECK(transport::Now() - *host.ConfigAge() <= written);
+  }
+}
+
 // Guards against an evacuation that is undone, and passed on to other hosts as
 // undone, when an answer of the store arrives after newer records have come
 // from another host.
