store: Do not confirm a configuration after an unreadable one

If the newest configuration could not be read as a whole, the one before stayed in force and counted as the newest: the routes of the new one got 404 for good.

The host now knows that it could not read the newest, so it refuses what its configuration does not allow until a readable one comes. The test failed before.

--- a/src/transport/store_watch.cc
+++ b/src/transport/store_watch.cc
@@ -190,7 +190,9 @@
 }
 
 std::optional<Instant> StoreWatch::ConfigConfirmedAt() const {
-  return NeedsOperatorRecords() ? std::nullopt : operator_reader_.confirmed_at;
+  const bool behind = operator_reader_.next < operator_reader_.announced;
+  return behind || config_unreadable_ ? std::nullopt
+                                      : operator_reader_.confirmed_at;
 }
 
 void StoreWatch::TakeEntryUpdates(protocol::HeartbeatUpdate* update) {
@@ -355,6 +357,8 @@
   }
   if (config != nullptr) {
     ApplyConfig(*config);
+  } else if (page.covers_all_keys) {
+    config_unreadable_ = true;
   }
   if (evacuated != evacuated_) {
     evacuated_ = std::move(evacuated);
@@ -374,6 +378,7 @@
     log_.Write(LogPart::kStore, "config-finding",
                {{"place", finding.location}, {"problem", finding.problem}});
   }
+  config_unreadable_ = config == nullptr;
   if (!config || config->version() <= config_version_) {
     return;
   }
--- a/src/transport/store_watch.h
+++ b/src/transport/store_watch.h
@@ -72,8 +72,8 @@
   // Moves into the update the relevant server entries since the last call.
   void TakeEntryUpdates(protocol::HeartbeatUpdate* update);
 
-  // When this host last knew that it had all records of operators; nothing if
-  // it lacks some, or has never read them.
+  // When this host last knew that it had the newest configuration; nothing if
+  // it lacks records of operators or could not read the newest configuration.
   std::optional<state::Instant> ConfigConfirmedAt() const;
 
   // Whether this host lacks records of operators that the leader has read. They
@@ -181,6 +181,9 @@
   state::Instant progress_valid_until_{};
   protocol::OperatorRecords operator_records_;
   std::int64_t config_version_ = 0;
+  // Whether the newest configuration could not be read, so that an earlier one
+  // is in force.
+  bool config_unreadable_ = false;
   std::set<std::string> evacuated_;
   bool servers_known_ = false;
   coordination::MissingEntries missing_entries_;
--- a/tests/transport/store_watch_test.cc
+++ b/tests/transport/store_watch_test.cc
@@ -213,6 +213,25 @@
   }
 }
 
+// Guards against 404 for routes of a configuration that could not be read as a
+// whole, while the one before stays in force.
+TEST_CASE("a configuration is not the newest if the newest is unreadable",
+          "[Z7]") {
+  WatchFixture host;
+  host.watch().HandleOperatorRecords({1, {{"config", Config(3)}}});
+  host.HearLeader(1, milliseconds(0));
+  REQUIRE(host.ConfigAge());
+  host.watch().HandleOperatorRecords(
+      {2, {{"config", R"({"version":"4","routes":{}})"}}});
+  host.HearLeader(2, milliseconds(0));
+  CHECK(host.version() == 3);
+  CHECK_FALSE(host.ConfigAge());
+  host.watch().HandleOperatorRecords({3, {{"config", Config(5)}}});
+  host.HearLeader(3, milliseconds(0));
+  CHECK(host.version() == 5);
+  CHECK(host.ConfigAge());
+}
+
 // Guards against a page that does not reach the end of the topic, and against an
 // answer that is older than a change, being taken for proof of the newest
 // configuration.
