store: Ignore the progress in a heartbeat that was overtaken

A heartbeat that arrived after a later one set back how far the leader had read: a host that lacked a configuration took its own for the newest and stopped asking other hosts for the records until the next heartbeat. The test failed before.

--- a/src/transport/store_watch.cc
+++ b/src/transport/store_watch.cc
@@ -84,6 +84,12 @@
   if (heartbeat.update && heartbeat.update->entry_parts > 0) {
     HandleEntries(now, *heartbeat.update, progress.servers);
   }
+  const std::pair heartbeat_id(heartbeat.term, heartbeat.number);
+  if (heartbeat_id < last_heartbeat_) {
+    // Datagrams may overtake one another.
+    return;
+  }
+  last_heartbeat_ = heartbeat_id;
   operator_reader_.announced_at = now - progress.operators_age;
   RecordAnnounced(now, progress.operators, &operator_reader_);
   RecordAnnounced(now, progress.servers, &server_reader_);
--- a/src/transport/store_watch.h
+++ b/src/transport/store_watch.h
@@ -177,6 +177,8 @@
   TopicReader operator_reader_;
   TopicReader server_reader_;
   bool leading_ = false;
+  // The term and the number of the latest heartbeat.
+  std::pair<std::int64_t, std::int64_t> last_heartbeat_{0, 0};
   // Until when the leader's progress replaces this host's own reads.
   state::Instant progress_valid_until_{};
   protocol::OperatorRecords operator_records_;
--- a/tests/transport/store_watch_test.cc
+++ b/tests/transport/store_watch_test.cc
@@ -143,8 +143,11 @@
 
   // A heartbeat of a leader that has read the operators' records up to
   // `operators`, and read them last `age` ago.
-  void HearLeader(std::int64_t operators, milliseconds age) {
+  void HearLeader(std::int64_t operators,
+                  milliseconds age,
+                  std::int64_t number = 0) {
     protocol::LeaderHeartbeat heartbeat;
+    heartbeat.number = number;
     heartbeat.progress.operators = operators;
     heartbeat.progress.operators_age = age;
     watch_.HandleProgress(transport::Now(), heartbeat);
@@ -213,6 +216,21 @@
   }
 }
 
+// Guards against a host that forgets that it lacks a configuration because an
+// earlier heartbeat arrives late.
+TEST_CASE("a heartbeat that was overtaken does not confirm a configuration",
+          "[Z7]") {
+  WatchFixture host;
+  host.watch().HandleOperatorRecords({1, {{"config", Config(3)}}});
+  host.HearLeader(1, milliseconds(0), 4);
+  REQUIRE(host.ConfigAge());
+  host.HearLeader(2, milliseconds(0), 6);
+  CHECK_FALSE(host.ConfigAge());
+  host.HearLeader(1, milliseconds(0), 5);
+  CHECK_FALSE(host.ConfigAge());
+  CHECK(host.watch().NeedsOperatorRecords());
+}
+
 // Guards against 404 for routes of a configuration that could not be read as a
 // whole, while the one before stays in force.
 TEST_CASE("a configuration is not the newest if the newest is unreadable",
