hosts: Take no age of the operators' records from leaders that send none

A leader of the version before does not say how old its knowledge of the operators' records is. Its age of the servers' records was taken instead, which says nothing about the other topic. Such a heartbeat now confirms no configuration.

--- a/src/protocol/host_messages.cc
+++ b/src/protocol/host_messages.cc
@@ -287,7 +287,7 @@
     heartbeat.progress.operators_age =
         operators_age != nullptr
             ? state::Duration(operators_age->to_number<std::int64_t>())
-            : heartbeat.progress.age;
+            : kUnknownAge;
     heartbeat.stepping_down = object.at("yielding").as_bool();
     heartbeat.hosts = object.at("hosts").to_number<std::size_t>();
     heartbeat.number = object.at("number").to_number<std::int64_t>();
--- a/src/protocol/host_messages.h
+++ b/src/protocol/host_messages.h
@@ -28,14 +28,16 @@
   std::int64_t operators = 0;
   // Offset after the last record of the servers' topic that hosts must apply.
   std::int64_t servers = 0;
-  // Time since the leader last read the store. While the leader's reads fail,
-  // longer than any age that hosts accept.
+  // Time since the leader last read the store; kUnknownAge while its reads fail.
   state::Duration age{0};
   // Time since the leader last knew that it had all records of the operators'
   // topic.
   state::Duration operators_age{0};
 };
 
+// The age of knowledge that nobody vouches for. No host accepts it.
+inline constexpr state::Duration kUnknownAge = std::chrono::hours(1);
+
 // What has changed since the previous heartbeat, or one part of these changes
 // if they do not fit into one datagram.
 struct HeartbeatUpdate {
--- a/src/transport/store_watch.cc
+++ b/src/transport/store_watch.cc
@@ -49,9 +49,6 @@
 // otherwise read the store.
 constexpr Duration kProgressValidity = std::chrono::milliseconds(1100);
 constexpr Duration kMaxProgressAge = std::chrono::milliseconds(700);
-// Age of the last read that a host announces while its reads fail. It exceeds
-// kMaxProgressAge, so that no other host relies on the progress.
-constexpr Duration kNeverReadAge = std::chrono::hours(1);
 
 awaitable<void> Sleep(asio::any_io_executor executor, Duration duration) {
   asio::steady_timer timer(executor, duration);
@@ -215,9 +212,9 @@
 protocol::ReadProgress StoreWatch::Progress(Instant now) const {
   const bool failing = operator_reader_.failing || server_reader_.failing;
   return {operator_reader_.relevant_end, server_reader_.relevant_end,
-          failing ? kNeverReadAge : now - server_reader_.read_at,
+          failing ? protocol::kUnknownAge : now - server_reader_.read_at,
           failing || !operator_reader_.confirmed_at
-              ? kNeverReadAge
+              ? protocol::kUnknownAge
               : now - *operator_reader_.confirmed_at};
 }
 
