hosts: Give an outcome of its own to a forwarded request that cannot be read

A gate's rejection of a forwarded request said "failed". A forwarding host of an earlier version passes the status of such an answer on, so that callers could get a 400 during a rolling start.

The outcome is now "unreadable", which earlier hosts take for unknown (502) as they do without an outcome; "failed" with a rejection is still understood.

--- a/src/transport/caller_connection.cc
+++ b/src/transport/caller_connection.cc
@@ -340,7 +340,7 @@
   relay_.CountRejection(source_, answer.status,
                         refused ? "configuration-unconfirmed" : event);
   if (source_ == RequestSource::kHost) {
-    answer.fields.emplace_back(kOutcomeField, "failed");
+    answer.fields.emplace_back(kOutcomeField, kUnreadableOutcome);
     if (!id.empty()) {
       answer.fields.emplace_back(platform::kAttemptIdField, std::string(id));
     }
--- a/src/transport/entry_metrics.h
+++ b/src/transport/entry_metrics.h
@@ -28,7 +28,8 @@
   EntryMetrics();
 
   // Records the duration of a caller's request that has ended. `outcome` is one
-  // of "answered", "refused", "unknown", "timed-out", "failed" and "abandoned".
+  // of "answered", "refused", "unknown", "timed-out", "failed", "abandoned",
+  // and for forwarded requests "unreadable".
   void ObserveRequest(const std::string& route,
                       const std::string& outcome,
                       state::Duration duration);
--- a/src/transport/request_relay.cc
+++ b/src/transport/request_relay.cc
@@ -512,8 +512,9 @@
   if (outcome == "failed" && IsFailure(answer)) {
     return SendResult::kFailed;
   }
-  // A rejection is the gate's own, of a request that it cannot read.
-  if (outcome == "failed" && IsRejection(answer.status)) {
+  // Gates of earlier versions answer "failed" with a rejection.
+  if (outcome == kUnreadableOutcome ||
+      (outcome == "failed" && IsRejection(answer.status))) {
     return SendResult::kGateRejected;
   }
   return SendResult::kUntrusted;
@@ -636,9 +637,11 @@
                                  CallerAnswer answer) {
   LogEnd(*request, event, reason, answer.status, 0);
   const bool refused = event == "refused";
-  Finish(request,
-         {refused ? "refused" : "failed", AnswerOrigin::kHost,
-          refused ? reason : event},
+  const std::string_view outcome = refused ? "refused"
+                                   : request->source == RequestSource::kHost
+                                       ? kUnreadableOutcome
+                                       : "failed";
+  Finish(request, {outcome, AnswerOrigin::kHost, refused ? reason : event},
          std::move(answer));
 }
 
--- a/tests/transport/caller_connection_test.cc
+++ b/tests/transport/caller_connection_test.cc
@@ -130,7 +130,7 @@
        "Host: b.example\r\n\r\n");
   const std::string answer = host.Receive(forwarder);
   CHECK(answer.starts_with("HTTP/1.1 400"));
-  CHECK(Count(answer, "X-Mustardflow-Outcome: failed") == 1);
+  CHECK(Count(answer, "X-Mustardflow-Outcome: unreadable") == 1);
   CHECK(Count(answer, "X-Attempt-Id: 7") == 1);
 }
 
--- a/tests/transport/store_watch_test.cc
+++ b/tests/transport/store_watch_test.cc
@@ -250,8 +250,8 @@
   CHECK(host.ConfigAge());
 }
 
-// Guards against a page that does not reach the end of the topic, and against an
-// answer that is older than a change, being taken for proof of the newest
+// Guards against a page that does not reach the end of the topic, and against
+// an answer that is older than a change, being taken for proof of the newest
 // configuration.
 TEST_CASE("only a read that shows all records confirms a configuration",
           "[Z7]") {
--- a/tests/transport/untrusted_answers_test.cc
+++ b/tests/transport/untrusted_answers_test.cc
@@ -96,7 +96,10 @@
   Send(caller, kRequest);
   tcp::socket gate = host.AcceptAtGate();
   host.ReceiveUntil(gate, "hi");
-  Send(gate, Answer(status, "X-Mustardflow-Outcome: failed\r\n"));
+  // Gates of earlier versions answer "failed".
+  const std::string outcome = GENERATE("unreadable", "failed");
+  CAPTURE(outcome);
+  Send(gate, Answer(status, "X-Mustardflow-Outcome: " + outcome + "\r\n"));
   tcp::socket server = host.AcceptFromRelay();
   CHECK(Count(host.ReceiveUntil(server, "hi"), "X-Target-Instance: s1") == 1);
   Send(server, Answer(200, "X-Server-Signature: s\r\n"));
