store: Do not reject by a limit that could not be read

A limit of the wrong type silently became the default, and larger requests were rejected with 431 or 413 for good. The test failed before: no finding, and a complete configuration.

--- a/src/platform/operator_config.cc
+++ b/src/platform/operator_config.cc
@@ -103,7 +103,10 @@
   return rules;
 }
 
-state::IngressLimits ReadLimits(const json::value& config) {
+// Sets `complete` to false if a size cannot be read, and keeps its default.
+state::IngressLimits ReadLimits(const json::value& config,
+                                protocol::Findings* findings,
+                                bool* complete) {
   state::IngressLimits limits;
   const json::value* value = Member(config, "limits");
   if (value == nullptr) {
@@ -113,6 +116,10 @@
     const auto size = IntegerMember(*value, name);
     if (size && *size > 0) {
       *target = static_cast<std::size_t>(*size);
+    } else if (Member(*value, name) != nullptr) {
+      *complete = false;
+      findings->Add("/limits/" + std::string(name), "is no size",
+                    "give a positive number of bytes");
     }
   };
   read_size("max_header_bytes", &limits.header_bytes);
@@ -161,9 +168,10 @@
       read_services.emplace(name, ReadService(value));
     }
   }
+  const state::IngressLimits limits = ReadLimits(*config, findings, &complete);
   return std::make_shared<state::RoutingConfig>(
-      *version, std::move(read_routes), std::move(read_services),
-      ReadLimits(*config), complete);
+      *version, std::move(read_routes), std::move(read_services), limits,
+      complete);
 }
 
 }  // namespace mustardflow::platform
--- a/src/state/routing_config.h
+++ b/src/state/routing_config.h
@@ -107,8 +107,9 @@
     return services_;
   }
   const IngressLimits& limits() const { return limits_; }
-  // Whether all routes could be read. If not, it is not known of a request that
-  // matches no route whether the operators allow it.
+  // Whether all routes and the limits on sizes could be read. If not, it is not
+  // known whether the operators allow a request that matches no route or
+  // exceeds a limit.
   bool complete() const { return complete_; }
 
  private:
--- a/tests/platform/operator_config_test.cc
+++ b/tests/platform/operator_config_test.cc
@@ -73,6 +73,21 @@
   CHECK(odd->services.empty());
 }
 
+// Guards against requests rejected for good by a default limit in place of one
+// that could not be read.
+TEST_CASE("a configuration with an unreadable limit is not complete", "[Z7]") {
+  protocol::Findings findings;
+  const auto config = platform::ParseOperatorConfig(
+      R"({"version": 1, "routes": {},
+          "limits": {"max_header_bytes": "65536", "max_body_bytes": 9}})",
+      &findings);
+  REQUIRE(config);
+  CHECK_FALSE(config->complete());
+  CHECK(config->limits().body_bytes == 9);
+  REQUIRE(findings.list().size() == 1);
+  CHECK(findings.list().front().location == "/limits/max_header_bytes");
+}
+
 TEST_CASE("the route with the longest matching prefix is chosen") {
   protocol::Findings findings;
   const auto config = platform::ParseOperatorConfig(kConfig, &findings);
