soak: Compare the target that a server gets with what was to be sent

Servers of the soak ignored scheme, host and query of the target, so a host that passed on the absolute form or changed a query was not noticed. They now expect the exact target.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -42,6 +42,8 @@
             head += f"X-Fill: {'f' * fill}\r\n"
         head += "\r\n"
         self.head_bytes = len(head)
+        # What a server gets, whatever the form was.
+        self.target = head.split()[1].removeprefix("http://a.example")
         body = body_of(attempt, body_bytes)
         if chunk:
             parts = [body[i:i + chunk] for i in range(0, len(body), chunk)]
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -52,9 +52,8 @@
     def note_run(self, server, received, attempt):
         self.runs[attempt] = self.runs.get(attempt, 0) + 1
         request = self.requests.get(attempt)
-        path = received.target.removeprefix("http://a.example").split("?")[0]
-        if request is None or (received.method, path) != (
-                request.method, request.path):
+        if request is None or (received.method, received.target) != (
+                request.method, request.target):
             self.violate(f"{server.id} runs what nobody sent: {attempt} "
                          f"{received.method} {received.target}")
             return
