logs: Say how long ago the configuration was known to be the newest

The lines on the end of a request had only for how long the configuration had been in force, which does not tell whether the host may have lacked a newer one. Plainer words in a few comments and pages.

--- a/src/coordination/request_flow.cc
+++ b/src/coordination/request_flow.cc
@@ -28,8 +28,8 @@
 // at once.
 constexpr double kUsedRetryRatioFraction = 0.8;
 constexpr double kUsedRetrySlackFraction = 0.8;
-// A gate whose connection failed, or whose answer is no gate's, is bypassed for
-// this time. The leader assigns the servers of a lost host to other gates
+// A gate whose connection failed, or that did not answer as one, is bypassed
+// for this time. The leader assigns the servers of a lost host to other gates
 // within two seconds.
 constexpr Duration kGateBlockTime = std::chrono::seconds(1);
 // The retry delay of refused callers if there is no better estimate, and the
--- a/src/transport/request_relay.cc
+++ b/src/transport/request_relay.cc
@@ -23,9 +23,8 @@
 
 namespace {
 
-// Retry-After for requests that arrive before the first configuration, and for
-// those that a newer configuration might allow or that a recent one has caught
-// on their way.
+// Retry-After for requests that arrive before the first configuration, that a
+// newer one might allow, or that were sent before a recent one.
 constexpr Duration kNoConfigRetryAfter = std::chrono::milliseconds(500);
 // Maximum number of shard keys sampled for one load report of a service.
 constexpr std::size_t kSamplesPerReport = 120;
@@ -721,6 +720,10 @@
        {"config", request.config ? request.config->version() : -1},
        {"config_age_ms",
         request.config ? Milliseconds(Now() - view_.config_since) : -1},
+       {"config_confirmed_age_ms",
+        view_.config_confirmed_at
+            ? Milliseconds(Now() - *view_.config_confirmed_at)
+            : -1},
        {"term", view_.table.term},
        {"revision", view_.table.revision}});
 }
--- a/tests/transport/untrusted_answers_test.cc
+++ b/tests/transport/untrusted_answers_test.cc
@@ -108,7 +108,7 @@
 
 // Without the outcome it is no gate that answers, and a gate may say "answered"
 // only of what the server has signed. Otherwise the server may have run the
-// request, and the status is nobody's.
+// request, and nobody vouches for the status.
 TEST_CASE("an answer that no gate vouches for is not passed on", "[R4]") {
   const RequestKind kind =
       GENERATE(RequestKind::kIdempotent, RequestKind::kNonIdempotent);
