requests: Limit trailers and chunk extensions like headers

A trailer or the extension of a chunk of any length was kept in memory until it was complete, for as long as the time limits allow. It now ends with 431 above the limit for headers.

--- a/src/transport/caller_connection.cc
+++ b/src/transport/caller_connection.cc
@@ -192,6 +192,10 @@
       continue;
     }
     if (error == http::error::need_more || used == 0) {
+      if (header_accepted_ && input_buffer_.size() > header_limit_) {
+        // The begin of a trailer or of the extension of a chunk.
+        Reject({431, "header limit exceeded"});
+      }
       break;
     }
   }
--- a/tests/transport/caller_connection_test.cc
+++ b/tests/transport/caller_connection_test.cc
@@ -109,6 +109,27 @@
   CHECK(host.Receive(caller).starts_with("HTTP/1.1 404"));
 }
 
+// Guards against memory that grows with what a caller sends: the parser keeps a
+// trailer or the extension of a chunk until it is complete.
+TEST_CASE("a trailer and a chunk extension are limited like a header", "[S5]") {
+  RelayFixture host;
+  state::IngressLimits limits;
+  limits.header_bytes = 400;
+  host.SetLimits(limits);
+  tcp::socket caller = host.ConnectCaller();
+  Send(caller,
+       "POST /desk/1 HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: 1\r\n"
+       "Transfer-Encoding: chunked\r\n\r\n");
+  SECTION("trailer") {
+    Send(caller, "0\r\nX-Long: ");
+  }
+  SECTION("chunk extension") {
+    Send(caller, "1;");
+  }
+  Send(caller, std::string(8 << 10, 'x'));
+  CHECK(host.Receive(caller).starts_with("HTTP/1.1 431"));
+}
+
 // Guards against bytes on the port for hosts that make the process allocate
 // whatever length they state.
 TEST_CASE("a gate does not take a forwarded request of any size", "[S5]") {
