--- a/tests/support/log_pipe.h
+++ b/tests/support/log_pipe.h
@@ -14,6 +14,7 @@
 
 class LogPipe {
  public:
+  // Throws if there is no pipe, which fails the test.
   LogPipe() {
     if (::pipe(ends_.data()) != 0) {
       throw std::runtime_error("no pipe for the log");
