servers: Record and log what servers announce about themselves

Answers' limits, leaving and pauses are now read, kept for each incarnation and logged when they change (announced), together with each host's requests to a limited server (limit-use). Nothing decides by them yet.

--- a/src/coordination/server_pool.cc
+++ b/src/coordination/server_pool.cc
@@ -546,6 +546,7 @@
   const double load = EstimatedLoad(now, *server);
   server->in_flight.emplace(now, SentRequest{WaitFactor(now, *server), load});
   server->recent_sends.push_back(now);
+  ++server->sends;
   Rate& rate = rates_[server->record.service];
   rate.per_second =
       rate.per_second * std::exp(-Seconds(now - rate.at) / kRateDecaySeconds) +
@@ -646,4 +647,17 @@
   server->slowness = slowness;
 }
 
+bool ServerPool::RecordAnnouncement(Instant now,
+                                    const ServerIncarnation& incarnation,
+                                    Instant sent,
+                                    const ServerAnnouncement& announcement) {
+  ServerState* server = Find(incarnation);
+  return server != nullptr && server->announced.Record(now, sent, announcement);
+}
+
+int ServerPool::TakeSendCount(const ServerIncarnation& incarnation) {
+  ServerState* server = Find(incarnation);
+  return server == nullptr ? 0 : std::exchange(server->sends, 0);
+}
+
 }  // namespace mustardflow::coordination
--- a/src/coordination/server_pool.h
+++ b/src/coordination/server_pool.h
@@ -15,6 +15,7 @@
 #include <variant>
 #include <vector>
 
+#include "coordination/announced_state.h"
 #include "coordination/decaying_maximum.h"
 #include "state/host_profile.h"
 #include "state/routing_config.h"
@@ -148,6 +149,16 @@
                   int load,
                   double slowness);
 
+  // Records what the server announced in an answer that arrived at `now`, to a
+  // request that was sent at `sent`. Returns whether that changed its state.
+  bool RecordAnnouncement(state::Instant now,
+                          const state::ServerIncarnation& incarnation,
+                          state::Instant sent,
+                          const ServerAnnouncement& announcement);
+  // Returns the number of requests of this host to the server since the last
+  // call.
+  int TakeSendCount(const state::ServerIncarnation& incarnation);
+
   // Whether the server's last load report showed a free slot; true before the
   // first report.
   bool HasFreeSlots(const state::ServerIncarnation& incarnation) const;
@@ -213,6 +224,9 @@
     state::Instant blocked_until{};
     // Failed connections since the last response.
     int failed_connections = 0;
+    AnnouncedState announced;
+    // Requests of this host since the last TakeSendCount().
+    int sends = 0;
   };
 
   const std::map<std::string, ServerState>& servers() const { return servers_; }
--- a/src/platform/server_protocol.cc
+++ b/src/platform/server_protocol.cc
@@ -5,6 +5,7 @@
 #include <array>
 #include <boost/json.hpp>
 #include <charconv>
+#include <cmath>
 
 #include "platform/wire_values.h"
 
@@ -37,6 +38,16 @@
   return LoadReport{numbers[0], numbers[1], numbers[2], numbers[3] / 100.0};
 }
 
+std::optional<double> ParseRateLimit(std::string_view text) {
+  double limit = 0;
+  const auto parsed = std::from_chars(text.data(), text.data() + text.size(),
+                                      limit, std::chars_format::fixed);
+  const bool valid = parsed.ec == std::errc() &&
+                     parsed.ptr == text.data() + text.size() &&
+                     std::isfinite(limit) && limit >= 0;
+  return valid ? std::optional(limit) : std::nullopt;
+}
+
 std::string GrantBody(std::int32_t first,
                       std::int32_t last,
                       std::int64_t fence,
--- a/src/platform/server_protocol.h
+++ b/src/platform/server_protocol.h
@@ -28,6 +28,12 @@
 // slots, and optionally the duration of work in percent of the usual duration.
 // The numbers are separated by commas.
 inline constexpr std::string_view kLoadField = "X-Server-Load";
+// In any answer: the requests per second that the server accepts from all hosts
+// together, as a decimal number. In force as long as answers have the field.
+inline constexpr std::string_view kRateLimitField = "Server-Limit";
+// In all answers of a server that is about to end: kLeavingValue.
+inline constexpr std::string_view kLeavingField = "Server-Leaving";
+inline constexpr std::string_view kLeavingValue = "1";
 // The time until the server's warm-up ends, in milliseconds.
 inline constexpr std::string_view kWarmupField = "X-Warmup-Ms";
 // The shard key of the request.
@@ -56,6 +62,9 @@
 // after the fourth are ignored.
 std::optional<LoadReport> ParseLoadReport(std::string_view text);
 
+// Parses a value of Server-Limit: a decimal number that is not negative.
+std::optional<double> ParseRateLimit(std::string_view text);
+
 // The body of a call that grants the keys from `first` to `last`, both
 // included, for the period `lease`. `handover` is the hand-off data of the
 // previous holder; it is omitted if empty.
--- a/src/transport/entry_host.cc
+++ b/src/transport/entry_host.cc
@@ -43,6 +43,8 @@
 // When the whole system starts for the first time, a host reads the registered
 // hosts this long after its own start; all others have registered by then.
 constexpr Duration kFirstRegistrationTime = std::chrono::milliseconds(450);
+// How often a host logs the number of its requests to servers with a limit.
+constexpr Duration kLimitLogInterval = std::chrono::seconds(4);
 // The number of hosts that are asked which leader they follow.
 constexpr std::size_t kQueriedHosts = 24;
 
@@ -333,6 +335,7 @@
     RecordHostCount(now, peers_.CountHosts(now));
     peers_.Prune(now, leader_.leading(), view_.hosts);
     pool_.Prune(now);
+    LogLimitUse(now);
     log_.Flush(now);
   }
   if (stopping_since_) {
@@ -340,6 +343,26 @@
   }
 }
 
+void EntryHost::LogLimitUse(Instant now) {
+  if (now < next_limit_log_) {
+    return;
+  }
+  next_limit_log_ = now + kLimitLogInterval;
+  for (const auto& [id, server] : pool_.servers()) {
+    const state::ServerIncarnation incarnation = server.record.incarnation;
+    const int sends = pool_.TakeSendCount(incarnation);
+    const auto limit = server.announced.RateLimit(now);
+    if (limit && !server.gone) {
+      log_.Write(LogPart::kServers, "limit-use",
+                 {{"server", id},
+                  {"limit", *limit},
+                  {"sends", static_cast<std::int64_t>(sends)},
+                  {"period_ms", kLimitLogInterval.count() / 1000},
+                  {"hosts", static_cast<std::int64_t>(view_.hosts)}});
+    }
+  }
+}
+
 void EntryHost::SendReport(Instant now) {
   protocol::HostReport report;
   report.host = profile_.name;
@@ -526,10 +549,16 @@
   std::size_t blocked = 0;
   std::size_t unconfirmed = 0;
   std::size_t cold = 0;
+  std::size_t limited = 0;
+  std::size_t leaving = 0;
+  std::size_t paused = 0;
   for (const auto& [id, server] : pool_.servers()) {
     blocked += !server.gone && now < server.blocked_until ? 1 : 0;
     unconfirmed += !server.gone && server.unconfirmed ? 1 : 0;
     cold += !server.gone && pool_.IsCold(now, server) ? 1 : 0;
+    limited += !server.gone && server.announced.RateLimit(now) ? 1 : 0;
+    leaving += !server.gone && server.announced.leaving_since() ? 1 : 0;
+    paused += !server.gone && now < server.announced.paused_until() ? 1 : 0;
   }
   const auto seconds = [](Duration duration) {
     return std::chrono::duration<double>(duration).count();
@@ -539,6 +568,9 @@
   metrics_.Set("mustardflow_servers_doubtful",
                static_cast<double>(unconfirmed));
   metrics_.Set("mustardflow_servers_cold", static_cast<double>(cold));
+  metrics_.Set("mustardflow_servers_limited", static_cast<double>(limited));
+  metrics_.Set("mustardflow_servers_leaving", static_cast<double>(leaving));
+  metrics_.Set("mustardflow_servers_paused", static_cast<double>(paused));
   metrics_.Set("mustardflow_store_silence_seconds",
                seconds(store_.OutageDuration(now)));
   metrics_.Set("mustardflow_store_calls_total",
--- a/src/transport/entry_host.h
+++ b/src/transport/entry_host.h
@@ -57,6 +57,9 @@
  private:
   void HandleTick();
   void ScheduleTick();
+  // Logs, if due, how many requests this host has sent to each server that
+  // limits their rate.
+  void LogLimitUse(state::Instant now);
   // Sends the leader a report of the load, the latency of servers and the last
   // heartbeat received.
   void SendReport(state::Instant now);
@@ -146,6 +149,7 @@
   state::Instant next_slow_tick_{};
   state::Instant next_report_{};
   state::Instant next_table_read_{};
+  state::Instant next_limit_log_{};
   // Term and number of the latest heartbeat of the leader that this host
   // follows.
   std::pair<std::int64_t, std::int64_t> last_heartbeat_{0, 0};
--- a/src/transport/entry_metrics.cc
+++ b/src/transport/entry_metrics.cc
@@ -20,7 +20,7 @@
 
 using NameAndHelp = std::pair<const char*, const char*>;
 
-constexpr std::array<NameAndHelp, 10> kGauges = {{
+constexpr std::array<NameAndHelp, 13> kGauges = {{
     {"mustardflow_requests_under_way", "Requests that have no answer yet."},
     {"mustardflow_oldest_request_seconds", "Age of the oldest of them."},
     {"mustardflow_waiting_for_owner", "Requests whose key has no server."},
@@ -32,6 +32,12 @@
     {"mustardflow_servers_doubtful",
      "Backend servers whose entry is missing but may come back."},
     {"mustardflow_servers_cold", "Backend servers that are cold."},
+    {"mustardflow_servers_limited",
+     "Backend servers that limit the requests per second."},
+    {"mustardflow_servers_leaving",
+     "Backend servers that announce in their answers that they leave."},
+    {"mustardflow_servers_paused",
+     "Backend servers that want no requests from this host at present."},
     {"mustardflow_leading", "1 if this host leads."},
     {"mustardflow_leader_silence_seconds",
      "Time since the leader was last heard; 0 at the leader."},
--- a/src/transport/request_relay.cc
+++ b/src/transport/request_relay.cc
@@ -18,6 +18,7 @@
 using coordination::FinishRequest;
 using coordination::RequestOutcome;
 using coordination::SendResult;
+using coordination::ServerAnnouncement;
 using state::Duration;
 using state::Instant;
 
@@ -143,6 +144,41 @@
          !PromisesNotRun(answer.status);
 }
 
+// Returns the value of a field that occurs once; empty otherwise.
+beast::string_view SingleField(const http::fields& fields,
+                               std::string_view name) {
+  return fields.count(ToBeastView(name)) == 1 ? fields[ToBeastView(name)]
+                                              : beast::string_view();
+}
+
+// Returns what the server announces in the answer. An unsigned answer that
+// states no failure may be spoiled and announces nothing.
+ServerAnnouncement AnnouncementIn(const ServerAnswer& answer) {
+  ServerAnnouncement announcement;
+  announcement.certain = IsSigned(answer);
+  const bool not_run =
+      answer.fields.find(platform::kNotExecutedField) != answer.fields.end();
+  if (!announcement.certain && !not_run && answer.status < 500) {
+    return announcement;
+  }
+  const beast::string_view limit =
+      SingleField(answer.fields, platform::kRateLimitField);
+  announcement.rate_limit =
+      platform::ParseRateLimit({limit.data(), limit.size()});
+  // A limit that cannot be read is neither a new limit nor the end of one.
+  announcement.certain =
+      announcement.certain &&
+      (announcement.rate_limit ||
+       answer.fields.count(ToBeastView(platform::kRateLimitField)) == 0);
+  announcement.leaving = SingleField(answer.fields, platform::kLeavingField) ==
+                         ToBeastView(platform::kLeavingValue);
+  if (answer.status == 503) {
+    announcement.pause =
+        ParseSeconds(SingleField(answer.fields, "Retry-After"));
+  }
+  return announcement;
+}
+
 // How the end of a request appears in the metrics and in the log.
 struct EndingLabels {
   // A value of the metrics' outcome label.
@@ -402,10 +438,10 @@
       RequestBytes(*request, send), request->attempt_id,
       request->message.method() == http::verb::head,
       [this, id = send.request, attempt = send.attempt,
-       incarnation = peer.incarnation, is_gate = send.gate.has_value()](
-          ExchangeResult exchange_result, ServerAnswer answer) {
-        HandleExchangeResult(id, attempt, incarnation, is_gate, exchange_result,
-                             std::move(answer));
+       incarnation = peer.incarnation, is_gate = send.gate.has_value(),
+       sent = Now()](ExchangeResult exchange_result, ServerAnswer answer) {
+        HandleExchangeResult(id, attempt, incarnation, is_gate, sent,
+                             exchange_result, std::move(answer));
       });
 }
 
@@ -463,6 +499,7 @@
                                         AttemptId attempt,
                                         const state::ServerIncarnation& peer,
                                         bool is_gate,
+                                        Instant sent,
                                         ExchangeResult exchange_result,
                                         ServerAnswer answer) {
   const RequestPtr request = Find(id);
@@ -479,6 +516,9 @@
     (is_gate ? gate_connections_ : server_connections_).Return(peer, used);
     result = is_gate ? InterpretGateAnswer(answer)
                      : InterpretServerAnswer(peer, answer);
+    if (!is_gate) {
+      RecordAnnouncement(*request, peer, sent, answer);
+    }
     retry_after =
         is_gate ? ParseSeconds(answer.fields["Retry-After"]) : std::nullopt;
     request->last_status = answer.status;
@@ -491,6 +531,25 @@
   Perform(flow_.HandleResult(Now(), id, attempt, result, retry_after));
 }
 
+void RequestRelay::RecordAnnouncement(const Request& request,
+                                      const state::ServerIncarnation& server,
+                                      Instant sent,
+                                      const ServerAnswer& answer) {
+  const ServerAnnouncement announcement = AnnouncementIn(answer);
+  if (!pool_.RecordAnnouncement(Now(), server, sent, announcement)) {
+    return;
+  }
+  log_.Write(
+      LogPart::kServers, "announced",
+      {{"server", server.id},
+       {"born", server.start_time_ms},
+       {"limit", announcement.rate_limit.value_or(-1)},
+       {"leaving", announcement.leaving},
+       {"pause_ms", Milliseconds(announcement.pause.value_or(Duration(0)))},
+       {"status", static_cast<std::int64_t>(answer.status)},
+       {"id", request.attempt_id}});
+}
+
 SendResult RequestRelay::InterpretGateAnswer(const ServerAnswer& answer) {
   const auto field = answer.fields.find(ToBeastView(kOutcomeField));
   const std::string outcome =
--- a/src/transport/request_relay.h
+++ b/src/transport/request_relay.h
@@ -190,8 +190,15 @@
                             coordination::AttemptId attempt,
                             const state::ServerIncarnation& peer,
                             bool is_gate,
+                            state::Instant sent,
                             ExchangeResult exchange_result,
                             ServerAnswer answer);
+  // Records what the server announces about itself in the answer, to a request
+  // that was sent at `sent`. Logs it if it is new.
+  void RecordAnnouncement(const Request& request,
+                          const state::ServerIncarnation& server,
+                          state::Instant sent,
+                          const ServerAnswer& answer);
   // Derives the result of an attempt from the outcome that the gate reports.
   static coordination::SendResult InterpretGateAnswer(
       const ServerAnswer& answer);
