--- a/tests/transport/relay_fixture.h
+++ b/tests/transport/relay_fixture.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -174,15 +175,18 @@
     return sent;
   }
 
-  // Whether the relay has opened a further connection to the server.
-  bool HasNewConnection() {
+  // Accepts a further connection of the relay to the server, if there is one.
+  std::optional<tcp::socket> AcceptWaiting() {
     boost::system::error_code error;
     server_.non_blocking(true);
     tcp::socket socket(context_);
     server_.accept(socket, error);
-    return !error;
+    return error ? std::nullopt : std::optional(std::move(socket));
   }
 
+  // Whether the relay has opened a further connection to the server.
+  bool HasNewConnection() { return AcceptWaiting().has_value(); }
+
   // Whether the last Receive() found that the connection had ended.
   bool ended() const { return ended_; }
   // Returns the log lines written since the last call.
