leader: Give servers with a low limit a gate

Equal shares of a low limit leave the part of idle hosts unused, and the callers of busy hosts are refused. Hosts now report to the leader what servers announced, at once when it changes; the newest statement counts. The leader gives a server with less than 5 requests a second for each host a gate, which uses the whole limit. A gate names the server whose answer it passes on, so that the forwarding host learns of its limit as well, and never for another server or incarnation.

--- a/src/coordination/announced_state.cc
+++ b/src/coordination/announced_state.cc
@@ -6,17 +6,8 @@
 
 namespace mustardflow::coordination {
 
-using state::Duration;
 using state::Instant;
 
-namespace {
-
-// A limit that no answer has stated for this time is not in force any more: a
-// server without traffic cannot announce its end.
-constexpr Duration kLimitLifetime = std::chrono::seconds(60);
-
-}  // namespace
-
 bool AnnouncedState::Record(Instant now,
                             Instant sent,
                             const ServerAnnouncement& announcement) {
--- a/src/coordination/announced_state.h
+++ b/src/coordination/announced_state.h
@@ -10,6 +10,10 @@
 
 namespace mustardflow::coordination {
 
+// A limit that no answer has stated for this time is not in force any more: a
+// server without traffic cannot announce its end.
+inline constexpr state::Duration kLimitLifetime = std::chrono::seconds(60);
+
 // The announcements in one answer of a server.
 struct ServerAnnouncement {
   // The requests per second that the server accepts from all hosts together.
--- a/src/coordination/gate_assignment.cc
+++ b/src/coordination/gate_assignment.cc
@@ -38,6 +38,13 @@
   hosts_.erase(name);
 }
 
+bool GateAssignment::NeedsGate(const GatedServer& server) const {
+  const auto hosts = static_cast<double>(hosts_.size());
+  return hosts > kMaxHostsPerSlot * server.slots ||
+         (server.rate_limit && hosts > 1 &&
+          *server.rate_limit < kMinRatePerHost * hosts);
+}
+
 state::GateAddresses GateAssignment::Assign(
     Instant now,
     const std::vector<GatedServer>& servers) {
@@ -50,7 +57,7 @@
   }
   state::GateAddresses gates;
   for (const GatedServer& server : servers) {
-    if (static_cast<double>(hosts_.size()) <= kMaxHostsPerSlot * server.slots) {
+    if (!NeedsGate(server)) {
       continue;
     }
     const bool has_zone = zones.contains(server.zone);
--- a/src/coordination/server_pool.cc
+++ b/src/coordination/server_pool.cc
@@ -704,7 +704,10 @@
                                     Instant sent,
                                     const ServerAnnouncement& announcement) {
   ServerState* server = Find(incarnation);
-  return server != nullptr && server->announced.Record(now, sent, announcement);
+  const bool changed =
+      server != nullptr && server->announced.Record(now, sent, announcement);
+  announcements_ += changed ? 1 : 0;
+  return changed;
 }
 
 int ServerPool::TakeSendCount(const ServerIncarnation& incarnation) {
--- a/src/coordination/server_pool.h
+++ b/src/coordination/server_pool.h
@@ -249,6 +249,8 @@
   // Increases with each change of the configuration, of the evacuated zones,
   // and of the servers that are listed, draining, cold, unconfirmed or gone.
   std::uint64_t change() const { return change_; }
+  // Increases with each change of what a server has announced to this host.
+  std::uint64_t announcements() const { return announcements_; }
 
  private:
   ServerState* Find(const state::ServerIncarnation& incarnation);
@@ -342,6 +344,7 @@
   // Moving average of the response times in seconds, by service name.
   std::map<std::string, double> service_latency_;
   std::uint64_t change_ = 1;
+  std::uint64_t announcements_ = 0;
 };
 
 }  // namespace mustardflow::coordination
--- a/src/protocol/host_messages.cc
+++ b/src/protocol/host_messages.cc
@@ -6,6 +6,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "protocol/announcement_codec.h"
 #include "protocol/object_reader.h"
 
 namespace mustardflow::protocol {
@@ -260,7 +261,8 @@
             {"strength", report.strength},
             {"forward", report.forward_address},
             {"stopping", report.stopping},
-            {"slowness", json::value_from(report.relative_latency)}};
+            {"slowness", json::value_from(report.relative_latency)},
+            {"announced", EncodeAnnouncements(report.announcements)}};
   }
 };
 
@@ -335,6 +337,10 @@
   for (const auto& [server, value] : object.at("slowness").as_object()) {
     report.relative_latency[std::string(server)] = value.to_number<double>();
   }
+  // Hosts of earlier versions send none.
+  if (const json::value* announced = object.if_contains("announced")) {
+    report.announcements = ReadAnnouncements(*announced);
+  }
   return report;
 }
 
--- a/src/protocol/host_messages.h
+++ b/src/protocol/host_messages.h
@@ -16,6 +16,7 @@
 
 #include "coordination/leader_election.h"
 #include "coordination/load_sampler.h"
+#include "coordination/reported_announcements.h"
 #include "state/ownership_table.h"
 #include "state/time.h"
 
@@ -132,6 +133,8 @@
   bool stopping = false;
   // By server id: the server's latency as a multiple of its service's average.
   std::map<std::string, double> relative_latency;
+  // What servers have announced in their answers to this host.
+  std::vector<coordination::AnnouncementReport> announcements;
 };
 
 using HostMessage =
--- a/src/transport/entry_host.cc
+++ b/src/transport/entry_host.cc
@@ -43,6 +43,8 @@
 // When the whole system starts for the first time, a host reads the registered
 // hosts this long after its own start; all others have registered by then.
 constexpr Duration kFirstRegistrationTime = std::chrono::milliseconds(450);
+// The maximum number of servers whose announcements a report contains.
+constexpr std::size_t kMaxReportedAnnouncements = 100;
 // How often a host logs the number of its requests to servers with a limit.
 constexpr Duration kLimitLogInterval = std::chrono::seconds(4);
 // The number of hosts that are asked which leader they follow.
@@ -314,7 +316,9 @@
   watch_.Tick(now, leader_.leading());
   view_.config_confirmed_at = watch_.ConfigConfirmedAt();
   relay_.Tick(now);
-  if (now >= next_report_) {
+  const bool announced = reported_announcements_ != pool_.announcements();
+  if (now >= next_report_ || announced) {
+    reported_announcements_ = pool_.announcements();
     next_report_ = now + kReportInterval;
     SendReport(now);
   }
@@ -382,6 +386,14 @@
       report.relative_latency[id] = pool_.RelativeLatency(now, server);
     }
   }
+  for (const auto& [id, server] : pool_.servers()) {
+    auto announced = coordination::MakeReport(now, server.record.incarnation,
+                                              server.announced);
+    if (announced && !server.gone &&
+        report.announcements.size() < kMaxReportedAnnouncements) {
+      report.announcements.push_back(*std::move(announced));
+    }
+  }
   last_report_ = now;
   if (leader_.leading()) {
     leader_.HandleReport(now, report);
--- a/src/transport/entry_host.h
+++ b/src/transport/entry_host.h
@@ -150,6 +150,8 @@
   state::Instant next_report_{};
   state::Instant next_table_read_{};
   state::Instant next_limit_log_{};
+  // pool_.announcements() at the last report.
+  std::uint64_t reported_announcements_ = 0;
   // Term and number of the latest heartbeat of the leader that this host
   // follows.
   std::pair<std::int64_t, std::int64_t> last_heartbeat_{0, 0};
--- a/src/transport/header_fields.h
+++ b/src/transport/header_fields.h
@@ -28,6 +28,9 @@
     "X-Mustardflow-Attempts";
 // The outcome of the request, as in the metrics' outcome label.
 inline constexpr std::string_view kOutcomeField = "X-Mustardflow-Outcome";
+// The server whose answer a gate passes on: its start time in milliseconds, a
+// space and its id.
+inline constexpr std::string_view kAnsweredByField = "X-Mustardflow-Server";
 // The outcome of a forwarded request that the gate could not read. Hosts that
 // do not know it treat the outcome as unknown.
 inline constexpr std::string_view kUnreadableOutcome = "unreadable";
--- a/src/transport/leader_duty.cc
+++ b/src/transport/leader_duty.cc
@@ -152,6 +152,12 @@
       proof_.HandlePredecessorFollows(now);
     }
   }
+  const std::uint64_t change = announcements_.change();
+  announcements_.Record(now, report.host, report.announcements);
+  if (announcements_.change() != change) {
+    next_server_list_ = now;
+    next_gate_assignment_ = std::min(next_gate_assignment_, now);
+  }
   for (const auto& [service, load] : report.load) {
     const auto found = keyspaces_.find(service);
     if (found == keyspaces_.end() || load.samples.empty()) {
@@ -555,6 +561,9 @@
   };
   std::erase_if(server_records_, forgotten);
   std::erase_if(relative_latencies_, forgotten);
+  announcements_.Prune([this](const std::string& server) {
+    return !pool_.servers().contains(server);
+  });
 }
 
 void LeaderDuty::RecordGateHost(Instant now,
@@ -578,7 +587,9 @@
   std::vector<coordination::GatedServer> servers;
   for (const auto& [id, server] : pool_.servers()) {
     if (keyspaces_.contains(server.record.service) && !server.gone) {
-      servers.push_back({id, server.record.zone, server.record.slots});
+      servers.push_back(
+          {id, server.record.zone, server.record.slots,
+           announcements_.RateLimit(now, server.record.incarnation)});
     }
   }
   state::GateAddresses gates = gate_assignment_.Assign(now, servers);
--- a/src/transport/leader_duty.h
+++ b/src/transport/leader_duty.h
@@ -17,6 +17,7 @@
 #include "coordination/keyspace_coordinator.h"
 #include "coordination/lead_proof.h"
 #include "coordination/leader_election.h"
+#include "coordination/reported_announcements.h"
 #include "coordination/server_pool.h"
 #include "protocol/host_messages.h"
 #include "state/host_profile.h"
@@ -269,6 +270,9 @@
   // By server id and reporting host.
   std::map<std::string, std::map<std::string, ReportedLatency>>
       relative_latencies_;
+  // What servers have announced. Kept across terms, as hosts report it again
+  // only with each report.
+  coordination::ReportedAnnouncements announcements_;
   // The last entry of each server by id. Releases are still sent to a server
   // whose entry has been removed.
   std::map<std::string, state::ServerRecord> server_records_;
--- a/src/transport/request_relay.cc
+++ b/src/transport/request_relay.cc
@@ -151,6 +151,20 @@
                                               : beast::string_view();
 }
 
+// Returns the server whose answer a gate has passed on; nullopt if the gate
+// names none.
+std::optional<state::ServerIncarnation> AnsweredBy(const ServerAnswer& answer) {
+  const beast::string_view field = SingleField(answer.fields, kAnsweredByField);
+  const std::string_view text(field.data(), field.size());
+  const std::size_t space = text.find(' ');
+  const auto start_time = ParseInteger(text.substr(0, space));
+  if (space == std::string_view::npos || !start_time) {
+    return std::nullopt;
+  }
+  return state::ServerIncarnation{std::string(text.substr(space + 1)),
+                                  *start_time};
+}
+
 // Returns what the server announces in the answer. An unsigned answer that
 // states no failure may be spoiled and announces nothing.
 ServerAnnouncement AnnouncementIn(const ServerAnswer& answer) {
@@ -516,14 +530,16 @@
     (is_gate ? gate_connections_ : server_connections_).Return(peer, used);
     result = is_gate ? InterpretGateAnswer(answer)
                      : InterpretServerAnswer(peer, answer);
-    if (!is_gate) {
-      RecordAnnouncement(*request, peer, sent, answer);
+    const auto server = is_gate ? AnsweredBy(answer) : std::optional(peer);
+    if (server) {
+      RecordAnnouncement(*request, *server, sent, answer, is_gate);
     }
     retry_after =
         is_gate ? ParseSeconds(answer.fields["Retry-After"]) : std::nullopt;
     request->last_status = answer.status;
     if (result == SendResult::kAnswered || result == SendResult::kFailed) {
       request->answer = std::move(answer);
+      request->answered_by = is_gate ? std::nullopt : std::optional(peer);
     }
   } else if (exchange_result == ExchangeResult::kBroken) {
     result = SendResult::kLost;
@@ -534,8 +550,13 @@
 void RequestRelay::RecordAnnouncement(const Request& request,
                                       const state::ServerIncarnation& server,
                                       Instant sent,
-                                      const ServerAnswer& answer) {
-  const ServerAnnouncement announcement = AnnouncementIn(answer);
+                                      const ServerAnswer& answer,
+                                      bool by_gate) {
+  ServerAnnouncement announcement = AnnouncementIn(answer);
+  if (by_gate) {
+    // The server has answered the gate, not this host.
+    announcement.pause.reset();
+  }
   if (!pool_.RecordAnnouncement(Now(), server, sent, announcement)) {
     return;
   }
@@ -547,6 +568,7 @@
        {"leaving", announcement.leaving},
        {"pause_ms", Milliseconds(announcement.pause.value_or(Duration(0)))},
        {"status", static_cast<std::int64_t>(answer.status)},
+       {"by_gate", by_gate},
        {"id", request.attempt_id}});
 }
 
@@ -722,6 +744,14 @@
                           Now() - request->terms.received);
   if (request->source == RequestSource::kHost) {
     answer.fields.emplace_back(kOutcomeField, ending.outcome);
+    const bool of_server =
+        ending.outcome == "answered" || ending.outcome == "failed";
+    if (of_server && request->answered_by) {
+      answer.fields.emplace_back(
+          kAnsweredByField,
+          std::to_string(request->answered_by->start_time_ms) + ' ' +
+              request->answered_by->id);
+    }
     AddAttemptId(*request, &answer);
   } else if (request->handler) {
     metrics_.CountAnswer(answer.status, NameOf(ending.origin), ending.reason);
--- a/src/transport/request_relay.h
+++ b/src/transport/request_relay.h
@@ -142,6 +142,8 @@
         connections;
     // The latest answer of a server or gate that may be passed on.
     ServerAnswer answer;
+    // The server that sent `answer`; nullopt for the answer of a gate.
+    std::optional<state::ServerIncarnation> answered_by;
     // The status of the latest response, for the log; 0 before the first.
     int last_status = 0;
   };
@@ -193,12 +195,14 @@
                             state::Instant sent,
                             ExchangeResult exchange_result,
                             ServerAnswer answer);
-  // Records what the server announces about itself in the answer, to a request
-  // that was sent at `sent`. Logs it if it is new.
+  // Records what the server announces about itself in its answer, to a request
+  // that was sent at `sent`. Logs it if it is new. `by_gate` tells whether a
+  // gate passed the answer on.
   void RecordAnnouncement(const Request& request,
                           const state::ServerIncarnation& server,
                           state::Instant sent,
-                          const ServerAnswer& answer);
+                          const ServerAnswer& answer,
+                          bool by_gate);
   // Derives the result of an attempt from the outcome that the gate reports.
   static coordination::SendResult InterpretGateAnswer(
       const ServerAnswer& answer);
--- a/tests/keys/gate_assignment_test.cc
+++ b/tests/keys/gate_assignment_test.cc
@@ -30,7 +30,7 @@
   std::vector<GatedServer> servers;
   for (int i = 0; i < count; ++i) {
     servers.push_back(
-        {"s" + std::to_string(i), i % 2 == 0 ? "north" : "south", 6});
+        {"s" + std::to_string(i), i % 2 == 0 ? "north" : "south", 6, {}});
   }
   return servers;
 }
@@ -46,6 +46,21 @@
   CHECK(assignment.Assign(now, Servers(20)).empty());
 }
 
+// Otherwise each host gets a small part of the limit, whatever it needs.
+TEST_CASE("a server with a low rate limit gets a gate", "[LIMIT]") {
+  GateAssignment assignment;
+  const Instant now{seconds(1)};
+  for (int i = 0; i < 8; ++i) {
+    assignment.RecordHost(now, Host(i));
+  }
+  std::vector<GatedServer> servers = Servers(3);
+  servers[0].rate_limit = 6.1;
+  servers[1].rate_limit = 1e9;
+  const auto gates = assignment.Assign(now, servers);
+  CHECK(gates.size() == 1);
+  CHECK(gates.contains("s0"));
+}
+
 TEST_CASE("servers get gates in their zone in proportion to strength", "[L2]") {
   GateAssignment assignment;
   const Instant now{seconds(1)};
--- a/tests/protocol/host_messages_test.cc
+++ b/tests/protocol/host_messages_test.cc
@@ -49,6 +49,11 @@
   report.host = "h1";
   report.load["shelf"] = {3, {1, 2, 65535}};
   report.relative_latency["s"] = 1.5;
+  report.announcements.push_back({{"s", 4},
+                                  6.1,
+                                  std::chrono::milliseconds(20),
+                                  true,
+                                  std::chrono::seconds(2)});
   protocol::LeaderQueryReply reply;
   reply.heard = std::chrono::milliseconds(30);
   reply.leader = state::Address{"10.0.0.3", 7200};
@@ -121,6 +126,11 @@
   report.strength = 0.25;
   report.forward_address = "10.0.0.1:7201";
   report.stopping = true;
+  report.announcements.push_back({{"s", 4},
+                                  6.1,
+                                  std::chrono::milliseconds(20),
+                                  true,
+                                  std::chrono::seconds(2)});
   const auto read = protocol::DecodeMessage(protocol::EncodeMessage(report));
   REQUIRE(read);
   const auto& decoded = std::get<HostReport>(*read);
@@ -129,6 +139,25 @@
   CHECK(decoded.strength == 0.25);
   CHECK(decoded.forward_address == "10.0.0.1:7201");
   CHECK(decoded.stopping);
+  REQUIRE(decoded.announcements.size() == 1);
+  const coordination::AnnouncementReport& announced =
+      decoded.announcements.front();
+  CHECK(announced.server == state::ServerIncarnation{"s", 4});
+  CHECK(announced.rate_limit == 6.1);
+  CHECK(announced.limit_age == std::chrono::milliseconds(20));
+  CHECK(announced.leaving);
+  CHECK(announced.pause == std::chrono::seconds(2));
+}
+
+// Hosts of two versions run beside each other during a rolling restart.
+TEST_CASE("a report without announcements is read") {
+  std::string text = protocol::EncodeMessage(HostReport());
+  const std::string part = R"(,"announced":[])";
+  REQUIRE(text.find(part) != std::string::npos);
+  text.erase(text.find(part), part.size());
+  const auto read = protocol::DecodeMessage(text);
+  REQUIRE(read);
+  CHECK(std::get<HostReport>(*read).announcements.empty());
 }
 
 TEST_CASE(
--- a/tests/transport/announcements_test.cc
+++ b/tests/transport/announcements_test.cc
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <utility>
 
 #include "tests/transport/relay_fixture.h"
 
@@ -88,4 +89,48 @@
   CHECK(arrived <= 17);
 }
 
+// The forwarding host may know another owner of the key than the gate.
+TEST_CASE("an answer that a gate passes on announces for the server it names",
+          "[LIMIT]") {
+  const auto [server, expected] =
+      GENERATE(std::pair("X-Mustardflow-Server: 1 s1\r\n", 1),
+               std::pair("X-Mustardflow-Server: 2 s1\r\n", 0),
+               std::pair("X-Mustardflow-Server: s1\r\n", 0), std::pair("", 0));
+  CAPTURE(server);
+  RelayFixture host;
+  host.UseGate(RequestKind::kIdempotent);
+  tcp::socket caller = host.ConnectCaller();
+  Send(caller,
+       "GET /desk/1 HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: 1\r\n"
+       "X-Shard-Key: 5\r\n\r\n");
+  tcp::socket gate = host.AcceptAtGate();
+  host.ReceiveUntil(gate, "\r\n\r\n");
+  Send(gate, "HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\n" + kSigned +
+                 "X-Mustardflow-Outcome: answered\r\nServer-Limit: 6.1\r\n" +
+                 server + "Content-Length: 0\r\n\r\n");
+  const std::string answer = host.ReceiveUntil(caller, "\r\n\r\n");
+  CHECK(Count(answer, "Server-Limit: 6.1") == 1);
+  CHECK(Count(answer, "X-Mustardflow") == 0);
+  CHECK(Count(host.LogText(), R"("event":"announced","server":"s1")") ==
+        static_cast<std::size_t>(expected));
+}
+
+TEST_CASE("a gate names the server whose answer it passes on", "[LIMIT]") {
+  RelayFixture host;
+  host.OwnKeys(RequestKind::kIdempotent);
+  tcp::socket other = host.ConnectHost();
+  Send(other,
+       "GET /desk/1 HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: 1\r\n"
+       "X-Shard-Key: 5\r\nX-Deadline-Ms: 9000\r\n"
+       "X-Mustardflow-Service: desk\r\nX-Mustardflow-Kind: 0\r\n"
+       "X-Mustardflow-Target-Ms: 9000\r\nX-Mustardflow-Attempts: 1\r\n\r\n");
+  tcp::socket server = host.AcceptFromRelay();
+  host.ReceiveUntil(server, "\r\n\r\n");
+  Send(server, "HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\n" + kSigned +
+                   "Server-Limit: 6.1\r\nContent-Length: 0\r\n\r\n");
+  const std::string answer = host.ReceiveUntil(other, "\r\n\r\n");
+  CHECK(Count(answer, "X-Mustardflow-Server: 1 s1\r\n") == 1);
+  CHECK(Count(answer, "Server-Limit: 6.1\r\n") == 1);
+}
+
 }  // namespace mustardflow::tests
--- a/tests/transport/relay_fixture.h
+++ b/tests/transport/relay_fixture.h
@@ -89,6 +89,12 @@
   // Makes the service keyed and all keys those of the server, whose requests go
   // through the gate of another host.
   void UseGate(state::RequestKind kind) {
+    OwnKeys(kind);
+    view_.table.gates["s1"] = {"127.0.0.1", gate_.local_endpoint().port()};
+  }
+
+  // Makes the service keyed and all keys those of the server.
+  void OwnKeys(state::RequestKind kind) {
     kind_ = kind;
     keyed_ = true;
     SetLimits(state::IngressLimits());
@@ -99,7 +105,6 @@
     view_.table.term = 1;
     view_.table.revision = 1;
     view_.table.services["desk"] = {range};
-    view_.table.gates["s1"] = {"127.0.0.1", gate_.local_endpoint().port()};
   }
 
   tcp::socket AcceptFromRelay() { return Accept(server_); }
