keys: Move keys away from servers that limit their requests

Keeping a limit by refusals alone would refuse what other servers could serve: a server of 20 requests a second that takes 6 would have 14 of its callers refused as long as the limit lasts. The planner now counts the limit: capacities are such that a server with a limit gets 0.7 of it at most, and the others share the rest.

--- a/src/coordination/keyspace_coordinator.cc
+++ b/src/coordination/keyspace_coordinator.cc
@@ -64,6 +64,12 @@
 // times that of its holder. At most one hot key moves in each kHotMoveInterval.
 constexpr double kHotMoveGain = 1.15;
 constexpr Duration kHotMoveInterval = std::chrono::milliseconds(1500);
+// The fraction of a server's rate limit that its keys may carry on average. The
+// rest is for random variation and for the delay of balancing.
+constexpr double kUsedLimitFraction = 0.7;
+// A lower limit counts as this, in requests per second, since capacities are
+// above 0.
+constexpr double kMinLimit = 0.05;
 // The load assumed for each key besides its measured load, as a fraction of the
 // mean load of a key. It spreads idle ranges over the servers by their width.
 constexpr double kIdleWeight = 0.05;
@@ -464,12 +470,53 @@
   return loads;
 }
 
+void KeyspaceCoordinator::UpdateCapacities() {
+  double load = load_.total();
+  double capacity = 0;
+  std::vector<ServerState*> limited;
+  for (auto& [id, state] : servers_) {
+    state.capacity = state.server.capacity;
+    if (!IsUsable(state.server.incarnation)) {
+      continue;
+    }
+    capacity += state.server.capacity;
+    if (state.server.rate_limit) {
+      limited.push_back(&state);
+    }
+  }
+  // Servers whose limit is lowest relative to their capacity come first: each
+  // of them that gets its limit raises the load of those that follow.
+  const auto limit_of = [](const ServerState* state) {
+    return std::max(kMinLimit, kUsedLimitFraction * *state->server.rate_limit);
+  };
+  std::sort(limited.begin(), limited.end(),
+            [&](const ServerState* left, const ServerState* right) {
+              return limit_of(left) / left->server.capacity <
+                     limit_of(right) / right->server.capacity;
+            });
+  std::vector<ServerState*> full;
+  for (ServerState* state : limited) {
+    if (load * state->server.capacity <= limit_of(state) * capacity) {
+      break;
+    }
+    full.push_back(state);
+    load -= limit_of(state);
+    capacity -= state->server.capacity;
+  }
+  // If all servers are full, the limits are the capacities.
+  const bool all_full = full.size() == limited.size() && capacity < kMinLimit;
+  const double mean = all_full ? 1 : load / capacity;
+  for (ServerState* state : full) {
+    state->capacity = limit_of(state) / mean;
+  }
+}
+
 ServerIncarnation KeyspaceCoordinator::LeastLoadedServer(
     const std::map<ServerIncarnation, double>& loads) const {
   ServerIncarnation best;
   double best_ratio = 0;
   for (const auto& [incarnation, load] : loads) {
-    const double ratio = load / FindServer(incarnation)->server.capacity;
+    const double ratio = load / CapacityOf(incarnation);
     if (best.id.empty() || ratio < best_ratio) {
       best = incarnation;
       best_ratio = ratio;
@@ -507,6 +554,7 @@
   if (loads.empty()) {
     return;
   }
+  UpdateCapacities();
   const bool initial_assignment = IsInitialAssignment();
   if (initial_assignment && now - server_count_rose_at_ < kSettleTime &&
       now - start_time_ < kMaxSettleTime) {
@@ -585,13 +633,12 @@
     for (const auto& [id, state] : servers_) {
       if (IsUsable(state.server.incarnation) &&
           !with_hot_key.contains(state.server.incarnation) &&
-          (fastest == nullptr ||
-           state.server.capacity > fastest->server.capacity)) {
+          (fastest == nullptr || state.capacity > fastest->capacity)) {
         fastest = &state;
       }
     }
     if (fastest != nullptr &&
-        fastest->server.capacity >= kHotMoveGain * holder->server.capacity) {
+        fastest->capacity >= kHotMoveGain * holder->capacity) {
       const ServerIncarnation to = fastest->server.incarnation;
       StartMove(&slices_[IsolateKey(index, key)], to);
       next_hot_move_ = now + kHotMoveInterval;
@@ -625,6 +672,7 @@
 }
 
 void KeyspaceCoordinator::Balance(Instant now) {
+  UpdateCapacities();
   if (MovingSlices() < MaxMovingSlices(1)) {
     PlaceHotKeys(now);
   }
@@ -634,7 +682,7 @@
     double total_capacity = 0;
     for (const auto& [incarnation, load] : loads) {
       total_load += load;
-      total_capacity += FindServer(incarnation)->server.capacity;
+      total_capacity += CapacityOf(incarnation);
     }
     if (loads.size() < 2 || total_load <= 0) {
       return;
@@ -642,16 +690,15 @@
     const double mean = total_load / total_capacity;
     std::vector<std::pair<double, ServerIncarnation>> by_ratio;
     for (const auto& [incarnation, load] : loads) {
-      by_ratio.emplace_back(load / FindServer(incarnation)->server.capacity,
-                            incarnation);
+      by_ratio.emplace_back(load / CapacityOf(incarnation), incarnation);
     }
     std::sort(by_ratio.rbegin(), by_ratio.rend());
     if (MovingSlices() >= MaxMovingSlices(by_ratio.front().first / mean)) {
       return;
     }
     const ServerIncarnation least_loaded = by_ratio.back().second;
-    const double spare_load = mean * FindServer(least_loaded)->server.capacity -
-                              loads.at(least_loaded);
+    const double spare_load =
+        mean * CapacityOf(least_loaded) - loads.at(least_loaded);
     bool moved = false;
     for (const auto& [ratio, incarnation] : by_ratio) {
       const bool overloaded = ratio > (1 + OverloadThreshold()) * mean;
@@ -662,8 +709,7 @@
       }
       const double excess =
           empty_target ? spare_load
-                       : loads.at(incarnation) -
-                             mean * FindServer(incarnation)->server.capacity;
+                       : loads.at(incarnation) - mean * CapacityOf(incarnation);
       const double amount = std::min(excess, spare_load);
       const bool severe = ratio >= kSevereOverload * mean;
       if (MoveLoad(incarnation, least_loaded, amount, amount * kMaxOvershoot) ||
@@ -682,8 +728,8 @@
     const ServerIncarnation& from,
     const ServerIncarnation& to,
     const std::map<ServerIncarnation, double>& loads) {
-  const double from_capacity = FindServer(from)->server.capacity;
-  const double to_capacity = FindServer(to)->server.capacity;
+  const double from_capacity = CapacityOf(from);
+  const double to_capacity = CapacityOf(to);
   // With this much more load, the target would be loaded as the source is now.
   const double difference =
       loads.at(from) * to_capacity / from_capacity - loads.at(to);
--- a/src/coordination/keyspace_coordinator.h
+++ b/src/coordination/keyspace_coordinator.h
@@ -44,6 +44,9 @@
   // Whether the server may hold keys: it is neither leaving nor in an evacuated
   // zone.
   bool eligible = true;
+  // The requests per second that the server accepts, if it has announced a
+  // limit.
+  std::optional<double> rate_limit = std::nullopt;
 };
 
 enum class OrderKind {
@@ -209,6 +212,9 @@
   // A listed server and the results of its recent orders.
   struct ServerState {
     KeyServer server;
+    // The capacity of the server with respect to its rate limit; see
+    // UpdateCapacities().
+    double capacity = 1;
     // When the first of the unbroken run of failed orders was reported.
     std::optional<state::Instant> failing_since;
     bool unresponsive = false;
@@ -221,6 +227,13 @@
 
   const ServerState* FindServer(
       const state::ServerIncarnation& incarnation) const;
+  double CapacityOf(const state::ServerIncarnation& incarnation) const {
+    return FindServer(incarnation)->capacity;
+  }
+  // Sets the capacities of the servers so that the balance, in which all have
+  // the same ratio of load and capacity, gives no server more than its rate
+  // limit. The others share the rest.
+  void UpdateCapacities();
   // Whether the server is listed, eligible and not unresponsive.
   bool IsUsable(const state::ServerIncarnation& incarnation) const;
   // Replaces restarted servers in the slice by their new incarnations.
--- a/src/transport/leader_duty.cc
+++ b/src/transport/leader_duty.cc
@@ -529,6 +529,7 @@
     entry.capacity = server.record.slots / RelativeLatency(now, id) *
                      (pool_.IsCold(now, server) ? kColdCapacityFactor : 1);
     entry.eligible = !pool_.IsOutOfService(server);
+    entry.rate_limit = announcements_.RateLimit(now, entry.incarnation);
     servers[server.record.service].push_back(std::move(entry));
   }
   for (auto& [service, keyspace] : keyspaces_) {
--- a/tests/keys/balance_test.cc
+++ b/tests/keys/balance_test.cc
@@ -36,11 +36,15 @@
  public:
   ReliableFleet(int servers, milliseconds run_time)
       : run_time_(run_time), coordinator_(now_, 1, {}, now_) {
-    std::vector<KeyServer> list;
     for (int i = 0; i < servers; ++i) {
-      list.push_back({{"s" + std::to_string(i), 1}, 6, true});
+      list_.push_back({{"s" + std::to_string(i), 1}, 6, true});
     }
-    coordinator_.SetServers(now_, list);
+    coordinator_.SetServers(now_, list_);
+  }
+
+  void SetLimit(int server, std::optional<double> limit) {
+    list_[static_cast<std::size_t>(server)].rate_limit = limit;
+    coordinator_.SetServers(now_, list_);
   }
 
   // Runs for `time` with `rate` requests per second. A part of them is for the
@@ -63,6 +67,21 @@
     }
   }
 
+  // The requests per second for the keys that each server holds, if `rate` in
+  // all are spread evenly.
+  std::map<std::string, double> Loads(double rate) const {
+    std::map<std::string, double> loads;
+    for (const KeyServer& server : list_) {
+      loads[server.incarnation.id] = 0;
+    }
+    for (const state::OwnedRange& range : coordinator_.RoutedRanges()) {
+      loads[range.holder.id] +=
+          rate * static_cast<double>(range.last - range.first + 1) /
+          state::kShardKeyCount;
+    }
+    return loads;
+  }
+
   double moved_share() const { return coordinator_.moved_share(); }
 
   // The fraction of the requests that the servers can run if each runs up to
@@ -115,6 +134,7 @@
   const milliseconds run_time_;
   Instant now_{seconds(100)};
   std::mt19937_64 random_{11};
+  std::vector<KeyServer> list_;
   KeyspaceCoordinator coordinator_;
   std::multimap<Instant, KeyOrder> releases_;
 };
@@ -153,4 +173,54 @@
   }
 }
 
+// Keys whose server limits its requests are better served by other servers.
+TEST_CASE("keys move away from a server that limits its requests", "[LIMIT]") {
+  constexpr double kRate = 300;
+  ReliableFleet fleet(14, milliseconds(100));
+  fleet.Run(seconds(15), kRate);
+  fleet.SetLimit(0, 6);
+  fleet.SetLimit(1, 7);
+  fleet.Run(seconds(2), kRate);
+  const auto loads = fleet.Loads(kRate);
+  CHECK(loads.at("s0") <= 6);
+  CHECK(loads.at("s1") <= 7);
+  // None of the others gets more than one and a half times its share.
+  for (const auto& [server, load] : loads) {
+    CAPTURE(server);
+    CHECK(load <= 1.5 * kRate / 12);
+  }
+  fleet.SetLimit(0, std::nullopt);
+  fleet.Run(seconds(10), kRate);
+  CHECK(fleet.Loads(kRate).at("s0") > kRate / 28);
+}
+
+// Then each server can only be given in proportion to its limit.
+TEST_CASE("keys are spread by the limits if all servers have one", "[LIMIT]") {
+  constexpr double kRate = 300;
+  ReliableFleet fleet(4, milliseconds(100));
+  for (int i = 0; i < 4; ++i) {
+    fleet.SetLimit(i, i == 0 ? 5 : 20);
+  }
+  fleet.Run(seconds(20), kRate);
+  const auto loads = fleet.Loads(kRate);
+  CHECK(loads.at("s0") < 0.4 * loads.at("s1"));
+  CHECK(loads.at("s0") > 0.1 * loads.at("s1"));
+}
+
+// A limit of 0 must neither divide by it nor keep the others from balance.
+TEST_CASE("a server that accepts no requests loses all but idle keys",
+          "[LIMIT]") {
+  constexpr double kRate = 300;
+  ReliableFleet fleet(6, milliseconds(100));
+  fleet.Run(seconds(15), kRate);
+  fleet.SetLimit(0, 0);
+  fleet.Run(seconds(4), kRate);
+  const auto loads = fleet.Loads(kRate);
+  CHECK(loads.at("s0") < 3);
+  for (const auto& [server, load] : loads) {
+    CAPTURE(server);
+    CHECK(load <= 1.5 * kRate / 5);
+  }
+}
+
 }  // namespace mustardflow::tests
