servers: Send nothing more to a server that announces its leaving

A server that says in its answers that it leaves got requests until its entry in the store said so, or until its connections failed. The host that gets the announcement now sends it nothing more; the owner of keys gets requests for a second longer, while the leader, to which the host reports at once, moves its keys. The announcement holds for the incarnation that made it.

The tests failed before: after the announcement, the next request reached the server, and its owner's keys were served there 1.1 s later.

--- a/src/coordination/server_pool.cc
+++ b/src/coordination/server_pool.cc
@@ -220,6 +220,15 @@
 
 bool ServerPool::IsOutOfService(const ServerState& server) const {
   return server.gone || server.record.draining ||
+         server.announced.leaving_since() ||
+         evacuated_.contains(server.record.zone);
+}
+
+bool ServerPool::IsOwnerOutOfService(Instant now,
+                                     const ServerState& server) const {
+  const auto leaving_since = server.announced.leaving_since();
+  return server.gone || server.record.draining ||
+         (leaving_since && now - *leaving_since >= kLeavingOwnerTime) ||
          evacuated_.contains(server.record.zone);
 }
 
@@ -472,7 +481,7 @@
     const ServerIncarnation& incarnation,
     Duration max_expected) const {
   const ServerState* server = Find(incarnation);
-  if (server == nullptr || IsOutOfService(*server)) {
+  if (server == nullptr || IsOwnerOutOfService(now, *server)) {
     return NoServerReason::kNoServer;
   }
   if (const auto limit = FindLimit(now, *server)) {
--- a/src/coordination/server_pool.h
+++ b/src/coordination/server_pool.h
@@ -25,6 +25,10 @@
 
 namespace mustardflow::coordination {
 
+// How long the owner of keys still gets requests after it has announced that it
+// leaves. Servers serve for longer, and a move of keys takes less.
+inline constexpr state::Duration kLeavingOwnerTime = std::chrono::seconds(1);
+
 // How an attempt at a server ended, as far as it matters for load balancing.
 enum class ServerResult {
   // The server responded, other than with a 5xx status.
@@ -126,7 +130,9 @@
   void Prune(state::Instant now);
 
   // Returns the server with this incarnation if it may receive a request now
-  // and its expected latency is at most `max_expected`.
+  // and its expected latency is at most `max_expected`. For kLeavingOwnerTime
+  // after a server has announced its leaving, it still receives requests here,
+  // unlike in Choose(): its keys are on the move.
   std::variant<ServerChoice, NoServerReason> Check(
       state::Instant now,
       const state::ServerIncarnation& incarnation,
@@ -234,8 +240,8 @@
   };
 
   const std::map<std::string, ServerState>& servers() const { return servers_; }
-  // Whether the server must get no new requests: it is draining, gone, or in an
-  // evacuated zone.
+  // Whether the server must get no new requests: it is draining, leaving, gone,
+  // or in an evacuated zone.
   bool IsOutOfService(const ServerState& server) const;
   bool IsCold(state::Instant now, const ServerState& server) const {
     return now < server.cold_until;
@@ -253,6 +259,8 @@
   std::uint64_t announcements() const { return announcements_; }
 
  private:
+  // Whether the owner of a key must get no new requests for it.
+  bool IsOwnerOutOfService(state::Instant now, const ServerState& server) const;
   ServerState* Find(const state::ServerIncarnation& incarnation);
   const ServerState* Find(const state::ServerIncarnation& incarnation) const;
   // The limit that forbids another request; nullopt if none does.
--- a/src/transport/entry_pages.cc
+++ b/src/transport/entry_pages.cc
@@ -25,6 +25,9 @@
   if (server.record.draining) {
     return "draining";
   }
+  if (server.announced.leaving_since()) {
+    return "leaving";
+  }
   if (pool.IsOutOfService(server)) {
     return "evacuated";
   }
--- a/src/transport/leader_duty.cc
+++ b/src/transport/leader_duty.cc
@@ -528,7 +528,8 @@
     entry.incarnation = server.record.incarnation;
     entry.capacity = server.record.slots / RelativeLatency(now, id) *
                      (pool_.IsCold(now, server) ? kColdCapacityFactor : 1);
-    entry.eligible = !pool_.IsOutOfService(server);
+    entry.eligible = !pool_.IsOutOfService(server) &&
+                     !announcements_.IsLeaving(entry.incarnation);
     entry.rate_limit = announcements_.RateLimit(now, entry.incarnation);
     servers[server.record.service].push_back(std::move(entry));
   }
--- a/tests/transport/announcements_test.cc
+++ b/tests/transport/announcements_test.cc
@@ -20,15 +20,18 @@
 // Sends requests one after another and answers those that reach the server.
 class AnnouncingServer {
  public:
-  explicit AnnouncingServer(RelayFixture& host)
-      : host_(host), caller_(host.ConnectCaller()) {}
+  // `fields` are header lines of each request.
+  explicit AnnouncingServer(RelayFixture& host, std::string fields = "")
+      : host_(host),
+        caller_(host.ConnectCaller()),
+        fields_(std::move(fields)) {}
 
   // Sends a request. Returns whether it reached the server, which then answers
   // with `status` and `fields`.
   bool Ask(int status, const std::string& fields) {
     const std::string id = std::to_string(++requests_);
     Send(caller_, "GET /desk/1 HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: " +
-                      id + "\r\n\r\n");
+                      id + "\r\n" + fields_ + "\r\n");
     answer_.clear();
     std::string arrived;
     constexpr int kMaxTurns = 500;
@@ -63,6 +66,7 @@
 
   RelayFixture& host_;
   tcp::socket caller_;
+  const std::string fields_;
   std::optional<tcp::socket> server_;
   int requests_ = 0;
   std::string answer_;
@@ -133,4 +137,41 @@
   CHECK(Count(answer, "Server-Limit: 6.1\r\n") == 1);
 }
 
+// The server ends soon; its entry in the store may say so much later.
+TEST_CASE("a server that announces its leaving gets no more requests",
+          "[DRAIN]") {
+  RelayFixture host(RequestKind::kIdempotent);
+  AnnouncingServer server(host);
+  const int status = GENERATE(200, 500);
+  REQUIRE(server.Ask(status, kSigned + "Server-Leaving: 1\r\n"));
+  CHECK_FALSE(server.Ask(200, kSigned));
+  CHECK(server.answer().starts_with("HTTP/1.1 503"));
+  CHECK(Count(server.answer(), "Retry-After: ") == 1);
+}
+
+TEST_CASE("a server that announces something else is not taken as leaving",
+          "[DRAIN]") {
+  RelayFixture host(RequestKind::kIdempotent);
+  AnnouncingServer server(host);
+  const std::string field =
+      GENERATE("Server-Leaving: 0\r\n", "Server-Leaving: \r\n", "");
+  REQUIRE(server.Ask(200, kSigned + field));
+  CHECK(server.Ask(200, kSigned));
+}
+
+// While its keys move, a leaving server still serves them, but not for longer
+// than a second.
+TEST_CASE(
+    "the owner of a key gets requests for a moment after it announces its "
+    "leaving",
+    "[DRAIN]") {
+  RelayFixture host;
+  host.OwnKeys(RequestKind::kIdempotent);
+  AnnouncingServer server(host, "X-Shard-Key: 5\r\n");
+  REQUIRE(server.Ask(200, kSigned + "Server-Leaving: 1\r\n"));
+  CHECK(server.Ask(200, kSigned + "Server-Leaving: 1\r\n"));
+  std::this_thread::sleep_for(std::chrono::milliseconds(1100));
+  CHECK_FALSE(server.Ask(200, kSigned));
+}
+
 }  // namespace mustardflow::tests
