servers: Keep away from a server for the time of its Retry-After

A server's 503 with Retry-After was an ordinary refusal: the host's window for the server shrank, and requests went on. The host now sends it nothing for that time, whether the 503 says that the request has not run or not, and with other servers instead where the service has no keys.

The test failed before: with and without keys, signed or not, all of the next three requests reached the server.

--- a/src/coordination/server_pool.cc
+++ b/src/coordination/server_pool.cc
@@ -116,6 +116,8 @@
       return "no-server";
     case NoServerReason::kBlocked:
       return "busy-blocked";
+    case NoServerReason::kPaused:
+      return "busy-paused";
     case NoServerReason::kConnections:
       return "busy-connections";
     case NoServerReason::kCold:
@@ -332,6 +334,9 @@
   if (now < server.blocked_until) {
     return NoServerReason::kBlocked;
   }
+  if (now < server.announced.paused_until()) {
+    return NoServerReason::kPaused;
+  }
   if (server.in_flight.size() >= ConnectionShare(server.record)) {
     return NoServerReason::kConnections;
   }
--- a/src/coordination/server_pool.h
+++ b/src/coordination/server_pool.h
@@ -59,6 +59,8 @@
   kNoServer,
   // A connection failed recently.
   kBlocked,
+  // The server wants no requests from this host for a while.
+  kPaused,
   // This host's share of the server's connections is in use.
   kConnections,
   // This host's share of the request rate of a cold server is in use.
--- a/src/transport/leader_duty.cc
+++ b/src/transport/leader_duty.cc
@@ -58,6 +58,9 @@
 // sent a report by then.
 constexpr Duration kInitialGateDelay = std::chrono::milliseconds(900);
 constexpr Duration kGateAssignmentInterval = std::chrono::milliseconds(300);
+// The keys of paused servers stay where they are if these servers have more
+// than this fraction of the service's capacity: the others would be overloaded.
+constexpr double kMaxPausedFraction = 0.35;
 constexpr Duration kServerListInterval = std::chrono::milliseconds(1000);
 constexpr Duration kProbeInterval = std::chrono::milliseconds(800);
 // A server replies to a release only when its requests on the released keys
@@ -534,10 +537,39 @@
     servers[server.record.service].push_back(std::move(entry));
   }
   for (auto& [service, keyspace] : keyspaces_) {
+    ExcludePaused(now, &servers[service]);
     keyspace.coordinator->SetServers(now, std::move(servers[service]));
   }
 }
 
+void LeaderDuty::ExcludePaused(
+    Instant now,
+    std::vector<coordination::KeyServer>* servers) const {
+  double total = 0;
+  double paused_total = 0;
+  std::vector<coordination::KeyServer*> paused;
+  for (coordination::KeyServer& server : *servers) {
+    if (!server.eligible) {
+      continue;
+    }
+    total += server.capacity;
+    // A gate sends all requests of a server, so its pause concerns all callers.
+    const std::size_t enough = table_.gates.contains(server.incarnation.id)
+                                   ? 1
+                                   : (hooks_.host_count() + 1) / 2;
+    if (announcements_.IsPaused(now, server.incarnation, enough)) {
+      paused_total += server.capacity;
+      paused.push_back(&server);
+    }
+  }
+  if (paused_total > kMaxPausedFraction * total) {
+    return;
+  }
+  for (coordination::KeyServer* server : paused) {
+    server->eligible = false;
+  }
+}
+
 double LeaderDuty::RelativeLatency(Instant now, const std::string& server) {
   const auto reported = relative_latencies_.find(server);
   if (reported == relative_latencies_.end()) {
--- a/src/transport/leader_duty.h
+++ b/src/transport/leader_duty.h
@@ -169,6 +169,10 @@
   void AddKeyspaces(state::Instant now);
   // Passes the current servers and their capacities to the coordinators.
   void UpdateServerList(state::Instant now);
+  // Marks the servers that want no requests for a while as not eligible, unless
+  // the others have too little capacity for their keys.
+  void ExcludePaused(state::Instant now,
+                     std::vector<coordination::KeyServer>* servers) const;
   // The mean of the latencies that hosts have reported lately for the server.
   double RelativeLatency(state::Instant now, const std::string& server);
   // Forgets servers that the pool has forgotten.
--- a/tests/transport/announcements_test.cc
+++ b/tests/transport/announcements_test.cc
@@ -174,4 +174,43 @@
   CHECK_FALSE(server.Ask(200, kSigned));
 }
 
+// The server has told the host to stay away; whether it ran the request or not
+// makes no difference to that.
+TEST_CASE("a server gets no requests in the time of its Retry-After",
+          "[BUDGET]") {
+  const bool keyed = GENERATE(false, true);
+  const std::string fields =
+      GENERATE(as<std::string>(), "X-Not-Executed: 1\r\n",
+               "X-Server-Signature: s\r\n", "");
+  CAPTURE(keyed, fields);
+  RelayFixture host(RequestKind::kIdempotent);
+  if (keyed) {
+    host.OwnKeys(RequestKind::kIdempotent);
+  }
+  AnnouncingServer server(host, keyed ? "X-Shard-Key: 5\r\n" : "");
+  REQUIRE(server.Ask(200, kSigned));
+  REQUIRE(server.Ask(503, fields + "Retry-After: 0.4\r\n"));
+  for (int i = 0; i < 3; ++i) {
+    CHECK_FALSE(server.Ask(200, kSigned));
+    CHECK(server.answer().starts_with("HTTP/1.1 503"));
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  CHECK(server.Ask(200, kSigned));
+}
+
+TEST_CASE(
+    "a Retry-After that is no time in seconds, or of another status, is "
+    "ignored",
+    "[BUDGET]") {
+  const auto [status, value] = GENERATE(
+      std::pair(503, "-1"), std::pair(503, "soon"),
+      std::pair(503, "Fri, 04 Dec 2026 22:00:00 GMT"), std::pair(200, "5"));
+  CAPTURE(status, value);
+  RelayFixture host(RequestKind::kIdempotent);
+  AnnouncingServer server(host);
+  REQUIRE(server.Ask(200, kSigned));
+  REQUIRE(server.Ask(status, kSigned + "Retry-After: " + value + "\r\n"));
+  CHECK(server.Ask(200, kSigned));
+}
+
 }  // namespace mustardflow::tests
