requests: Relate a refusal to the load that it reports

A server with free slots that refuses at random was taken for a full one: load and result of an answer were recorded at two readings of the clock, and only a load that was recorded at the very time of the result counts as the refusal's own. Callers got 503 where another try would have been served. Under a simulated clock, which stands still meanwhile, the two were equal.

--- a/src/transport/request_relay.cc
+++ b/src/transport/request_relay.cc
@@ -521,6 +521,8 @@
     return;
   }
   RecordConnections(*request);
+  // The flow relates the result to the load that the same answer reports.
+  const Instant now = Now();
   const auto connection = request->connections.find(attempt);
   const std::shared_ptr<ServerConnection> used = connection->second;
   request->connections.erase(connection);
@@ -529,7 +531,7 @@
   if (exchange_result == ExchangeResult::kAnswered) {
     (is_gate ? gate_connections_ : server_connections_).Return(peer, used);
     result = is_gate ? InterpretGateAnswer(answer)
-                     : InterpretServerAnswer(peer, answer);
+                     : InterpretServerAnswer(now, peer, answer);
     const auto server = is_gate ? AnsweredBy(answer) : std::optional(peer);
     if (server) {
       RecordAnnouncement(*request, *server, sent, answer, is_gate);
@@ -544,7 +546,7 @@
   } else if (exchange_result == ExchangeResult::kBroken) {
     result = SendResult::kLost;
   }
-  Perform(flow_.HandleResult(Now(), id, attempt, result, retry_after));
+  Perform(flow_.HandleResult(now, id, attempt, result, retry_after));
 }
 
 void RequestRelay::RecordAnnouncement(const Request& request,
@@ -602,13 +604,14 @@
 
 SendResult RequestRelay::InterpretServerAnswer(
     const state::ServerIncarnation& server,
+    Instant now,
     const ServerAnswer& answer) {
   const auto load_field = answer.fields.find(platform::kLoadField);
   if (load_field != answer.fields.end()) {
     const auto load = platform::ParseLoadReport(
         {load_field->value().data(), load_field->value().size()});
     if (load) {
-      pool_.RecordLoad(Now(), server, load->running + load->waiting,
+      pool_.RecordLoad(now, server, load->running + load->waiting,
                        load->slowness);
     }
   }
--- a/src/transport/request_relay.h
+++ b/src/transport/request_relay.h
@@ -206,10 +206,11 @@
   // Derives the result of an attempt from the outcome that the gate reports.
   static coordination::SendResult InterpretGateAnswer(
       const ServerAnswer& answer);
-  // Derives the result of an attempt from the server's answer. Records the load
-  // that the answer reports in the server pool.
+  // Derives the result of an attempt from the server's answer, which arrived at
+  // `now`. Records the load that the answer reports in the server pool.
   coordination::SendResult InterpretServerAnswer(
       const state::ServerIncarnation& server,
+      state::Instant now,
       const ServerAnswer& answer);
   // Tells the flow which attempts of the request have an established
   // connection.
