requests: Try again on another connection

A server that writes a refusal once more on a kept connection could refuse the next try of the same request: both tries have the same id, so the copy looked like the second answer. Callers were told "not run" of a request that was running, or it was sent to the server a third time. A request is no longer sent twice on one connection, to servers or gates. Copies with the id of another request, or with none, were dropped before, whether they come before, with or after the real answer; there are tests for these too.

A head that breaks off was no answer before either: cut at each byte, with and without a length, HTTP/1.0 and 1.1, directly and by a gate, the caller gets 502.

--- a/src/transport/request_relay.cc
+++ b/src/transport/request_relay.cc
@@ -445,8 +445,9 @@
     peer.address = *send.gate;
     peer.incarnation = {protocol::FormatAddress(*send.gate), 0};
   }
-  const auto connection =
-      connections.Take(Now(), peer, send.fresh_connection_only);
+  const auto connection = connections.Take(
+      Now(), peer, send.fresh_connection_only, request->used_connections);
+  request->used_connections.push_back(connection);
   request->connections.emplace(send.attempt, connection);
   connection->Send(
       RequestBytes(*request, send), request->attempt_id,
@@ -520,9 +521,9 @@
   if (!request) {
     return;
   }
-  RecordConnections(*request);
   // The flow relates the result to the load that the same answer reports.
   const Instant now = Now();
+  RecordConnections(*request);
   const auto connection = request->connections.find(attempt);
   const std::shared_ptr<ServerConnection> used = connection->second;
   request->connections.erase(connection);
@@ -603,8 +604,8 @@
 }
 
 SendResult RequestRelay::InterpretServerAnswer(
-    const state::ServerIncarnation& server,
     Instant now,
+    const state::ServerIncarnation& server,
     const ServerAnswer& answer) {
   const auto load_field = answer.fields.find(platform::kLoadField);
   if (load_field != answer.fields.end()) {
--- a/src/transport/request_relay.h
+++ b/src/transport/request_relay.h
@@ -140,6 +140,7 @@
     // The connection of each attempt under way.
     std::map<coordination::AttemptId, std::shared_ptr<ServerConnection>>
         connections;
+    UsedConnections used_connections;
     // The latest answer of a server or gate that may be passed on.
     ServerAnswer answer;
     // The server that sent `answer`; nullopt for the answer of a gate.
@@ -209,8 +210,8 @@
   // Derives the result of an attempt from the server's answer, which arrived at
   // `now`. Records the load that the answer reports in the server pool.
   coordination::SendResult InterpretServerAnswer(
-      const state::ServerIncarnation& server,
       state::Instant now,
+      const state::ServerIncarnation& server,
       const ServerAnswer& answer);
   // Tells the flow which attempts of the request have an established
   // connection.
--- a/src/transport/server_links.cc
+++ b/src/transport/server_links.cc
@@ -29,22 +29,33 @@
   return std::max(Duration(0), *connection.keep_alive() - kServerCloseDelay);
 }
 
+bool Contains(const UsedConnections& used,
+              const std::shared_ptr<ServerConnection>& connection) {
+  return std::any_of(used.begin(), used.end(), [&](const auto& entry) {
+    return entry.lock() == connection;
+  });
+}
+
 }  // namespace
 
 std::shared_ptr<ServerConnection> ServerConnectionPool::Take(
     Instant now,
     const state::ServerRecord& server,
-    bool only_fresh) {
+    bool only_fresh,
+    const UsedConnections& used) {
   const auto found = idle_.find(server.incarnation);
   if (found != idle_.end()) {
     std::vector<std::shared_ptr<ServerConnection>>& connections = found->second;
-    while (!connections.empty()) {
-      std::shared_ptr<ServerConnection> connection = connections.back();
+    for (std::size_t i = connections.size(); i-- > 0;) {
+      std::shared_ptr<ServerConnection> connection = connections[i];
+      if (Contains(used, connection)) {
+        continue;
+      }
       const Duration idle = now - connection->idle_since();
       const Duration max_idle =
           only_fresh ? std::min(kMaxFreshIdleTime, MaxIdleTime(*connection))
                      : MaxIdleTime(*connection);
-      connections.pop_back();
+      connections.erase(connections.begin() + static_cast<std::ptrdiff_t>(i));
       if (idle < max_idle) {
         return connection;
       }
--- a/src/transport/server_links.h
+++ b/src/transport/server_links.h
@@ -14,6 +14,10 @@
 
 namespace mustardflow::transport {
 
+// The connections on which a request was sent. An answer on one of them that
+// has the request's id may be a copy of the answer to an earlier attempt.
+using UsedConnections = std::vector<std::weak_ptr<const ServerConnection>>;
+
 // Reuses idle connections, but only with the same incarnation of a server, and
 // only as long as the server is unlikely to be closing them.
 class ServerConnectionPool {
@@ -24,10 +28,12 @@
 
   // Returns an idle connection to this incarnation of the server, or a new one.
   // With `only_fresh`, connections that the server may be about to close are
-  // not reused.
+  // not reused. `used` are the connections on which the same request was sent
+  // before; they are left out.
   std::shared_ptr<ServerConnection> Take(state::Instant now,
                                          const state::ServerRecord& server,
-                                         bool only_fresh);
+                                         bool only_fresh,
+                                         const UsedConnections& used);
 
   // Keeps the connection for a later request if it is reusable.
   void Return(const state::ServerIncarnation& server,
--- a/tests/transport/server_answers_test.cc
+++ b/tests/transport/server_answers_test.cc
@@ -26,6 +26,28 @@
 
 constexpr std::string_view kSuccess = "HTTP/1.1 200";
 
+std::string KeyedRequest() {
+  return "POST /desk/1 HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: 1\r\n"
+         "X-Shard-Key: 5\r\nContent-Length: 2\r\n\r\nhi";
+}
+
+// A refusal of a server that is not full.
+std::string RefusalAtRandom() {
+  return "HTTP/1.1 503 Busy\r\nX-Attempt-Id: 1\r\nX-Not-Executed: 1\r\n"
+         "X-Server-Load: 1,0,6\r\nContent-Length: 0\r\n\r\n";
+}
+
+// Returns the connection on which the request arrives once more: `used`, or
+// another one.
+tcp::socket NextTry(RelayFixture& host, tcp::socket used) {
+  if (Count(host.Receive(used), "hi") == 1) {
+    return used;
+  }
+  tcp::socket fresh = host.AcceptFromRelay();
+  host.ReceiveUntil(fresh, "hi");
+  return fresh;
+}
+
 // Enough to exceed any limit on one answer of the host in the fixture.
 constexpr std::size_t kEndless = 64 << 20;
 
@@ -172,4 +194,112 @@
   CHECK(Count(host.Receive(caller), "HTTP/1.1 502") == 1);
 }
 
+// The load that a refusal reports shows whether the server is full.
+TEST_CASE(
+    "a request is tried again after a refusal of a server with free slots",
+    "[R2]") {
+  RelayFixture host(RequestKind::kNonIdempotent);
+  host.OwnKeys(RequestKind::kNonIdempotent);
+  tcp::socket caller = host.ConnectCaller();
+  Send(caller, KeyedRequest());
+  tcp::socket server = host.AcceptFromRelay();
+  host.ReceiveUntil(server, "hi");
+  Send(server, RefusalAtRandom());
+  tcp::socket again = NextTry(host, std::move(server));
+  Send(again, Answer("1", "one"));
+  CHECK(Count(host.ReceiveUntil(caller, "one"), "HTTP/1.1 200") == 1);
+}
+
+// The copy has the id of the request that is tried again, so it looked like the
+// answer to the second try: the caller was told "not run" of a request that the
+// server was running.
+TEST_CASE("a second copy of a refusal does not refuse the next try",
+          "[REFUSED]") {
+  const RequestKind kind =
+      GENERATE(RequestKind::kIdempotent, RequestKind::kNonIdempotent);
+  RelayFixture host(kind);
+  host.OwnKeys(kind);
+  tcp::socket caller = host.ConnectCaller();
+  Send(caller, KeyedRequest());
+  tcp::socket server = host.AcceptFromRelay();
+  host.ReceiveUntil(server, "hi");
+  Send(server, RefusalAtRandom());
+  host.Receive(server);
+  Send(server, RefusalAtRandom());
+  CHECK(Count(host.Receive(caller), "HTTP/1.1 503") == 0);
+  auto fresh = host.AcceptWaiting();
+  REQUIRE(fresh);
+  host.ReceiveUntil(*fresh, "hi");
+  Send(*fresh, Answer("1", "one"));
+  CHECK(Count(host.ReceiveUntil(caller, "one"), "HTTP/1.1 200") == 1);
+}
+
+// An earlier refusal may come before, with or after the real answer.
+TEST_CASE("a copy of an earlier refusal is no answer to another request",
+          "[REFUSED]") {
+  const std::string id_line = GENERATE("X-Attempt-Id: 1\r\n", "");
+  const int place = GENERATE(0, 1, 2);
+  CAPTURE(id_line, place);
+  const std::string refusal = "HTTP/1.1 503 Busy\r\n" + id_line +
+                              "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+  RelayFixture host;
+  tcp::socket first = host.ConnectCaller();
+  Send(first, Request("1"));
+  tcp::socket server = host.AcceptFromRelay();
+  host.ReceiveUntil(server, "hi");
+  Send(server,
+       "HTTP/1.1 503 Busy\r\nX-Attempt-Id: 1\r\nX-Not-Executed: 1\r\n"
+       "Content-Length: 0\r\n\r\n");
+  REQUIRE(Count(host.Receive(first), "HTTP/1.1 503") == 1);
+  tcp::socket second = host.ConnectCaller();
+  Send(second, Request("2"));
+  REQUIRE(Count(host.ReceiveUntil(server, "hi"), "POST ") == 1);
+  const std::string real = Answer("2", "two");
+  std::string answer;
+  if (place == 0) {
+    Send(server, refusal);
+    answer = host.Receive(second, std::chrono::milliseconds(20));
+  }
+  // The host may have reset the connection.
+  boost::system::error_code ignored;
+  for (const std::string& text :
+       {place == 1 ? refusal : "", real, place == 2 ? refusal : ""}) {
+    transport::asio::write(server, transport::asio::buffer(text), ignored);
+  }
+  answer += host.Receive(second);
+  // Nothing tells the host that the request was not run.
+  CHECK(Count(answer, "HTTP/1.1 503") == 0);
+  CHECK(Count(answer, "HTTP/1.1") == 1);
+}
+
+// The caller got a success with an empty or short body, framed as whole.
+TEST_CASE("a head that breaks off is no answer", "[MIXED]") {
+  const std::string version = GENERATE("HTTP/1.1", "HTTP/1.0");
+  const std::string length = GENERATE("Content-Length: 3\r\n", "");
+  const bool by_gate = GENERATE(false, true);
+  CAPTURE(version, length, by_gate);
+  const std::string head = version +
+                           " 200 OK\r\nX-Attempt-Id: 1\r\n"
+                           "X-Server-Signature: s\r\n"
+                           "X-Mustardflow-Outcome: answered\r\n" +
+                           length + "\r\n";
+  for (std::size_t size = 1; size < head.size(); ++size) {
+    RelayFixture host;
+    if (by_gate) {
+      host.UseGate(RequestKind::kNonIdempotent);
+    }
+    tcp::socket caller = host.ConnectCaller();
+    Send(caller,
+         "POST /desk/1 HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: 1\r\n"
+         "X-Shard-Key: 5\r\nContent-Length: 2\r\n\r\nhi");
+    tcp::socket server = by_gate ? host.AcceptAtGate() : host.AcceptFromRelay();
+    host.ReceiveUntil(server, "hi");
+    Send(server, head.substr(0, size));
+    server.close();
+    const std::string answer = host.ReceiveUntil(caller, "\r\n\r\n");
+    CAPTURE(head.substr(0, size));
+    CHECK(answer.starts_with("HTTP/1.1 502"));
+  }
+}
+
 }  // namespace mustardflow::tests
