stop: Refuse requests that cannot end within the grace period

In a planned stop, a request that was complete late in the grace period, because its bytes arrived slowly or the period was short, was passed on and cut off at the end, also one that must not be repeated. A request now is taken only if the time left covers its deadline or three times its route's target; otherwise it has not been run and the caller is told so, with a short Retry-After, as other hosts can serve it. A gate that stops gives such a request back to the host that forwarded it. Servers get no longer deadline than the host has itself. The times of a stop follow from the grace period; with one below 3.2 s, the process was killed before it ended its requests.

--- a/src/transport/entry_host.cc
+++ b/src/transport/entry_host.cc
@@ -29,16 +29,6 @@
 constexpr Duration kTableReadInterval = std::chrono::milliseconds(1000);
 // The host count in use is the maximum over this time.
 constexpr Duration kHostCountWindow = std::chrono::seconds(20);
-// After the stop signal, requests are still read from connections for this
-// long, because new connections go to other hosts only after some time. Then
-// idle connections are closed.
-constexpr Duration kStopReadingDelay = std::chrono::milliseconds(2800);
-// Requests in progress are ended this long before the stop grace period is
-// over.
-constexpr Duration kStopGraceMargin = std::chrono::milliseconds(400);
-// Time between the forced end of requests and the exit, in which the replies to
-// callers are sent.
-constexpr Duration kFinalReplyTime = std::chrono::milliseconds(200);
 constexpr Duration kRegisterRetryDelay = std::chrono::milliseconds(250);
 // When the whole system starts for the first time, a host reads the registered
 // hosts this long after its own start; all others have registered by then.
@@ -640,24 +630,25 @@
   log_.Write(LogPart::kHost, "stopping",
              {{"requests", static_cast<std::int64_t>(relay_.active())}});
   leader_.StepDown();
+  relay_.BeginStop(*stopping_since_);
   callers_.Drain();
   forwarded_.Drain();
 }
 
 void EntryHost::TickStop(Instant now) {
+  const coordination::StopSchedule schedule(profile_.bounds.stop_grace);
   const Duration since = now - *stopping_since_;
-  if (since < kStopReadingDelay) {
+  if (since < schedule.ReadingEnd()) {
     return;
   }
   callers_.StopReading();
   forwarded_.StopReading();
-  const Duration end = profile_.bounds.stop_grace - kStopGraceMargin;
-  if (since > end && relay_.active() > 0) {
+  if (since > schedule.RequestsEnd() && relay_.active() > 0) {
     log_.Write(LogPart::kHost, "requests-ended",
                {{"requests", static_cast<std::int64_t>(relay_.active())}});
     relay_.EndAll();
   }
-  if (since > end + kFinalReplyTime ||
+  if (since > schedule.Exit() ||
       (relay_.active() == 0 && callers_.connections() == 0 &&
        forwarded_.connections() == 0)) {
     log_.Write(
--- a/src/transport/entry_host.h
+++ b/src/transport/entry_host.h
@@ -19,6 +19,7 @@
 #include "coordination/peer_directory.h"
 #include "coordination/recent_maximum.h"
 #include "coordination/server_pool.h"
+#include "coordination/stop_schedule.h"
 #include "coordination/table_follower.h"
 #include "protocol/host_messages.h"
 #include "state/host_profile.h"
--- a/src/transport/request_relay.cc
+++ b/src/transport/request_relay.cc
@@ -7,6 +7,7 @@
 #include <charconv>
 #include <utility>
 
+#include "coordination/stop_schedule.h"
 #include "platform/server_protocol.h"
 #include "protocol/object_reader.h"
 #include "transport/clocks.h"
@@ -27,6 +28,9 @@
 // Retry-After for requests that arrive before the first configuration, that a
 // newer one might allow, or that were sent before a recent one.
 constexpr Duration kNoConfigRetryAfter = std::chrono::milliseconds(500);
+// Retry-After for requests that come too late in a stop. Other hosts can serve
+// them at once.
+constexpr Duration kStoppingRetryAfter = std::chrono::milliseconds(50);
 // Maximum number of shard keys sampled for one load report of a service.
 constexpr std::size_t kSamplesPerReport = 120;
 // A request with a longer body costs more in another zone.
@@ -258,9 +262,10 @@
   request->terms.received = Now();
   request->terms.end = request->terms.received;
   requests_.emplace(request->id, request);
-  const bool usable = source == RequestSource::kHost
-                          ? ClassifyForwarded(request)
-                          : Classify(request) && CheckAttemptId(request);
+  const bool usable = (source == RequestSource::kHost
+                           ? ClassifyForwarded(request)
+                           : Classify(request) && CheckAttemptId(request)) &&
+                      CheckStop(request);
   if (usable) {
     Perform(flow_.Start(request->terms.received, request->id, request->terms));
   }
@@ -379,6 +384,25 @@
   return false;
 }
 
+bool RequestRelay::CheckStop(const RequestPtr& request) {
+  if (!stopping_since_) {
+    return true;
+  }
+  const coordination::StopSchedule schedule(profile_.bounds.stop_grace);
+  coordination::RequestTerms& terms = request->terms;
+  if (!schedule.MayTake(terms.received - *stopping_since_,
+                        terms.end - terms.received, terms.target_latency)) {
+    // The forwarding host takes "unreadable" as not sent on, and sends the
+    // request itself.
+    const bool forwarded = request->source == RequestSource::kHost;
+    RejectRequest(request, forwarded ? "stopping" : "refused", "stopping",
+                  RefusalAnswer(kStoppingRetryAfter));
+    return false;
+  }
+  terms.end = std::min(terms.end, *stopping_since_ + schedule.RequestsEnd());
+  return true;
+}
+
 bool RequestRelay::ClassifyForwarded(const RequestPtr& request) {
   const CallerMessage& message = request->message;
   request->attempt_id = std::string(message[platform::kAttemptIdField]);
--- a/src/transport/request_relay.h
+++ b/src/transport/request_relay.h
@@ -97,6 +97,10 @@
   // Call when the ownership table has changed.
   void HandleTableChange(state::Instant now);
 
+  // The host stops; the signal came at `since`. From now on, requests that
+  // cannot end within the grace period are refused.
+  void BeginStop(state::Instant since) { stopping_since_ = since; }
+
   // Ends all requests, each with what is known of its outcome. Call before the
   // process exits.
   void EndAll();
@@ -173,6 +177,9 @@
   // If none of the route's services can take the request, rejects it and
   // returns false.
   bool ChooseService(const RequestPtr& request);
+  // Rejects the request and returns false if the host stops too soon for it.
+  // Otherwise ensures that it ends before the host does.
+  bool CheckStop(const RequestPtr& request);
   // Rejects the request and returns false if it has no X-Attempt-Id. Every
   // server refuses such a request, and its answer could not be matched.
   bool CheckAttemptId(const RequestPtr& request);
@@ -251,6 +258,7 @@
   coordination::RequestFlow flow_;
   coordination::TrafficSplit split_;
   RequestId last_id_ = 0;
+  std::optional<state::Instant> stopping_since_;
   std::map<RequestId, RequestPtr> requests_;
   // By name of a keyed service.
   std::map<std::string, coordination::LoadSampler> samplers_;
--- a/tests/transport/caller_connection_test.cc
+++ b/tests/transport/caller_connection_test.cc
@@ -28,6 +28,13 @@
   return limits;
 }
 
+// Returns a request whose caller waits for `deadline_ms`.
+std::string RequestWithDeadline(int deadline_ms) {
+  return "POST /desk/1 HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: 1\r\n"
+         "X-Deadline-Ms: " +
+         std::to_string(deadline_ms) + "\r\nContent-Length: 2\r\n\r\nhi";
+}
+
 // Returns a request whose header, up to and with its empty line, and body have
 // these sizes.
 std::string RequestOf(std::size_t header_bytes, std::size_t body_bytes) {
@@ -427,4 +434,55 @@
   CHECK(Count(answer, "Retry-After: 0.50\r\n") == 1);
 }
 
+// A request that was complete late in the grace period was passed on and cut
+// off at its end, also one that must not be repeated.
+TEST_CASE("a stopping host refuses a request that it cannot end in time",
+          "[LOST]") {
+  RelayFixture host;
+  host.profile().bounds.stop_grace = std::chrono::seconds(6);
+  host.relay().BeginStop(transport::Now() - std::chrono::milliseconds(5300));
+  tcp::socket caller = host.ConnectCaller();
+  Send(caller, RequestWithDeadline(1000));
+  const std::string answer = host.ReceiveUntil(caller, "\r\n\r\n");
+  CHECK(answer.starts_with("HTTP/1.1 503"));
+  CHECK(Count(answer, "Retry-After: ") == 1);
+  CHECK_FALSE(host.HasNewConnection());
+}
+
+// The gate's host stops; the forwarding host can send the request itself.
+TEST_CASE("a stopping gate says that it has not sent a late request on",
+          "[LOST]") {
+  RelayFixture host;
+  host.OwnKeys(state::RequestKind::kNonIdempotent);
+  host.profile().bounds.stop_grace = std::chrono::seconds(6);
+  host.relay().BeginStop(transport::Now() - std::chrono::milliseconds(5300));
+  tcp::socket other = host.ConnectHost();
+  Send(other,
+       "GET /desk/1 HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: 1\r\n"
+       "X-Shard-Key: 5\r\nX-Deadline-Ms: 1000\r\n"
+       "X-Mustardflow-Service: desk\r\nX-Mustardflow-Kind: 1\r\n"
+       "X-Mustardflow-Target-Ms: 400\r\nX-Mustardflow-Attempts: 1\r\n\r\n");
+  const std::string answer = host.ReceiveUntil(other, "\r\n\r\n");
+  CHECK(Count(answer, "X-Mustardflow-Outcome: unreadable\r\n") == 1);
+  CHECK_FALSE(host.HasNewConnection());
+}
+
+// The server stops work at the deadline that it gets.
+TEST_CASE("a stopping host gives a server no longer than it has itself",
+          "[LOST]") {
+  RelayFixture host;
+  host.profile().bounds.stop_grace = std::chrono::seconds(6);
+  host.relay().BeginStop(transport::Now() - std::chrono::milliseconds(1000));
+  host.SetTargetLatency(std::chrono::milliseconds(400));
+  tcp::socket caller = host.ConnectCaller();
+  Send(caller, RequestWithDeadline(9000));
+  tcp::socket server = host.AcceptFromRelay();
+  const std::string arrived = host.ReceiveUntil(server, "\r\n\r\n");
+  const std::size_t at = arrived.find("X-Deadline-Ms: ");
+  REQUIRE(at != std::string::npos);
+  const int left = std::stoi(arrived.substr(at + 15));
+  CHECK(left > 4000);
+  CHECK(left <= 4600);
+}
+
 }  // namespace mustardflow::tests
--- a/tests/transport/relay_fixture.h
+++ b/tests/transport/relay_fixture.h
@@ -83,6 +83,11 @@
     pool_.SetConfig(*view_.config);
   }
 
+  void SetTargetLatency(state::Duration target_latency) {
+    target_latency_ = target_latency;
+    SetLimits(state::IngressLimits());
+  }
+
   // Returns to the state before the first configuration.
   void RemoveConfig() { view_.config = nullptr; }
 
@@ -199,6 +204,7 @@
     log_.Flush(state::Instant(std::chrono::seconds(1)));
     return log_pipe_.Read();
   }
+  transport::RequestRelay& relay() { return relay_; }
   state::RoutingView& view() { return view_; }
   std::string MetricsPage() const { return metrics_.Page(); }
   transport::CallerListener& callers() { return callers_; }
@@ -222,7 +228,7 @@
     route.kind = kind_;
     route.max_attempts = 3;
     route.timeout = std::chrono::seconds(20);
-    route.target_latency = std::chrono::seconds(20);
+    route.target_latency = target_latency_;
     route.services = {{"desk", 1}};
     return std::make_shared<state::RoutingConfig>(
         ++config_version_, std::vector<state::Route>{route},
@@ -243,6 +249,7 @@
   transport::CallerListener hosts_;
   state::RequestKind kind_;
   bool keyed_ = false;
+  state::Duration target_latency_ = std::chrono::seconds(20);
   std::int64_t config_version_ = 0;
   bool ended_ = false;
 };
