soak: Let servers announce limits, their leaving and pauses

The soak's servers now limit their requests, leave and pause, alone and at the same time, beside the other faults; each fifth seed has no other faults. A server finds the host of a connection by the socket.

--- a/tests/servers/rate_limit_test.cc
+++ b/tests/servers/rate_limit_test.cc
@@ -17,7 +17,6 @@
 
 namespace {
 
-using coordination::NoServerReason;
 using coordination::ServerAnnouncement;
 using coordination::ServerChoice;
 using coordination::ServerPool;
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -138,6 +138,9 @@
     def judge(self, request):
         status, attempt = request.status, request.attempt
         signed = "x-server-signature" in request.fields
+        for server in self.oracle.servers:
+            if request.fields.get("x-from") == f"{server.id} {server.born}":
+                server.announced.note_passed_on(request.host, request.fields)
         if request.fields.get("x-attempt-id", attempt) != attempt:
             self.oracle.violate(f"{request} got an answer to "
                                 f"{request.fields['x-attempt-id']}")
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from announcements import owner_of
 from http_server import keep_little
 
 
@@ -15,6 +16,12 @@
         self.mode = "pass"
         self.delay_s = 0.0
         self.writers = set()
+        # Until when what passed it may have been harmed.
+        self.disturbed_until = 0.0
+        # The hosts that may connect, and who did, by the port towards the
+        # target.
+        self.hosts = []
+        self.senders = {}
 
     async def start(self):
         server = await asyncio.start_server(self.connected, *self.address,
@@ -32,6 +39,9 @@
             writer.transport.abort()
             return
         self.writers |= {writer, far_writer}
+        port = far_writer.get_extra_info("sockname")[1]
+        self.senders[port] = owner_of(writer.get_extra_info("peername")[1],
+                                      self.hosts)
         try:
             await asyncio.gather(self.copy(reader, far_writer, True),
                                  self.copy(far_reader, writer, False))
@@ -39,6 +49,7 @@
             # The run is over.
             pass
         self.writers -= {writer, far_writer}
+        self.senders.pop(port, None)
 
     async def copy(self, reader, writer, towards_target):
         try:
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -4,6 +4,7 @@
 import json
 import time
 
+from announcements import Announcements
 from http_server import format_answer, serve
 
 SLOTS = 6
@@ -99,6 +100,9 @@
         self.leases = {}
         self.seen = []
         self.listener = None
+        # Passes the hosts' requests on.
+        self.proxy = None
+        self.announced = Announcements(self)
         oracle.servers.append(self)
 
     async def start(self):
@@ -108,6 +112,7 @@
         self.leases = {}
         self.seen = []
         self.running = 0
+        self.announced = Announcements(self)
         self.listener = await serve(self.address, self.handle)
 
     async def crash(self):
@@ -194,7 +199,11 @@
         attempt = request.fields.get("x-attempt-id", "")
         if wrong != "early":
             self.oracle.check_body(self, attempt, await request.read_body())
-        answer = await self.run(request, attempt, wrong, born)
+        sender = self.proxy.senders.get(
+            request.writer.get_extra_info("peername")[1])
+        answer = await self.run(request, attempt, wrong, born, sender)
+        if answer is not None:
+            self.announced.note_answer(sender)
         if wrong == "early" and answer is not None:
             request.writer.write(answer)
             await asyncio.sleep(0.05)
@@ -206,18 +215,25 @@
         return answer
 
     def answer(self, status, attempt, signed=True, body=b""):
-        fields = {"X-Attempt-Id": attempt}
+        fields = {"X-Attempt-Id": attempt} | self.announced.fields()
         if signed:
             fields["X-Server-Signature"] = "s"
             fields["X-Server-Load"] = f"{self.running},0,{SLOTS},100"
             self.oracle.given.setdefault(attempt, set()).add(status)
         return format_answer(status, fields, body)
 
-    async def run(self, request, attempt, wrong, born):
+    async def run(self, request, attempt, wrong, born, sender):
         not_run = {"X-Attempt-Id": attempt, "X-Not-Executed": "1"}
+        not_run |= self.announced.fields()
         key = request.fields.get("x-shard-key")
         if self.service == "shelf" and not self.holds(int(key or -1)):
             return format_answer(421, not_run, b"")
+        if attempt in self.oracle.requests:
+            self.announced.check_arrival(self.oracle.requests[attempt], sender)
+        if self.announced.pause_s is not None:
+            self.announced.note_pause(sender)
+            not_run["Retry-After"] = str(self.announced.pause_s)
+            return format_answer(503, not_run, b"")
         if self.running >= 2 * SLOTS:
             return format_answer(503, not_run, b"")
         if wrong == "says-not-run":
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -23,6 +23,7 @@
 import tempfile
 import time
 
+from announcements import announce_often
 from callers import Callers
 from changes import Changes, MOVED, OPTIONAL
 from proxy import Proxy
@@ -69,10 +70,12 @@
 
 
 @contextlib.contextmanager
-def trouble(hosts):
+def trouble(hosts, of_process=False):
     span = [time.monotonic(), None]
     for host in hosts:
         host.troubles.append(span)
+        if of_process:
+            host.process_troubles.append(span)
     yield
     span[1] = time.monotonic()
 
@@ -106,6 +109,8 @@
         # Begin and end of each trouble of the process or of its path to the
         # store; the end is None while it lasts.
         self.troubles = []
+        # Those of them in which the process itself stood still or ended.
+        self.process_troubles = []
 
     async def start(self):
         self.process = await asyncio.create_subprocess_exec(
@@ -134,10 +139,14 @@
             for i in range(servers)]
         self.proxies = [Proxy(server.entry_address, server.address)
                         for server in self.servers]
+        for server, proxy in zip(self.servers, self.proxies):
+            server.proxy = proxy
         self.store_proxies = [Proxy(local[2 * servers + i], self.store_address)
                               for i in range(hosts)]
         self.hosts = [Host(program, folder, i, self.store_proxies[i].address)
                       for i in range(hosts)]
+        for proxy in self.proxies:
+            proxy.hosts = self.hosts
         self.changes = Changes(self.random, self.store)
         self.oracle.changes = self.changes
         self.callers = Callers(self.random, self.hosts, self.changes,
@@ -146,6 +155,10 @@
         # for a while leave room for those that do not.
         self.kinds = self.random.sample(
             FAULTS, self.random.randint(2, len(FAULTS)))
+        # Servers' announcements, without any fault beside them in each fifth
+        # seed.
+        self.announcing = random.Random(f"announcements {seed}")
+        self.calm = seed % 5 == 0
         self.ending = False
         self.longest_lag_s = 0.0
 
@@ -159,12 +172,12 @@
         if kind in ("kill", "term"):
             how = signal.SIGKILL if kind == "kill" else signal.SIGTERM
             async with host.lock:
-                with trouble([host]):
+                with trouble([host], True):
                     await host.end(how)
                     await host.start()
         elif kind == "pause":
             async with host.lock:
-                with trouble([host]):
+                with trouble([host], True):
                     host.process.send_signal(signal.SIGSTOP)
                     await asyncio.sleep(length)
                     host.process.send_signal(signal.SIGCONT)
@@ -196,6 +209,12 @@
                 with trouble([self.hosts[place]]):
                     await self.disturb(self.store_proxies[place], kind, length)
 
+    def has_others(self, server):
+        """Whether servers of the same service remain if this one leaves."""
+        return any(other.up and other.service == server.service
+                   and not other.announced.leaving
+                   for other in self.servers if other is not server)
+
     async def disturb_store(self, kind, length):
         if kind == "store-down":
             self.store.down = True
@@ -231,6 +250,7 @@
 
     async def disturb(self, proxy, kind, length):
         """A fault of a proxy, towards a server or from a host to the store."""
+        proxy.disturbed_until = time.monotonic() + length + 1
         if kind == "reset":
             proxy.reset_all()
         elif kind == "delay":
@@ -284,7 +304,7 @@
             await proxy.start()
         for host in self.hosts:
             host.lock = asyncio.Lock()
-            with trouble([host]):
+            with trouble([host], True):
                 await host.start()
         await self.await_service("start")
         # Half of them at least use their connections seldom, which then have
@@ -293,14 +313,17 @@
                    for pause_s in [0.02] * 10 + [2] * max(
                        10, 2 * len(self.hosts))]
         changes = asyncio.create_task(self.change_often())
+        announcing = asyncio.create_task(announce_often(self, self.announcing))
         faults = []
         end = time.monotonic() + FAULT_S
         while time.monotonic() < end:
-            faults.append(asyncio.create_task(self.fault()))
+            if not self.calm:
+                faults.append(asyncio.create_task(self.fault()))
             await asyncio.sleep(self.random.uniform(0.3, 2))
         await asyncio.gather(*faults)
         self.ending = True
         await changes
+        await announcing
         await self.await_service("end")
         self.callers.stopping = True
         await asyncio.gather(*callers)
