keys: Count what servers can run when most of them are limited

With 12 of 14 servers limited, two were given three times what they can run, while the limited ones kept to 0.7 of their limits.

Hosts now report the execution time of requests, from which the leader computes what a server can run. If that does not suffice, limits are used in full, and in an overload all servers get the same multiple of what they can take. A limited server is not moved more keys than its limit allows.

--- a/src/coordination/keyspace_coordinator.cc
+++ b/src/coordination/keyspace_coordinator.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <set>
 #include <utility>
 
@@ -70,6 +71,14 @@
 // A lower limit counts as this, in requests per second, since capacities are
 // above 0.
 constexpr double kMinLimit = 0.05;
+// The load for which capacities are computed while there is less, in requests
+// per second.
+constexpr double kMinTotalLoad = 1;
+// The fraction of the slots that can be in use on average: requests do not
+// arrive evenly.
+constexpr double kUsedSlotFraction = 0.85;
+// A shorter execution time counts as this, in seconds.
+constexpr double kMinExecutionSeconds = 0.001;
 // The load assumed for each key besides its measured load, as a fraction of the
 // mean load of a key. It spreads idle ranges over the servers by their width.
 constexpr double kIdleWeight = 0.05;
@@ -470,47 +479,50 @@
   return loads;
 }
 
+ServerRates KeyspaceCoordinator::RatesOf(const KeyServer& server) const {
+  ServerRates rates;
+  rates.weight = server.capacity;
+  rates.bearable = execution_seconds_
+                       ? kUsedSlotFraction * server.capacity /
+                             std::max(kMinExecutionSeconds, *execution_seconds_)
+                       : std::numeric_limits<double>::infinity();
+  rates.preferred = rates.bearable;
+  if (server.rate_limit) {
+    const double limit = std::max(kMinLimit, *server.rate_limit);
+    rates.bearable = std::min(rates.bearable, limit);
+    rates.preferred = std::min(rates.bearable, kUsedLimitFraction * limit);
+  }
+  return rates;
+}
+
 void KeyspaceCoordinator::UpdateCapacities() {
-  double load = load_.total();
-  double capacity = 0;
-  std::vector<ServerState*> limited;
+  std::vector<ServerState*> usable;
+  std::vector<ServerRates> rates;
   for (auto& [id, state] : servers_) {
     state.capacity = state.server.capacity;
-    if (!IsUsable(state.server.incarnation)) {
-      continue;
-    }
-    capacity += state.server.capacity;
-    if (state.server.rate_limit) {
-      limited.push_back(&state);
-    }
-  }
-  // Servers whose limit is lowest relative to their capacity come first: each
-  // of them that gets its limit raises the load of those that follow.
-  const auto limit_of = [](const ServerState* state) {
-    return std::max(kMinLimit, kUsedLimitFraction * *state->server.rate_limit);
-  };
-  std::sort(limited.begin(), limited.end(),
-            [&](const ServerState* left, const ServerState* right) {
-              return limit_of(left) / left->server.capacity <
-                     limit_of(right) / right->server.capacity;
-            });
-  std::vector<ServerState*> full;
-  for (ServerState* state : limited) {
-    if (load * state->server.capacity <= limit_of(state) * capacity) {
-      break;
+    if (IsUsable(state.server.incarnation)) {
+      usable.push_back(&state);
+      rates.push_back(RatesOf(state.server));
     }
-    full.push_back(state);
-    load -= limit_of(state);
-    capacity -= state->server.capacity;
   }
-  // If all servers are full, the limits are the capacities.
-  const bool all_full = full.size() == limited.size() && capacity < kMinLimit;
-  const double mean = all_full ? 1 : load / capacity;
-  for (ServerState* state : full) {
-    state->capacity = limit_of(state) / mean;
+  // Without any load, the division would leave the capacities at 0.
+  const std::vector<double> loads =
+      DivideKeyLoad(std::max(kMinTotalLoad, load_.total()), rates);
+  for (std::size_t i = 0; i < usable.size(); ++i) {
+    usable[i]->capacity = loads[i];
   }
 }
 
+double KeyspaceCoordinator::SpareLoad(const ServerIncarnation& server,
+                                      double load,
+                                      double mean) const {
+  const ServerState* state = FindServer(server);
+  const double fair = mean * state->capacity;
+  return (state->server.rate_limit ? std::min(fair, *state->server.rate_limit)
+                                   : fair) -
+         load;
+}
+
 ServerIncarnation KeyspaceCoordinator::LeastLoadedServer(
     const std::map<ServerIncarnation, double>& loads) const {
   ServerIncarnation best;
@@ -698,7 +710,10 @@
     }
     const ServerIncarnation least_loaded = by_ratio.back().second;
     const double spare_load =
-        mean * CapacityOf(least_loaded) - loads.at(least_loaded);
+        SpareLoad(least_loaded, loads.at(least_loaded), mean);
+    if (spare_load <= 0) {
+      return;
+    }
     bool moved = false;
     for (const auto& [ratio, incarnation] : by_ratio) {
       const bool overloaded = ratio > (1 + OverloadThreshold()) * mean;
--- a/src/coordination/keyspace_coordinator.h
+++ b/src/coordination/keyspace_coordinator.h
@@ -19,6 +19,7 @@
 #include <variant>
 #include <vector>
 
+#include "coordination/key_shares.h"
 #include "coordination/shard_load.h"
 #include "state/ownership_table.h"
 #include "state/time.h"
@@ -97,6 +98,11 @@
   // them again since it restarted.
   void SetServers(state::Instant now, std::vector<KeyServer> servers);
 
+  // Sets the mean execution time of a request, in seconds, if it is known.
+  void SetExecutionTime(std::optional<double> seconds) {
+    execution_seconds_ = seconds;
+  }
+
   // The predecessor sends no order after `end`. If `end` is earlier than the
   // `predecessor_end` of the constructor, the leases that the predecessor may
   // have granted are assumed to end correspondingly earlier.
@@ -212,7 +218,7 @@
   // A listed server and the results of its recent orders.
   struct ServerState {
     KeyServer server;
-    // The capacity of the server with respect to its rate limit; see
+    // The server's part of the load, relative to other servers; see
     // UpdateCapacities().
     double capacity = 1;
     // When the first of the unbroken run of failed orders was reported.
@@ -231,9 +237,14 @@
     return FindServer(incarnation)->capacity;
   }
   // Sets the capacities of the servers so that the balance, in which all have
-  // the same ratio of load and capacity, gives no server more than its rate
-  // limit. The others share the rest.
+  // the same ratio of load and capacity, keeps to the rates of the servers.
   void UpdateCapacities();
+  ServerRates RatesOf(const KeyServer& server) const;
+  // The load that a move may add to the server whose load is `load`, if `mean`
+  // is the ratio of load and capacity of all servers together.
+  double SpareLoad(const state::ServerIncarnation& server,
+                   double load,
+                   double mean) const;
   // Whether the server is listed, eligible and not unresponsive.
   bool IsUsable(const state::ServerIncarnation& incarnation) const;
   // Replaces restarted servers in the slice by their new incarnations.
@@ -319,6 +330,7 @@
   // Whether SetServers() has been called with a non-empty list.
   bool has_servers_ = false;
   std::map<std::string, ServerState> servers_;
+  std::optional<double> execution_seconds_;
   ShardLoad load_;
   std::uint64_t recorded_change_ = 1;
   std::uint64_t confirmed_change_ = 0;
--- a/src/coordination/server_pool.cc
+++ b/src/coordination/server_pool.cc
@@ -452,6 +452,13 @@
                                          : Latency(now, server) / found->second;
 }
 
+std::optional<double> ServerPool::ExecutionSeconds(
+    const std::string& service) const {
+  const auto found = service_latency_.find(service);
+  return found == service_latency_.end() ? std::nullopt
+                                         : std::optional(found->second);
+}
+
 double ServerPool::WaitFactor(Instant now, const ServerState& server) const {
   const double slots = server.record.slots;
   return 1 + std::max(0.0, EstimatedLoad(now, server) + 1 - slots) / slots;
--- a/src/coordination/server_pool.h
+++ b/src/coordination/server_pool.h
@@ -250,6 +250,9 @@
   }
   // The server's response time as a multiple of its service's average.
   double RelativeLatency(state::Instant now, const ServerState& server) const;
+  // The mean execution time of the service's requests in seconds; nullopt if
+  // this host has not measured it.
+  std::optional<double> ExecutionSeconds(const std::string& service) const;
   // The slots of all servers of the service that may get new requests.
   std::size_t TotalSlots(const std::string& service) const;
   // Connections that this host may open to a server of the service.
--- a/src/protocol/host_messages.cc
+++ b/src/protocol/host_messages.cc
@@ -262,6 +262,7 @@
             {"forward", report.forward_address},
             {"stopping", report.stopping},
             {"slowness", json::value_from(report.relative_latency)},
+            {"execution_s", json::value_from(report.execution_seconds)},
             {"announced", EncodeAnnouncements(report.announcements)}};
   }
 };
@@ -337,7 +338,13 @@
   for (const auto& [server, value] : object.at("slowness").as_object()) {
     report.relative_latency[std::string(server)] = value.to_number<double>();
   }
-  // Hosts of earlier versions send none.
+  // Hosts of earlier versions send neither.
+  if (const json::value* times = object.if_contains("execution_s")) {
+    for (const auto& [service, value] : times->as_object()) {
+      report.execution_seconds[std::string(service)] =
+          value.to_number<double>();
+    }
+  }
   if (const json::value* announced = object.if_contains("announced")) {
     report.announcements = ReadAnnouncements(*announced);
   }
--- a/src/protocol/host_messages.h
+++ b/src/protocol/host_messages.h
@@ -133,6 +133,8 @@
   bool stopping = false;
   // By server id: the server's latency as a multiple of its service's average.
   std::map<std::string, double> relative_latency;
+  // By service: the mean execution time of a request in seconds.
+  std::map<std::string, double> execution_seconds;
   // What servers have announced in their answers to this host.
   std::vector<coordination::AnnouncementReport> announcements;
 };
--- a/src/transport/entry_host.cc
+++ b/src/transport/entry_host.cc
@@ -376,6 +376,11 @@
       report.relative_latency[id] = pool_.RelativeLatency(now, server);
     }
   }
+  for (const auto& [service, load] : report.load) {
+    if (const auto seconds = pool_.ExecutionSeconds(service)) {
+      report.execution_seconds[service] = *seconds;
+    }
+  }
   for (const auto& [id, server] : pool_.servers()) {
     auto announced = coordination::MakeReport(now, server.record.incarnation,
                                               server.announced);
--- a/src/transport/leader_duty.cc
+++ b/src/transport/leader_duty.cc
@@ -69,10 +69,7 @@
 constexpr std::size_t kMaxReplyBytes = 64 << 10;
 // Capacity of a cold server as a fraction of that of a warm one.
 constexpr double kColdCapacityFactor = 0.5;
-// Relative latency of servers: weight of a new report in the exponential moving
-// average for each host, and the bounds of the mean over all hosts.
-constexpr double kRelativeLatencySmoothing = 0.3;
-constexpr Duration kRelativeLatencyLifetime = std::chrono::seconds(10);
+// The bounds of a server's relative latency.
 constexpr double kMinRelativeLatency = 0.4;
 constexpr double kMaxRelativeLatency = 4.0;
 
@@ -174,13 +171,10 @@
     }
   }
   for (const auto& [server, relative_latency] : report.relative_latency) {
-    ReportedLatency& reported =
-        relative_latencies_[server]
-            .try_emplace(report.host, ReportedLatency{relative_latency, now})
-            .first->second;
-    reported.average +=
-        kRelativeLatencySmoothing * (relative_latency - reported.average);
-    reported.updated_at = now;
+    relative_latencies_.Record(now, server, report.host, relative_latency);
+  }
+  for (const auto& [service, seconds] : report.execution_seconds) {
+    execution_seconds_.Record(now, service, report.host, seconds);
   }
 }
 
@@ -538,6 +532,8 @@
   }
   for (auto& [service, keyspace] : keyspaces_) {
     ExcludePaused(now, &servers[service]);
+    keyspace.coordinator->SetExecutionTime(
+        execution_seconds_.Mean(now, service));
     keyspace.coordinator->SetServers(now, std::move(servers[service]));
   }
 }
@@ -571,32 +567,21 @@
 }
 
 double LeaderDuty::RelativeLatency(Instant now, const std::string& server) {
-  const auto reported = relative_latencies_.find(server);
-  if (reported == relative_latencies_.end()) {
-    return 1;
-  }
-  std::erase_if(reported->second, [now](const auto& entry) {
-    return now - entry.second.updated_at > kRelativeLatencyLifetime;
-  });
-  if (reported->second.empty()) {
-    return 1;
-  }
-  double sum = 0;
-  for (const auto& [host, latency] : reported->second) {
-    sum += latency.average;
-  }
-  return std::clamp(sum / static_cast<double>(reported->second.size()),
+  return std::clamp(relative_latencies_.Mean(now, server).value_or(1),
                     kMinRelativeLatency, kMaxRelativeLatency);
 }
 
 void LeaderDuty::PruneServers() {
-  const auto forgotten = [this](const auto& entry) {
-    return !pool_.servers().contains(entry.first);
-  };
-  std::erase_if(server_records_, forgotten);
-  std::erase_if(relative_latencies_, forgotten);
-  announcements_.Prune([this](const std::string& server) {
+  const auto is_forgotten = [this](const std::string& server) {
     return !pool_.servers().contains(server);
+  };
+  std::erase_if(server_records_, [&is_forgotten](const auto& entry) {
+    return is_forgotten(entry.first);
+  });
+  relative_latencies_.Prune(is_forgotten);
+  announcements_.Prune(is_forgotten);
+  execution_seconds_.Prune([this](const std::string& service) {
+    return !keyspaces_.contains(service);
   });
 }
 
--- a/src/transport/leader_duty.h
+++ b/src/transport/leader_duty.h
@@ -18,6 +18,7 @@
 #include "coordination/lead_proof.h"
 #include "coordination/leader_election.h"
 #include "coordination/reported_announcements.h"
+#include "coordination/reported_averages.h"
 #include "coordination/server_pool.h"
 #include "protocol/host_messages.h"
 #include "state/host_profile.h"
@@ -264,16 +265,10 @@
   state::Instant next_probe_{};
   // The table as published to the hosts.
   state::OwnershipTable table_;
-  // The latency of a server relative to its service's average, as one host
-  // reports it.
-  struct ReportedLatency {
-    // Exponential moving average.
-    double average = 1;
-    state::Instant updated_at{};
-  };
-  // By server id and reporting host.
-  std::map<std::string, std::map<std::string, ReportedLatency>>
-      relative_latencies_;
+  // By server id: the server's latency relative to its service's average.
+  coordination::ReportedAverages relative_latencies_;
+  // By service: the mean execution time of a request in seconds.
+  coordination::ReportedAverages execution_seconds_;
   // What servers have announced. Kept across terms, as hosts report it again
   // only with each report.
   coordination::ReportedAnnouncements announcements_;
--- a/tests/keys/balance_test.cc
+++ b/tests/keys/balance_test.cc
@@ -47,6 +47,10 @@
     coordinator_.SetServers(now_, list_);
   }
 
+  void SetExecutionTime(double seconds) {
+    coordinator_.SetExecutionTime(seconds);
+  }
+
   // Runs for `time` with `rate` requests per second. A part of them is for the
   // hot range, the others are spread evenly over the keys.
   void Run(milliseconds time, double rate, const HotRange& hot = {}) {
@@ -223,4 +227,24 @@
   }
 }
 
+// The unlimited servers were given three times what they can run, while the
+// limited ones got less than their limits.
+TEST_CASE("limits are used in full if the other servers are full", "[LIMIT]") {
+  constexpr double kRate = 380;
+  constexpr double kExecutionSeconds = 0.09;
+  constexpr double kServerRate = 6 / kExecutionSeconds;
+  ReliableFleet fleet(14, milliseconds(100));
+  fleet.SetExecutionTime(kExecutionSeconds);
+  fleet.Run(seconds(15), kRate);
+  for (int i = 0; i < 12; ++i) {
+    fleet.SetLimit(i, 10);
+  }
+  fleet.Run(seconds(6), kRate);
+  double served = 0;
+  for (const auto& [id, load] : fleet.Loads(kRate)) {
+    served += std::min(load, id == "s12" || id == "s13" ? kServerRate : 10);
+  }
+  CHECK(served > 0.95 * (12 * 10 + 2 * kServerRate));
+}
+
 }  // namespace mustardflow::tests
--- a/tests/protocol/host_messages_test.cc
+++ b/tests/protocol/host_messages_test.cc
@@ -49,6 +49,7 @@
   report.host = "h1";
   report.load["shelf"] = {3, {1, 2, 65535}};
   report.relative_latency["s"] = 1.5;
+  report.execution_seconds["shelf"] = 0.09;
   report.announcements.push_back({{"s", 4},
                                   6.1,
                                   std::chrono::milliseconds(20),
