keys: Let the load of a server grow slowly when its limit has ended

The second cause of refusals under limits: a limit that comes and goes moved the keys of its server away and back each time, and keys are unavailable while they move. The load that the planner gives to such a server now doubles every five seconds, from its former limit on, as long as others have room.

--- a/src/coordination/keyspace_coordinator.cc
+++ b/src/coordination/keyspace_coordinator.cc
@@ -491,6 +491,8 @@
     const double limit = std::max(kMinLimit, *server.rate_limit);
     rates.bearable = std::min(rates.bearable, limit);
     rates.preferred = std::min(rates.bearable, kUsedLimitFraction * limit);
+  } else if (server.recovery_rate && execution_seconds_) {
+    rates.preferred = std::min(rates.bearable, *server.recovery_rate);
   }
   return rates;
 }
--- a/src/coordination/keyspace_coordinator.h
+++ b/src/coordination/keyspace_coordinator.h
@@ -48,6 +48,9 @@
   // The requests per second that the server accepts, if it has announced a
   // limit.
   std::optional<double> rate_limit = std::nullopt;
+  // The requests per second that the server should get at most for now, since
+  // its limit has ended only lately.
+  std::optional<double> recovery_rate = std::nullopt;
 };
 
 enum class OrderKind {
--- a/src/coordination/reported_announcements.cc
+++ b/src/coordination/reported_announcements.cc
@@ -3,6 +3,7 @@
 #include "coordination/reported_announcements.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace mustardflow::coordination {
 
@@ -14,6 +15,12 @@
 
 // Moving keys away takes about as long as a shorter pause.
 constexpr Duration kMinPause = std::chrono::seconds(1);
+// After the end of its limit, the rate of a server doubles in each
+// kRecoveryDoubling, from the limit or kMinRecoveryRate on. After kRecoveryTime
+// it is not bounded any more.
+constexpr Duration kRecoveryDoubling = std::chrono::seconds(5);
+constexpr Duration kRecoveryTime = std::chrono::seconds(60);
+constexpr double kMinRecoveryRate = 1;
 
 }  // namespace
 
@@ -58,6 +65,10 @@
   }
   if (report.limit_age && now - *report.limit_age >= server.limit_stated_at) {
     change_ += server.rate_limit != report.rate_limit ? 1 : 0;
+    if (!report.rate_limit && server.rate_limit) {
+      server.former_limit = server.rate_limit;
+      server.limit_ended_at = now - *report.limit_age;
+    }
     server.rate_limit = report.rate_limit;
     server.limit_stated_at = now - *report.limit_age;
   }
@@ -90,6 +101,28 @@
              : std::nullopt;
 }
 
+std::optional<double> ReportedAnnouncements::RecoveryRate(
+    Instant now,
+    const ServerIncarnation& server) const {
+  const Server* found = Find(server);
+  if (found == nullptr || RateLimit(now, server)) {
+    return std::nullopt;
+  }
+  // A limit that no answer has stated for its lifetime ends without a
+  // statement.
+  const bool expired = found->rate_limit.has_value();
+  const std::optional<double> limit =
+      expired ? found->rate_limit : found->former_limit;
+  const Duration age = now - (expired ? found->limit_stated_at + kLimitLifetime
+                                      : found->limit_ended_at);
+  if (!limit || age > kRecoveryTime) {
+    return std::nullopt;
+  }
+  const double doublings =
+      std::chrono::duration<double>(age) / kRecoveryDoubling;
+  return std::max(kMinRecoveryRate, *limit) * std::exp2(doublings);
+}
+
 bool ReportedAnnouncements::IsLeaving(const ServerIncarnation& server) const {
   const Server* found = Find(server);
   return found != nullptr && found->leaving;
--- a/src/coordination/reported_announcements.h
+++ b/src/coordination/reported_announcements.h
@@ -46,6 +46,13 @@
   // The limit of the server in requests per second, if one is in force.
   std::optional<double> RateLimit(state::Instant now,
                                   const state::ServerIncarnation& server) const;
+  // The requests per second that the server should get at most, for some time
+  // after its limit has ended; nullopt before and after that time. It grows
+  // from the former limit, so that a server whose limit comes and goes does not
+  // lose and get its keys each time.
+  std::optional<double> RecoveryRate(
+      state::Instant now,
+      const state::ServerIncarnation& server) const;
   bool IsLeaving(const state::ServerIncarnation& server) const;
   // Whether the server wants no requests for a while from at least `hosts`
   // hosts.
@@ -63,6 +70,9 @@
     state::ServerIncarnation incarnation;
     std::optional<double> rate_limit;
     state::Instant limit_stated_at{};
+    // The last limit whose end was stated, and the time of that statement.
+    std::optional<double> former_limit;
+    state::Instant limit_ended_at{};
     bool leaving = false;
     // By host: the end of its pause. Short pauses are left out.
     std::map<std::string, state::Instant> paused_until;
--- a/src/transport/leader_duty.cc
+++ b/src/transport/leader_duty.cc
@@ -528,6 +528,7 @@
     entry.eligible = !pool_.IsOutOfService(server) &&
                      !announcements_.IsLeaving(entry.incarnation);
     entry.rate_limit = announcements_.RateLimit(now, entry.incarnation);
+    entry.recovery_rate = announcements_.RecoveryRate(now, entry.incarnation);
     servers[server.record.service].push_back(std::move(entry));
   }
   for (auto& [service, keyspace] : keyspaces_) {
--- a/tests/keys/balance_test.cc
+++ b/tests/keys/balance_test.cc
@@ -47,6 +47,11 @@
     coordinator_.SetServers(now_, list_);
   }
 
+  void SetRecoveryRate(int server, std::optional<double> rate) {
+    list_[static_cast<std::size_t>(server)].recovery_rate = rate;
+    coordinator_.SetServers(now_, list_);
+  }
+
   void SetExecutionTime(double seconds) {
     coordinator_.SetExecutionTime(seconds);
   }
@@ -247,4 +252,28 @@
   CHECK(served > 0.95 * (12 * 10 + 2 * kServerRate));
 }
 
+// Keys that move back and forth with a limit are unavailable each time.
+TEST_CASE("a limit that comes and goes moves few keys", "[LIMIT]") {
+  constexpr double kRate = 380;
+  constexpr double kLimit = 6;
+  ReliableFleet fleet(14, milliseconds(100));
+  fleet.SetExecutionTime(0.09);
+  fleet.Run(seconds(15), kRate);
+  const double before = fleet.moved_share();
+  for (int round = 0; round < 10; ++round) {
+    for (int i = 0; i < 2; ++i) {
+      fleet.SetLimit(i, kLimit);
+      fleet.SetRecoveryRate(i, std::nullopt);
+    }
+    fleet.Run(seconds(3), kRate);
+    for (int i = 0; i < 2; ++i) {
+      fleet.SetLimit(i, std::nullopt);
+      fleet.SetRecoveryRate(i, kLimit);
+    }
+    fleet.Run(seconds(3), kRate);
+  }
+  // Two of the 14 lose their keys once, and random variation moves some.
+  CHECK(fleet.moved_share() - before < 0.3);
+}
+
 }  // namespace mustardflow::tests
--- a/tests/keys/reported_announcements_test.cc
+++ b/tests/keys/reported_announcements_test.cc
@@ -50,6 +50,27 @@
   CHECK_FALSE(reported.RateLimit(now + seconds(61), kServer));
 }
 
+// Without it, keys moved back and away each time a limit came and went.
+TEST_CASE("the rate of a server grows from its limit when that has ended",
+          "[LIMIT]") {
+  ReportedAnnouncements reported;
+  const Instant now{seconds(100)};
+  CHECK_FALSE(reported.RecoveryRate(now, kServer));
+  reported.Record(now, "h1", {Limit(6, Duration(0))});
+  CHECK_FALSE(reported.RecoveryRate(now, kServer));
+  SECTION("stated") {
+    reported.Record(now, "h1", {Limit(std::nullopt, Duration(0))});
+    CHECK(reported.RecoveryRate(now, kServer) == Approx(6));
+    CHECK(reported.RecoveryRate(now + seconds(10), kServer) == Approx(24));
+    CHECK_FALSE(reported.RecoveryRate(now + seconds(61), kServer));
+  }
+  SECTION("not stated any more") {
+    CHECK_FALSE(reported.RecoveryRate(now + seconds(59), kServer));
+    CHECK(reported.RecoveryRate(now + seconds(65), kServer) == Approx(12));
+    CHECK_FALSE(reported.RecoveryRate(now + seconds(121), kServer));
+  }
+}
+
 // A server that restarts at the same address has announced nothing yet.
 TEST_CASE("announcements of an earlier incarnation do not count", "[LIMIT]") {
   ReportedAnnouncements reported;
