--- a/tests/soak/announcements.py
+++ b/tests/soak/announcements.py
@@ -11,6 +11,11 @@
 DRAIN_S = 2
 # What is on its way when a host is told.
 ON_ITS_WAY_S = 0.5
+# Within this time, the keys of limited servers move to others.
+MOVE_S = 5
+# The fraction of requests that may be refused after it: moves go on as the load
+# varies.
+MAX_REFUSED = 0.02
 # The hosts' processes are searched for each connection, so only few of them.
 MAX_HOSTS_SEARCHED = 8
 
@@ -183,3 +188,24 @@
             await server.crash()
             await asyncio.sleep(length / 2)
             await server.start()
+
+
+async def check_served_elsewhere(soak):
+    """Some servers of keys are limited, the others have room for all."""
+    limited = [server for server in soak.servers
+               if server.service == "shelf" and server.up][:2]
+    for server in limited:
+        server.announced.set_limit(1.0)
+    soak.say(f"{[server.id for server in limited]} limited to 1.0 for long")
+    await asyncio.sleep(MOVE_S)
+    before = dict(soak.callers.counts)
+    await asyncio.sleep(MOVE_S)
+    asked = {status: count - before.get(status, 0)
+             for status, count in soak.callers.counts.items()}
+    for server in limited:
+        server.announced.set_limit(None)
+    total, refused = sum(asked.values()), asked.get(503, 0)
+    soak.say(f"{refused} of {total} requests refused meanwhile")
+    if refused > MAX_REFUSED * total:
+        soak.oracle.violate(f"{refused} of {total} requests refused while other "
+                            "servers have room")
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -23,7 +23,7 @@
 import tempfile
 import time
 
-from announcements import announce_often
+from announcements import announce_often, check_served_elsewhere
 from callers import Callers
 from changes import Changes, MOVED, OPTIONAL
 from proxy import Proxy
@@ -325,6 +325,8 @@
         await changes
         await announcing
         await self.await_service("end")
+        if self.calm:
+            await check_served_elsewhere(self)
         self.callers.stopping = True
         await asyncio.gather(*callers)
         for host in self.hosts:
