servers: Keep a limit that no answer has stated for a minute

All hosts forgot the limit of a server a minute after its last answer, and sent without any bound when requests came again. The limit now grows by a quarter each 20 s from then on and ends after five minutes. With shares below one request, a host also keeps a distance from its last request, since a change of the limit moves the slots in which it may send.

--- a/src/coordination/announced_state.cc
+++ b/src/coordination/announced_state.cc
@@ -3,11 +3,26 @@
 #include "coordination/announced_state.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace mustardflow::coordination {
 
+using state::Duration;
 using state::Instant;
 
+namespace {
+
+// After its lifetime, a limit that is not stated any more grows by the factor
+// kGrowthStep in each kGrowthInterval, from kMinGrownLimit on if it is lower,
+// and ends after kGrowthTime. It does not grow continuously, since each change
+// moves the slots of RateShare.
+constexpr Duration kGrowthInterval = std::chrono::seconds(20);
+constexpr double kGrowthStep = 1.25;
+constexpr Duration kGrowthTime = std::chrono::seconds(300);
+constexpr double kMinGrownLimit = 0.3;
+
+}  // namespace
+
 bool AnnouncedState::Record(Instant now,
                             Instant sent,
                             const ServerAnnouncement& announcement) {
@@ -46,9 +61,18 @@
 }
 
 std::optional<double> AnnouncedState::RateLimit(Instant now) const {
-  return rate_limit_ && now - *limit_stated_at_ <= kLimitLifetime
-             ? rate_limit_
-             : std::nullopt;
+  if (!rate_limit_) {
+    return std::nullopt;
+  }
+  const Duration unstated = now - *limit_stated_at_ - kLimitLifetime;
+  if (unstated <= Duration(0)) {
+    return rate_limit_;
+  }
+  if (unstated > kGrowthTime) {
+    return std::nullopt;
+  }
+  const auto steps = static_cast<double>(unstated / kGrowthInterval);
+  return std::max(kMinGrownLimit, *rate_limit_) * std::pow(kGrowthStep, steps);
 }
 
 }  // namespace mustardflow::coordination
--- a/src/coordination/announced_state.h
+++ b/src/coordination/announced_state.h
@@ -10,8 +10,8 @@
 
 namespace mustardflow::coordination {
 
-// A limit that no answer has stated for this time is not in force any more: a
-// server without traffic cannot announce its end.
+// A limit that no answer has stated for this time may have ended: a server
+// without traffic cannot announce the end.
 inline constexpr state::Duration kLimitLifetime = std::chrono::seconds(60);
 
 // The announcements in one answer of a server.
@@ -37,7 +37,8 @@
               state::Instant sent,
               const ServerAnnouncement& announcement);
 
-  // The limit in force, in requests per second over all hosts.
+  // The limit in force, in requests per second over all hosts. Once it may have
+  // ended, it grows, so that the hosts do not all send at once to ask.
   std::optional<double> RateLimit(state::Instant now) const;
   // When the server first announced a limit.
   std::optional<state::Instant> first_limited_at() const {
--- a/src/coordination/rate_share.cc
+++ b/src/coordination/rate_share.cc
@@ -79,7 +79,13 @@
     return Tokens(now, allowance) >= 1;
   }
   const auto begin = SlotBegin(now, allowance.per_second);
-  return begin && (!tokens_at_ || *tokens_at_ < *begin);
+  if (!begin || !tokens_at_) {
+    return begin.has_value();
+  }
+  // Changes of the rate move the slots, so that one may begin too soon after
+  // the last.
+  const double min_gap = 1 / allowance.per_second - kSlotSeconds;
+  return *tokens_at_ < *begin && Seconds(now - *tokens_at_) >= min_gap;
 }
 
 void RateShare::RecordSent(Instant now, const RateAllowance& allowance) {
--- a/src/coordination/reported_announcements.cc
+++ b/src/coordination/reported_announcements.cc
@@ -29,12 +29,10 @@
                                              const AnnouncedState& announced) {
   AnnouncementReport report;
   report.server = server;
-  report.rate_limit = announced.RateLimit(now);
-  if (const auto stated_at = announced.limit_stated_at()) {
-    const Duration age = now - *stated_at;
-    if (report.rate_limit || age <= kLimitLifetime) {
-      report.limit_age = age;
-    }
+  if (const auto stated_at = announced.limit_stated_at();
+      stated_at && now - *stated_at <= kLimitLifetime) {
+    report.rate_limit = announced.RateLimit(now);
+    report.limit_age = now - *stated_at;
   }
   report.leaving = announced.leaving_since().has_value();
   report.pause = std::max(Duration(0), announced.paused_until() - now);
--- a/tests/servers/rate_limit_test.cc
+++ b/tests/servers/rate_limit_test.cc
@@ -66,6 +66,9 @@
 
   void SetLimit(double limit) { limit_ = limit; }
 
+  // No requests come for `length`.
+  void Rest(Duration length) { now_ += length; }
+
   // Plays `length` with `rate` requests per second in all. Each host gets a
   // part in proportion to the inverse of its number.
   void Play(Duration length, double rate) {
@@ -172,10 +175,12 @@
   const std::size_t hosts = GENERATE(1, 2, 8, 65, 295);
   const double limit = GENERATE(0.0, 0.3, 1.0, 6.1, 25.0);
   const std::uint64_t seed = GENERATE(1, 2, 3);
-  CAPTURE(hosts, limit, seed);
+  // With 600 a second, each host has requests at all times.
+  const double rate = GENERATE(20.0, 75.0, 600.0);
+  CAPTURE(hosts, limit, seed, rate);
   LimitSimulation simulation(hosts, limit, seed);
   const Instant begin = simulation.now();
-  simulation.Play(seconds(20), std::max(20.0, 3 * limit));
+  simulation.Play(seconds(20), rate);
   CHECK(simulation.BusiestWindow(begin + seconds(3)) <= Allowed(limit));
 }
 
@@ -212,6 +217,49 @@
   CHECK(simulation.BusiestWindow(begin + seconds(3)) <= Allowed(limit));
 }
 
+// Each change moves the times at which a host with a small share may send.
+TEST_CASE("a limit that changes with each answer is kept", "[LIMIT]") {
+  const std::size_t hosts = GENERATE(8, 65, 295);
+  const double limit = GENERATE(0.3, 1.0, 6.1);
+  CAPTURE(hosts, limit);
+  LimitSimulation simulation(hosts, limit, 1);
+  const Instant begin = simulation.now();
+  for (int i = 0; i < 200; ++i) {
+    simulation.SetLimit(limit * (0.9 + 0.01 * (i % 10)));
+    simulation.Play(milliseconds(100), 100);
+  }
+  CHECK(simulation.BusiestWindow(begin + seconds(3)) <= Allowed(limit));
+}
+
+// After a minute without requests, all hosts forgot the limit at once.
+TEST_CASE("a limit is kept after a time without requests", "[LIMIT]") {
+  const std::size_t hosts = GENERATE(8, 65, 295);
+  const double limit = GENERATE(0.3, 1.0, 6.1);
+  const int rest = GENERATE(30, 65, 80);
+  CAPTURE(hosts, limit, rest);
+  LimitSimulation simulation(hosts, limit, 1);
+  simulation.Play(seconds(20), 100);
+  simulation.Rest(seconds(rest));
+  const Instant begin = simulation.now();
+  simulation.Play(seconds(8), 100);
+  CHECK(simulation.BusiestWindow(begin) <= Allowed(limit));
+}
+
+TEST_CASE("a limit that is not stated any more grows until it ends",
+          "[LIMIT]") {
+  coordination::AnnouncedState state;
+  const Instant now{seconds(10)};
+  ServerAnnouncement announcement;
+  announcement.rate_limit = 6;
+  state.Record(now, now, announcement);
+  CHECK(state.RateLimit(now + seconds(60)) == 6);
+  CHECK(state.RateLimit(now + seconds(79)) == 6);
+  CHECK(state.RateLimit(now + seconds(100)) == Approx(6 * 1.25 * 1.25));
+  CHECK_FALSE(state.RateLimit(now + seconds(361)));
+  state.Record(now + seconds(90), now + seconds(90), announcement);
+  CHECK(state.RateLimit(now + seconds(90)) == 6);
+}
+
 // Limits change while requests are under way, so answers overtake one another.
 TEST_CASE("an older answer neither raises nor ends a limit", "[LIMIT]") {
   coordination::AnnouncedState state;
