servers: Leave a margin where slots of hosts may coincide

Where the share of a host is below one request, the hosts' slots begin at random phases. Such shares are now 0.85 of the limit in all, not 1.1.

A precaution: no test failed before.

--- a/src/coordination/rate_share.cc
+++ b/src/coordination/rate_share.cc
@@ -19,6 +19,8 @@
 // and 4 requests with equal shares, and to 5.8 times and 3 requests with a gate
 // that fails midway.
 constexpr double kUsedRate = 1.1;
+// Slots of different hosts may coincide, so the hosts use less.
+constexpr double kSlotRate = 0.85;
 constexpr double kEqualBurstRate = 1.6;
 constexpr double kEqualBurst = 4;
 constexpr double kGateBurstRate = 0.4;
@@ -39,9 +41,10 @@
   const double rate = std::max(limit, kMinRate);
   const auto count = static_cast<double>(std::max<std::size_t>(1, hosts));
   switch (role) {
-    case SenderRole::kEqual:
-      return {kUsedRate * rate / count,
-              (kEqualBurstRate * rate + kEqualBurst) / count};
+    case SenderRole::kEqual: {
+      const double burst = (kEqualBurstRate * rate + kEqualBurst) / count;
+      return {(burst < 1 ? kSlotRate : kUsedRate) * rate / count, burst};
+    }
     case SenderRole::kGate:
       return {kUsedRate * rate, kGateBurstRate * rate + kGateBurst};
     case SenderRole::kNewGate:
