servers: Bound the reports and log lines of announcements

A server whose limit changes with each answer caused a log line and a report to the leader for each of them; now two a second. A report held the first hundred servers with announcements only, so that the leader never knew of further ones; hosts now report them in turn.

That the leader never knew of further servers was found by reading.

--- a/src/coordination/server_pool.cc
+++ b/src/coordination/server_pool.cc
@@ -725,10 +725,19 @@
                                     Instant sent,
                                     const ServerAnnouncement& announcement) {
   ServerState* server = Find(incarnation);
-  const bool changed =
-      server != nullptr && server->announced.Record(now, sent, announcement);
-  announcements_ += changed ? 1 : 0;
-  return changed;
+  if (server == nullptr) {
+    return false;
+  }
+  if (server->announced.Record(now, sent, announcement)) {
+    server->announcement_pending = true;
+  }
+  if (!server->announcement_pending || now < server->next_announcement) {
+    return false;
+  }
+  server->announcement_pending = false;
+  server->next_announcement = now + kAnnouncementInterval;
+  ++announcements_;
+  return true;
 }
 
 int ServerPool::TakeSendCount(const ServerIncarnation& incarnation) {
--- a/src/coordination/server_pool.h
+++ b/src/coordination/server_pool.h
@@ -29,6 +29,10 @@
 // leaves. Servers serve for longer, and a move of keys takes less.
 inline constexpr state::Duration kLeavingOwnerTime = std::chrono::seconds(1);
 
+// A server whose announcements change faster is reported and logged this often.
+inline constexpr state::Duration kAnnouncementInterval =
+    std::chrono::milliseconds(500);
+
 // How an attempt at a server ended, as far as it matters for load balancing.
 enum class ServerResult {
   // The server responded, other than with a 5xx status.
@@ -161,7 +165,9 @@
                   double slowness);
 
   // Records what the server announced in an answer that arrived at `now`, to a
-  // request that was sent at `sent`. Returns whether that changed its state.
+  // request that was sent at `sent`. Returns whether its state has changed
+  // since the last call that returned true; returns true for a server only each
+  // kAnnouncementInterval.
   bool RecordAnnouncement(state::Instant now,
                           const state::ServerIncarnation& incarnation,
                           state::Instant sent,
@@ -236,6 +242,10 @@
     // Failed connections since the last response.
     int failed_connections = 0;
     AnnouncedState announced;
+    // Whether a change of `announced` has not been returned yet, and before
+    // when none is returned.
+    bool announcement_pending = false;
+    state::Instant next_announcement{};
     RateShare rate_share;
     // Requests of this host since the last TakeSendCount().
     int sends = 0;
--- a/src/transport/entry_host.cc
+++ b/src/transport/entry_host.cc
@@ -33,8 +33,6 @@
 // When the whole system starts for the first time, a host reads the registered
 // hosts this long after its own start; all others have registered by then.
 constexpr Duration kFirstRegistrationTime = std::chrono::milliseconds(450);
-// The maximum number of servers whose announcements a report contains.
-constexpr std::size_t kMaxReportedAnnouncements = 100;
 // How often a host logs the number of its requests to servers with a limit.
 constexpr Duration kLimitLogInterval = std::chrono::seconds(4);
 // The number of hosts that are asked which leader they follow.
@@ -381,14 +379,7 @@
       report.execution_seconds[service] = *seconds;
     }
   }
-  for (const auto& [id, server] : pool_.servers()) {
-    auto announced = coordination::MakeReport(now, server.record.incarnation,
-                                              server.announced);
-    if (announced && !server.gone &&
-        report.announcements.size() < kMaxReportedAnnouncements) {
-      report.announcements.push_back(*std::move(announced));
-    }
-  }
+  report.announcements = announcement_reporter_.Report(now, pool_);
   last_report_ = now;
   if (leader_.leading()) {
     leader_.HandleReport(now, report);
--- a/src/transport/entry_host.h
+++ b/src/transport/entry_host.h
@@ -16,6 +16,7 @@
 #include <random>
 #include <string>
 
+#include "coordination/announcement_reporter.h"
 #include "coordination/peer_directory.h"
 #include "coordination/recent_maximum.h"
 #include "coordination/server_pool.h"
@@ -151,6 +152,7 @@
   state::Instant next_report_{};
   state::Instant next_table_read_{};
   state::Instant next_limit_log_{};
+  coordination::AnnouncementReporter announcement_reporter_;
   // pool_.announcements() at the last report.
   std::uint64_t reported_announcements_ = 0;
   // Term and number of the latest heartbeat of the leader that this host
