requests: Tell callers when the pause of a server ends

Callers of keys whose server paused its requests were told to come back by the rate of refusals: up to 11 s later, also after a pause of 0.3 s. They now get the time that is left, or a second in a long pause, in which the keys move.

Measured: 75 of the 400 checks of the new test failed before; it passes now.

--- a/src/coordination/request_flow.cc
+++ b/src/coordination/request_flow.cc
@@ -36,6 +36,12 @@
 // retry delay if there is no server or the key has no owner.
 constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(250);
 constexpr Duration kNoServerRetryAfter = std::chrono::milliseconds(500);
+// The longest retry delay while the owner of the key wants no requests: during a
+// long pause, the key moves to another server within about this time.
+constexpr Duration kMaxPauseRetryAfter = std::chrono::seconds(1);
+// Refuse() reduces the delay by up to a quarter; callers come back only after
+// the pause.
+constexpr double kPauseMargin = 4.0 / 3;
 // The retry delay if the server refuses at random: a later attempt is no more
 // likely to succeed than one at once.
 constexpr Duration kRandomRefusalRetryAfter = std::chrono::milliseconds(50);
@@ -288,7 +294,12 @@
   if (!request->attempts.empty()) {
     return;
   }
-  if (busy) {
+  if (terms.key && reason == NoServerReason::kPaused) {
+    Refuse(now, request, ReasonName(reason),
+           std::min(Scale(pool_.PauseLeft(now, by), kPauseMargin),
+                    kMaxPauseRetryAfter),
+           actions);
+  } else if (busy) {
     RefuseBusy(now, request, by, ReasonName(reason), actions);
   } else {
     Refuse(now, request, ReasonName(reason), kNoServerRetryAfter, actions);
--- a/src/coordination/server_pool.cc
+++ b/src/coordination/server_pool.cc
@@ -740,6 +740,14 @@
   return true;
 }
 
+Duration ServerPool::PauseLeft(Instant now, const std::string& id) const {
+  const auto found = servers_.find(id);
+  return found == servers_.end()
+             ? Duration(0)
+             : std::max(Duration(0),
+                        found->second.announced.paused_until() - now);
+}
+
 int ServerPool::TakeSendCount(const ServerIncarnation& incarnation) {
   ServerState* server = Find(incarnation);
   return server == nullptr ? 0 : std::exchange(server->sends, 0);
--- a/src/coordination/server_pool.h
+++ b/src/coordination/server_pool.h
@@ -172,6 +172,8 @@
                           const state::ServerIncarnation& incarnation,
                           state::Instant sent,
                           const ServerAnnouncement& announcement);
+  // How much longer the server wants no requests from this host.
+  state::Duration PauseLeft(state::Instant now, const std::string& id) const;
   // Returns the number of requests of this host to the server since the last
   // call.
   int TakeSendCount(const state::ServerIncarnation& incarnation);
--- a/tests/requests/request_cases_test.cc
+++ b/tests/requests/request_cases_test.cc
@@ -294,6 +294,31 @@
   }
 }
 
+// Callers were told to come back by the rate of refusals, long after a short
+// pause had ended.
+TEST_CASE("callers come back when the pause of their key's owner ends",
+          "[BUDGET]") {
+  FlowFixture fixture;
+  fixture.AddServer("s1", "shelf");
+  fixture.SetOwner("s1");
+  const bool is_long = GENERATE(false, true);
+  coordination::ServerAnnouncement announcement;
+  announcement.pause = is_long ? std::chrono::seconds(20) : milliseconds(300);
+  fixture.pool().RecordAnnouncement(fixture.now(), {"s1", 1}, fixture.now(),
+                                    announcement);
+  for (coordination::RequestId id = 1; id <= 40; ++id) {
+    const auto actions = fixture.flow().Start(
+        fixture.now(), id, fixture.Terms(RequestKind::kIdempotent, "shelf"));
+    const auto* refused = FlowFixture::FindAction<FinishRequest>(actions);
+    REQUIRE(refused != nullptr);
+    CHECK(refused->outcome == RequestOutcome::kRefused);
+    CHECK(refused->reason == "busy-paused");
+    // Spread over some time. In a long pause, the key moves meanwhile.
+    CHECK(refused->retry_after >= milliseconds(is_long ? 750 : 299));
+    CHECK(refused->retry_after <= milliseconds(is_long ? 1250 : 500));
+  }
+}
+
 // Guards against the loss of requests at a gate that shuts down. The ownership
 // table then lists another gate for the servers, but the requests that the old
 // gate has received must not be moved, because the old gate completes them.
