soak: Find a connection's host without reading the table of all sockets

Several runs at once blocked one another for up to 18 s: each new connection read a table of 12,000 sockets. The kernel is now asked for the one socket. Addresses of servers and of the store belong to the run, too, as two runs could take the same port.

--- a/tests/soak/announcements.py
+++ b/tests/soak/announcements.py
@@ -1,7 +1,6 @@
 """What servers announce in their answers, and the check that hosts keep to it."""
 
 import asyncio
-import os
 import time
 
 KINDS = ["limit", "limit", "leaving", "pause"]
@@ -16,32 +15,6 @@
 # The fraction of requests that may be refused after it: moves go on as the load
 # varies.
 MAX_REFUSED = 0.02
-# The hosts' processes are searched for each connection, so only few of them.
-MAX_HOSTS_SEARCHED = 8
-
-
-def socket_inode(port):
-    """The inode of the socket with this local port."""
-    with open("/proc/net/tcp") as table:
-        for line in table:
-            columns = line.split()
-            if columns[1].endswith(f":{port:04X}") and columns[9] != "0":
-                return columns[9]
-    return None
-
-
-def owner_of(port, hosts):
-    """The host whose process has the socket with this local port."""
-    inode = socket_inode(port) if len(hosts) <= MAX_HOSTS_SEARCHED else None
-    for host in hosts if inode else []:
-        folder = f"/proc/{host.process.pid}/fd"
-        try:
-            for name in os.listdir(folder):
-                if os.readlink(f"{folder}/{name}") == f"socket:[{inode}]":
-                    return host
-        except OSError:
-            continue
-    return None
 
 
 class Announcements:
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from announcements import owner_of
 from http_server import keep_little
+from sockets import owner_of
 
 
 class Proxy:
@@ -40,8 +40,8 @@
             return
         self.writers |= {writer, far_writer}
         port = far_writer.get_extra_info("sockname")[1]
-        self.senders[port] = owner_of(writer.get_extra_info("peername")[1],
-                                      self.hosts)
+        self.senders[port] = owner_of(writer.get_extra_info("peername"),
+                                      self.address, self.hosts)
         try:
             await asyncio.gather(self.copy(reader, far_writer, True),
                                  self.copy(far_reader, writer, False))
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -59,10 +59,16 @@
 ]
 
 
-def free_ports(count):
+def address_of_run(number):
+    """A loopback address of this run's own, so that several may run at once."""
+    run = os.getpid() % 60000
+    return f"127.{1 + run // 250}.{1 + run % 250}.{number}"
+
+
+def free_ports(ip, count):
     sockets = [socket.socket() for _ in range(count)]
     for entry in sockets:
-        entry.bind(("127.0.0.1", 0))
+        entry.bind((ip, 0))
     ports = [entry.getsockname()[1] for entry in sockets]
     for entry in sockets:
         entry.close()
@@ -84,12 +90,10 @@
     """One entry host; its process is started and ended by signals."""
 
     def __init__(self, program, folder, number, store_address):
-        # Addresses of this run's own, so that several may run at once.
-        run = os.getpid() % 60000
-        self.ip = f"127.{1 + run // 250}.{1 + run % 250}.{10 + number}"
+        self.ip = address_of_run(10 + number)
         self.name = f"host-{number}"
         self.program = program
-        ports = free_ports(3)
+        ports = free_ports(self.ip, 3)
         self.callers = (self.ip, ports[0])
         settings = {
             "node_name": self.name, "zone": "z1", "ip": self.ip,
@@ -128,9 +132,9 @@
         self.random = random.Random(seed)
         self.oracle = Oracle()
         self.store = Store(random.Random(f"store {seed}"))
-        self.store_address = ("127.0.0.1", free_ports(1)[0])
-        local = [("127.0.0.1", port)
-                 for port in free_ports(2 * servers + hosts)]
+        ip = address_of_run(1)
+        self.store_address, *local = [
+            (ip, port) for port in free_ports(ip, 1 + 2 * servers + hosts)]
         # Five ninths are keyed; the others are of two services.
         services = (["shelf"] * 5 + ["desk"] * 2 + ["annex"] * 2) * servers
         self.servers = [
