leader: Publish the limits of servers to all hosts

A host knew the limit of a server only from answers of its own. When the limit ended, it kept its small share until it was told so by an answer, and refused the callers of the server's keys meanwhile: for up to 50 s with eight hosts and a limit of 0.2. The leader, to which all hosts report, now publishes the newest statement of each limit, or of its end, with the table of keys; hosts use it if it is newer than what they were told. A host that has never asked the server keeps its limit, too. An answer that was overtaken does not begin a limit any more that has ended meanwhile.

--- a/src/coordination/announced_state.cc
+++ b/src/coordination/announced_state.cc
@@ -38,29 +38,44 @@
   return changed;
 }
 
-// Answers may overtake one another. A higher limit, or none, counts only if its
-// request was sent after the limit in force was last stated.
+// Answers may overtake one another. A higher limit, or none, and a limit after
+// none, counts only if its request was sent after the last statement.
 bool AnnouncedState::RecordLimit(Instant now,
                                  Instant sent,
                                  const ServerAnnouncement& announcement) {
   const std::optional<double> before = RateLimit(now);
   const std::optional<double> after = announcement.rate_limit;
-  if (!before && !after) {
+  if (!before && !after && !rate_limit_) {
     return false;
   }
+  const std::optional<Instant> last =
+      PublishedIsNewer() ? std::optional(published_->since) : limit_stated_at_;
+  const bool overtaken = last && sent < *last;
   const bool raises = before && (!after || *after > *before);
-  if (raises && (!announcement.certain || sent < *limit_stated_at_)) {
+  const bool begins = !before && after;
+  if ((raises && (!announcement.certain || overtaken)) ||
+      (begins && overtaken)) {
     return false;
   }
   rate_limit_ = after;
   limit_stated_at_ = now;
-  if (!first_limited_at_) {
+  if (after && !first_limited_at_) {
     first_limited_at_ = now;
   }
   return before != after;
 }
 
+void AnnouncedState::SetPublishedLimit(Instant now,
+                                       std::optional<double> rate) {
+  if (!published_ || published_->rate != rate) {
+    published_ = Published{rate, now};
+  }
+}
+
 std::optional<double> AnnouncedState::RateLimit(Instant now) const {
+  if (PublishedIsNewer()) {
+    return published_->rate;
+  }
   if (!rate_limit_) {
     return std::nullopt;
   }
--- a/src/coordination/announced_state.h
+++ b/src/coordination/announced_state.h
@@ -37,6 +37,13 @@
               state::Instant sent,
               const ServerAnnouncement& announcement);
 
+  // Sets the limit that the leader publishes, with nullopt for its stated end:
+  // what other hosts know. It counts if it has changed after an answer to this
+  // host last stated the limit or its end.
+  void SetPublishedLimit(state::Instant now, std::optional<double> rate);
+  // The leader publishes nothing of the server any more.
+  void ClearPublishedLimit() { published_.reset(); }
+
   // The limit in force, in requests per second over all hosts. Once it may have
   // ended, it grows, so that the hosts do not all send at once to ask.
   std::optional<double> RateLimit(state::Instant now) const;
@@ -44,6 +51,8 @@
   std::optional<state::Instant> first_limited_at() const {
     return first_limited_at_;
   }
+  // The limit that an answer to this host last stated.
+  std::optional<double> stated_limit() const { return rate_limit_; }
   // When an answer last stated the limit or its end. Nullopt before the first
   // limit.
   std::optional<state::Instant> limit_stated_at() const {
@@ -60,6 +69,19 @@
                    state::Instant sent,
                    const ServerAnnouncement& announcement);
 
+  // What the leader publishes, and since when.
+  struct Published {
+    std::optional<double> rate;
+    state::Instant since;
+  };
+
+  // Whether `published_` is newer than what this host was told.
+  bool PublishedIsNewer() const {
+    return published_ &&
+           (!limit_stated_at_ || published_->since > *limit_stated_at_);
+  }
+
+  std::optional<Published> published_;
   std::optional<double> rate_limit_;
   std::optional<state::Instant> first_limited_at_;
   std::optional<state::Instant> limit_stated_at_;
--- a/src/coordination/reported_announcements.cc
+++ b/src/coordination/reported_announcements.cc
@@ -31,7 +31,7 @@
   report.server = server;
   if (const auto stated_at = announced.limit_stated_at();
       stated_at && now - *stated_at <= kLimitLifetime) {
-    report.rate_limit = announced.RateLimit(now);
+    report.rate_limit = announced.stated_limit();
     report.limit_age = now - *stated_at;
   }
   report.leaving = announced.leaving_since().has_value();
@@ -99,6 +99,17 @@
              : std::nullopt;
 }
 
+std::optional<state::ServerLimit> ReportedAnnouncements::Statement(
+    Instant now,
+    const ServerIncarnation& server) const {
+  const Server* found = Find(server);
+  if (found == nullptr || found->limit_stated_at == Instant() ||
+      now - found->limit_stated_at > kLimitLifetime) {
+    return std::nullopt;
+  }
+  return state::ServerLimit{server.start_time_ms, found->rate_limit};
+}
+
 std::optional<double> ReportedAnnouncements::RecoveryRate(
     Instant now,
     const ServerIncarnation& server) const {
--- a/src/coordination/reported_announcements.h
+++ b/src/coordination/reported_announcements.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "coordination/announced_state.h"
+#include "state/ownership_table.h"
 #include "state/server_record.h"
 #include "state/time.h"
 
@@ -46,6 +47,11 @@
   // The limit of the server in requests per second, if one is in force.
   std::optional<double> RateLimit(state::Instant now,
                                   const state::ServerIncarnation& server) const;
+  // What the server has stated of its limit, or of the end of its limit, in the
+  // last kLimitLifetime.
+  std::optional<state::ServerLimit> Statement(
+      state::Instant now,
+      const state::ServerIncarnation& server) const;
   // The requests per second that the server should get at most, for some time
   // after its limit has ended; nullopt before and after that time. It grows
   // from the former limit, so that a server whose limit comes and goes does not
--- a/src/coordination/server_pool.cc
+++ b/src/coordination/server_pool.cc
@@ -182,6 +182,9 @@
   server.gone = false;
   server.unconfirmed = false;
   server.cold_until = now + record.warmup_left;
+  if (fresh || other_incarnation) {
+    ApplyPublishedLimit(now, &server);
+  }
 }
 
 void ServerPool::SetUnconfirmed(const std::string& id) {
@@ -220,6 +223,24 @@
   gated_ = std::move(next);
 }
 
+void ServerPool::SetPublishedLimits(Instant now, state::ServerLimits limits) {
+  published_limits_ = std::move(limits);
+  for (auto& [id, server] : servers_) {
+    ApplyPublishedLimit(now, &server);
+  }
+}
+
+void ServerPool::ApplyPublishedLimit(Instant now, ServerState* server) const {
+  const ServerIncarnation& incarnation = server->record.incarnation;
+  const auto found = published_limits_.find(incarnation.id);
+  if (found != published_limits_.end() &&
+      found->second.start_time_ms == incarnation.start_time_ms) {
+    server->announced.SetPublishedLimit(now, found->second.rate);
+  } else {
+    server->announced.ClearPublishedLimit();
+  }
+}
+
 bool ServerPool::IsOutOfService(const ServerState& server) const {
   return server.gone || server.record.draining ||
          server.announced.leaving_since() ||
@@ -290,7 +311,9 @@
     Instant now,
     const ServerState& server) const {
   const auto limit = server.announced.RateLimit(now);
-  if (!limit || now - *server.announced.first_limited_at() < kNewLimitDelay) {
+  const auto first_limited_at = server.announced.first_limited_at();
+  if (!limit ||
+      (first_limited_at && now - *first_limited_at < kNewLimitDelay)) {
     return std::nullopt;
   }
   const auto gate = gated_.find(server.record.incarnation.id);
--- a/src/coordination/server_pool.h
+++ b/src/coordination/server_pool.h
@@ -19,6 +19,7 @@
 #include "coordination/decaying_maximum.h"
 #include "coordination/rate_share.h"
 #include "state/host_profile.h"
+#include "state/ownership_table.h"
 #include "state/routing_config.h"
 #include "state/server_record.h"
 #include "state/time.h"
@@ -118,6 +119,8 @@
   // for the server. It gets half of each limit of the server. All hosts share
   // the rest, less a margin, to send requests directly when the gate fails.
   void SetGated(state::Instant now, const std::map<std::string, bool>& gated);
+  // Sets the limits of servers that the leader publishes.
+  void SetPublishedLimits(state::Instant now, state::ServerLimits limits);
   // Sets how many hosts share the connection limits and the request rates of
   // cold servers.
   void SetHostCount(std::size_t hosts) { hosts_ = hosts; }
@@ -287,6 +290,8 @@
   std::uint64_t HostRank(const std::string& server) const;
   // The phase, in [0, 1), of this host's slots at the server.
   double PhaseOf(const std::string& server) const;
+  // Passes the published limit of the server to its state.
+  void ApplyPublishedLimit(state::Instant now, ServerState* server) const;
   // What this host may send to a server that announced a limit; nullopt if no
   // limit is in force.
   std::optional<RateAllowance> RateAllowanceFor(
@@ -354,6 +359,7 @@
   };
   // By server id.
   std::map<std::string, GateState> gated_;
+  state::ServerLimits published_limits_;
   // The request rate of this host: an exponentially decaying average in
   // requests per second, and when it was last updated.
   struct Rate {
--- a/src/protocol/host_messages.cc
+++ b/src/protocol/host_messages.cc
@@ -3,6 +3,7 @@
 #include "protocol/host_messages.h"
 
 #include <boost/json.hpp>
+#include <cmath>
 #include <stdexcept>
 #include <utility>
 
@@ -107,6 +108,7 @@
 
 using ChangedRanges = std::map<std::string, state::ServiceRanges>;
 using ChangedGates = std::map<std::string, std::optional<state::Address>>;
+using ChangedLimits = std::map<std::string, std::optional<state::ServerLimit>>;
 
 json::object EncodeChanges(const ChangedRanges& changes) {
   json::object object;
@@ -142,12 +144,50 @@
   return gates;
 }
 
+json::value EncodeLimit(const state::ServerLimit& limit) {
+  return json::array{limit.start_time_ms, limit.rate ? json::value(*limit.rate)
+                                                     : json::value(nullptr)};
+}
+
+state::ServerLimit ReadLimit(const json::value& value) {
+  state::ServerLimit limit;
+  limit.start_time_ms = value.at(0).to_number<std::int64_t>();
+  if (!value.at(1).is_null()) {
+    limit.rate = value.at(1).to_number<double>();
+    if (!std::isfinite(*limit.rate) || *limit.rate < 0) {
+      throw std::invalid_argument("invalid limit");
+    }
+  }
+  return limit;
+}
+
+json::object EncodeLimits(const ChangedLimits& limits) {
+  json::object object;
+  for (const auto& [server, limit] : limits) {
+    object[server] = limit ? EncodeLimit(*limit) : json::value(nullptr);
+  }
+  return object;
+}
+
+// Leaders of earlier versions send none.
+ChangedLimits ReadLimits(const json::value& parent) {
+  ChangedLimits limits;
+  if (const json::value* object = parent.as_object().if_contains("limits")) {
+    for (const auto& [server, limit] : object->as_object()) {
+      limits[std::string(server)] =
+          limit.is_null() ? std::nullopt : std::optional(ReadLimit(limit));
+    }
+  }
+  return limits;
+}
+
 json::object EncodeTableUpdate(const state::TableUpdate& update) {
   return {{"term", update.term},
           {"base_revision", update.base_revision},
           {"revision", update.revision},
           {"changes", EncodeChanges(update.changes)},
-          {"gates", EncodeGates(update.gates)}};
+          {"gates", EncodeGates(update.gates)},
+          {"limits", EncodeLimits(update.limits)}};
 }
 
 state::TableUpdate ReadTableUpdate(const json::value& value) {
@@ -157,6 +197,7 @@
   update.revision = value.at("revision").to_number<std::int64_t>();
   update.changes = ReadChanges(value.at("changes"));
   update.gates = ReadGates(value.at("gates"));
+  update.limits = ReadLimits(value);
   return update;
 }
 
@@ -185,6 +226,7 @@
   return {{"base_revision", update.base_revision},
           {"changes", EncodeChanges(update.changes)},
           {"gates", EncodeGates(update.gates)},
+          {"limits", EncodeLimits(update.limits)},
           {"base_servers", update.base_server_offset},
           {"entries", EncodeEntries(update.entries)},
           {"entry_part", update.entry_part},
@@ -200,6 +242,7 @@
   update.entry_parts = value.at("entry_parts").to_number<std::int64_t>();
   update.changes = ReadChanges(value.at("changes"));
   update.gates = ReadGates(value.at("gates"));
+  update.limits = ReadLimits(value);
   update.entries = ReadEntries(value.at("entries"));
   return update;
 }
@@ -379,6 +422,11 @@
   for (const auto& [server, address] : value.at("gates").as_object()) {
     table.gates[std::string(server)] = ReadAddress(address);
   }
+  for (const auto& [server, limit] : ReadLimits(value)) {
+    if (limit) {
+      table.limits[server] = *limit;
+    }
+  }
   return table;
 }
 
@@ -422,6 +470,14 @@
     parts.back().gates[server] = address;
     first = false;
   }
+  for (const auto& [server, limit] : update.limits) {
+    const std::size_t limit_bytes =
+        limit ? json::serialize(EncodeLimit(*limit)).size() : 0;
+    extend_or_start_part(server.size() + limit_bytes + kMemberSyntaxBytes,
+                         first, true);
+    parts.back().limits[server] = limit;
+    first = false;
+  }
   first = true;
   const std::size_t change_parts = parts.size();
   for (const auto& entry : update.entries) {
@@ -499,10 +555,12 @@
   for (const auto& [server, address] : table.gates) {
     gates[server] = FormatAddress(address);
   }
+  const ChangedLimits limits(table.limits.begin(), table.limits.end());
   return json::serialize(json::object{{"term", table.term},
                                       {"revision", table.revision},
                                       {"services", std::move(services)},
-                                      {"gates", std::move(gates)}});
+                                      {"gates", std::move(gates)},
+                                      {"limits", EncodeLimits(limits)}});
 }
 
 std::optional<state::OwnershipTable> DecodeTable(std::string_view text) {
--- a/src/protocol/host_messages.h
+++ b/src/protocol/host_messages.h
@@ -43,13 +43,16 @@
 // What has changed since the previous heartbeat, or one part of these changes
 // if they do not fit into one datagram.
 struct HeartbeatUpdate {
-  // Revision of the ownership table to which `changes` and `gates` apply. If
-  // either is not empty, applying them gives the next revision.
+  // Revision of the ownership table to which `changes`, `gates` and `limits`
+  // apply. If one of them is not empty, applying them gives the next revision.
   std::int64_t base_revision = 0;
   // Changed ranges by service.
   std::map<std::string, state::ServiceRanges> changes;
   // Changed gates by server id; nullopt if the server no longer has a gate.
   std::map<std::string, std::optional<state::Address>> gates;
+  // Changed limits of servers by server id; nullopt if nothing is known any
+  // more.
+  std::map<std::string, std::optional<state::ServerLimit>> limits;
   // `entries` holds the server entries that changed after this offset. All
   // parts together cover the offsets up to ReadProgress::servers.
   std::int64_t base_server_offset = 0;
@@ -58,12 +61,16 @@
   // these parts. Both are 0 in a part without entries.
   std::int64_t entry_part = 0;
   std::int64_t entry_parts = 0;
+
+  bool changes_table() const {
+    return !changes.empty() || !gates.empty() || !limits.empty();
+  }
 };
 
 // Splits `update` into parts whose JSON form takes about `max_bytes` or less.
-// Parts with changes or gates come first; the base revision of each of them is
+// Parts that change the table come first; the base revision of each of them is
 // the revision that results from the part before. Returns no parts for an
-// update without changes, gates and entries.
+// update that neither changes the table nor has entries.
 std::vector<HeartbeatUpdate> SplitUpdate(const HeartbeatUpdate& update,
                                          std::size_t max_bytes);
 
--- a/src/state/ownership_table.cc
+++ b/src/state/ownership_table.cc
@@ -60,18 +60,30 @@
   *ranges = std::move(result);
 }
 
+namespace {
+
+// Sets the changed entries; removes those without a value.
+template <typename Value>
+void ApplyEntries(const std::map<std::string, std::optional<Value>>& changes,
+                  std::map<std::string, Value>* entries) {
+  for (const auto& [server, value] : changes) {
+    if (value) {
+      (*entries)[server] = *value;
+    } else {
+      entries->erase(server);
+    }
+  }
+}
+
+}  // namespace
+
 void ApplyUpdate(const TableUpdate& update, OwnershipTable* table) {
   table->revision = update.revision;
   for (const auto& [service, changes] : update.changes) {
     ApplyChanges(changes, &table->services[service]);
   }
-  for (const auto& [server, gate] : update.gates) {
-    if (gate) {
-      table->gates[server] = *gate;
-    } else {
-      table->gates.erase(server);
-    }
-  }
+  ApplyEntries(update.gates, &table->gates);
+  ApplyEntries(update.limits, &table->limits);
 }
 
 ServiceRanges DiffRanges(const ServiceRanges& before,
--- a/src/state/ownership_table.h
+++ b/src/state/ownership_table.h
@@ -42,6 +42,20 @@
 // from other hosts. Any host may send requests to a server without an entry.
 using GateAddresses = std::map<std::string, Address>;
 
+// What a backend server has stated of the requests per second that it accepts
+// from all hosts together.
+struct ServerLimit {
+  // The incarnation of the server.
+  std::int64_t start_time_ms = 0;
+  // Nullopt: the server has stated that its limit has ended.
+  std::optional<double> rate;
+
+  bool operator==(const ServerLimit&) const = default;
+};
+
+// By server id. Nothing is known of a server without an entry.
+using ServerLimits = std::map<std::string, ServerLimit>;
+
 // The owners of the keys of all keyed services, as published by the leader.
 struct OwnershipTable {
   // The leader's term, and the number of changes within the term.
@@ -50,6 +64,8 @@
   std::map<std::string, ServiceRanges> services;
   // Not stored: derived from the set of running hosts.
   GateAddresses gates;
+  // Not stored: hosts report them.
+  ServerLimits limits;
 
   bool NewerThan(const OwnershipTable& other) const {
     return term != other.term ? term > other.term : revision > other.revision;
@@ -66,6 +82,8 @@
   std::map<std::string, ServiceRanges> changes;
   // Changed gates by server id; nullopt if the server no longer has a gate.
   std::map<std::string, std::optional<Address>> gates;
+  // Changed limits by server id; nullopt if nothing is known any more.
+  std::map<std::string, std::optional<ServerLimit>> limits;
 };
 
 // Applies an update whose term and base revision are those of the table.
--- a/src/transport/entry_host.cc
+++ b/src/transport/entry_host.cc
@@ -456,13 +456,11 @@
     watch_.HandleProgress(now, heartbeat);
   }
   RecordHostCount(now, heartbeat.hosts);
-  const bool changes_table =
-      heartbeat.update &&
-      (!heartbeat.update->changes.empty() || !heartbeat.update->gates.empty());
-  if (changes_table &&
+  if (heartbeat.update && heartbeat.update->changes_table() &&
       follower_.HandleUpdate({heartbeat.term, heartbeat.update->base_revision,
                               heartbeat.revision, heartbeat.update->changes,
-                              heartbeat.update->gates})) {
+                              heartbeat.update->gates,
+                              heartbeat.update->limits})) {
     HandleTableChange();
   }
   // Revision 0 precedes the first table of a term.
@@ -506,6 +504,7 @@
   }
   const Instant now = Now();
   pool_.SetGated(now, gated);
+  pool_.SetPublishedLimits(now, view_.table.limits);
   relay_.HandleTableChange(now);
 }
 
--- a/src/transport/leader_duty.cc
+++ b/src/transport/leader_duty.cc
@@ -3,6 +3,7 @@
 #include "transport/leader_duty.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -58,6 +59,8 @@
 // sent a report by then.
 constexpr Duration kInitialGateDelay = std::chrono::milliseconds(900);
 constexpr Duration kGateAssignmentInterval = std::chrono::milliseconds(300);
+// Limits of servers that change by a lower fraction are not published again.
+constexpr double kMinLimitChange = 0.05;
 // The keys of paused servers stay where they are if these servers have more
 // than this fraction of the service's capacity: the others would be overloaded.
 constexpr double kMaxPausedFraction = 0.35;
@@ -95,6 +98,16 @@
   return WriteOutcome::kUnknown;
 }
 
+// Whether a change from one limit to the other need not be published.
+bool IsSimilarLimit(const state::ServerLimit& left,
+                    const state::ServerLimit& right) {
+  if (left.start_time_ms != right.start_time_ms || !left.rate || !right.rate) {
+    return left == right;
+  }
+  return std::abs(*left.rate - *right.rate) <=
+         kMinLimitChange * std::max(*left.rate, *right.rate);
+}
+
 // Converts parts that all change the table.
 std::vector<state::TableUpdate> ToTableUpdates(
     std::int64_t term,
@@ -102,7 +115,7 @@
   std::vector<state::TableUpdate> updates;
   for (const protocol::HeartbeatUpdate& part : parts) {
     updates.push_back({term, part.base_revision, part.base_revision + 1,
-                       part.changes, part.gates});
+                       part.changes, part.gates, part.limits});
   }
   return updates;
 }
@@ -600,10 +613,6 @@
 std::map<std::string, std::optional<state::Address>> LeaderDuty::UpdateGates(
     Instant now) {
   std::map<std::string, std::optional<state::Address>> changes;
-  if (now < next_gate_assignment_) {
-    return changes;
-  }
-  next_gate_assignment_ = now + kGateAssignmentInterval;
   std::vector<coordination::GatedServer> servers;
   for (const auto& [id, server] : pool_.servers()) {
     if (keyspaces_.contains(server.record.service) && !server.gone) {
@@ -628,6 +637,34 @@
   return changes;
 }
 
+std::map<std::string, std::optional<state::ServerLimit>>
+LeaderDuty::UpdateLimits(Instant now) {
+  state::ServerLimits limits;
+  for (const auto& [id, server] : pool_.servers()) {
+    const auto limit = announcements_.Statement(now, server.record.incarnation);
+    if (limit && !server.gone) {
+      const auto before = table_.limits.find(id);
+      const bool kept = before != table_.limits.end() &&
+                        IsSimilarLimit(before->second, *limit);
+      limits[id] = kept ? before->second : *limit;
+    }
+  }
+  std::map<std::string, std::optional<state::ServerLimit>> changes;
+  for (const auto& [server, limit] : limits) {
+    const auto before = table_.limits.find(server);
+    if (before == table_.limits.end() || before->second != limit) {
+      changes[server] = limit;
+    }
+  }
+  for (const auto& [server, limit] : table_.limits) {
+    if (!limits.contains(server)) {
+      changes[server] = std::nullopt;
+    }
+  }
+  table_.limits = std::move(limits);
+  return changes;
+}
+
 bool LeaderDuty::MayGrant(Instant now) {
   const bool may_grant_now = proof_.MayGrant(now, hooks_.host_count());
   if (may_grant_now != may_grant_) {
@@ -708,8 +745,12 @@
       changed = true;
     }
   }
-  update.gates = UpdateGates(now);
-  if (changed || !update.gates.empty()) {
+  if (now >= next_gate_assignment_) {
+    next_gate_assignment_ = now + kGateAssignmentInterval;
+    update.gates = UpdateGates(now);
+    update.limits = UpdateLimits(now);
+  }
+  if (changed || update.changes_table()) {
     next_publish_ =
         now + kPublishIntervalPerHost * static_cast<int>(hooks_.host_count());
     std::vector<protocol::HeartbeatUpdate> parts =
@@ -748,7 +789,7 @@
                              std::vector<protocol::HeartbeatUpdate> parts) {
   protocol::LeaderHeartbeat heartbeat = MakeHeartbeat(now);
   for (protocol::HeartbeatUpdate& part : parts) {
-    revision += part.changes.empty() && part.gates.empty() ? 0 : 1;
+    revision += part.changes_table() ? 1 : 0;
     heartbeat.revision = revision;
     heartbeat.update = std::move(part);
     hooks_.broadcast(heartbeat);
--- a/src/transport/leader_duty.h
+++ b/src/transport/leader_duty.h
@@ -157,10 +157,14 @@
   bool MayGrant(state::Instant now);
   // Records that the reporting host can be a gate, or that it is stopping.
   void RecordGateHost(state::Instant now, const protocol::HostReport& report);
-  // Assigns gates to the servers, if due, and returns the gates that changed by
-  // server id; nothing for a server that has no gate any more.
+  // Assigns gates to the servers and returns the gates that changed by server
+  // id; nothing for a server that has no gate any more.
   std::map<std::string, std::optional<state::Address>> UpdateGates(
       state::Instant now);
+  // Sets the limits of the table to what hosts have reported, and returns those
+  // that changed by server id.
+  std::map<std::string, std::optional<state::ServerLimit>> UpdateLimits(
+      state::Instant now);
   // Asks for a successor, once in a term, if a far stronger host could lead.
   void HandOverIfWeak(state::Instant now);
   void BeginLeading(state::Instant now);
--- a/tests/hosts/table_follower_test.cc
+++ b/tests/hosts/table_follower_test.cc
@@ -26,6 +26,7 @@
   update.term = term;
   update.base_revision = base;
   update.revision = base + 1;
+  update.limits["g"] = state::ServerLimit{1, static_cast<double>(base + 1)};
   update.gates["g"] =
       state::Address{"10.0.0.1", static_cast<std::uint16_t>(base + 1)};
   return update;
@@ -50,6 +51,7 @@
   CHECK(follower.HandleUpdate(Update(5)));
   CHECK(table.revision == 8);
   CHECK(table.gates.at("g").port == 8);
+  CHECK(table.limits.at("g").rate == 8);
   CHECK_FALSE(follower.NeedsFetch(kNow + seconds(1)));
 }
 
--- a/tests/keys/reported_announcements_test.cc
+++ b/tests/keys/reported_announcements_test.cc
@@ -50,6 +50,25 @@
   CHECK_FALSE(reported.RateLimit(now + seconds(61), kServer));
 }
 
+TEST_CASE("statements of limits and of their ends are published for a minute",
+          "[LIMIT]") {
+  ReportedAnnouncements reported;
+  const Instant now{seconds(100)};
+  CHECK_FALSE(reported.Statement(now, kServer));
+  reported.Record(now, "h1", {Limit(6, Duration(0))});
+  CHECK(reported.Statement(now, kServer) == state::ServerLimit{5, 6});
+  reported.Record(now, "h1", {Limit(std::nullopt, Duration(0))});
+  CHECK(reported.Statement(now + seconds(59), kServer) ==
+        state::ServerLimit{5, std::nullopt});
+  CHECK_FALSE(reported.Statement(now + seconds(61), kServer));
+  // A host that reports only that a server leaves says nothing of its limit.
+  AnnouncementReport leaving;
+  leaving.server = {"s2", 1};
+  leaving.leaving = true;
+  reported.Record(now, "h1", {leaving});
+  CHECK_FALSE(reported.Statement(now, {"s2", 1}));
+}
+
 // Without it, keys moved back and away each time a limit came and went.
 TEST_CASE("the rate of a server grows from its limit when that has ended",
           "[LIMIT]") {
--- a/tests/protocol/host_messages_test.cc
+++ b/tests/protocol/host_messages_test.cc
@@ -35,6 +35,9 @@
                                 std::string(250, 'x'));
   }
   update.gates["server-0"] = std::nullopt;
+  update.limits["server-1"] = state::ServerLimit{1700000000001, 6.1};
+  update.limits["server-2"] = state::ServerLimit{1700000000002, std::nullopt};
+  update.limits["server-3"] = std::nullopt;
   return update;
 }
 
@@ -65,6 +68,8 @@
   state::TableUpdate update;
   update.changes["shelf"] = {whole};
   update.gates["s"] = std::nullopt;
+  update.limits["s"] = state::ServerLimit{4, 2.5};
+  table.limits["s"] = {4, 2.5};
   return {protocol::EncodeMessage(heartbeat),
           protocol::EncodeMessage(report),
           protocol::EncodeMessage(reply),
@@ -99,6 +104,7 @@
   CHECK(decoded.relay_to == heartbeat.relay_to);
   REQUIRE(decoded.update);
   CHECK(decoded.update->gates == heartbeat.update->gates);
+  CHECK(decoded.update->limits == heartbeat.update->limits);
   CHECK(decoded.update->entries == heartbeat.update->entries);
   CHECK(decoded.update->changes.at("odd").size() == 15);
 }
@@ -170,15 +176,17 @@
   std::int64_t entry_part = 0;
   std::size_t ranges = 0;
   std::size_t gates = 0;
+  std::size_t limits = 0;
   std::size_t entries = 0;
   for (const HeartbeatUpdate& part : parts) {
     CHECK(part.base_revision == revision);
     CHECK(part.base_server_offset == update.base_server_offset);
-    revision += part.changes.empty() && part.gates.empty() ? 0 : 1;
+    revision += part.changes_table() ? 1 : 0;
     for (const auto& [service, changes] : part.changes) {
       ranges += changes.size();
     }
     gates += part.gates.size();
+    limits += part.limits.size();
     entries += part.entries.size();
     if (part.entry_parts > 0) {
       CHECK(part.entry_part == entry_part++);
@@ -195,6 +203,7 @@
   CHECK(parts.back().entry_parts == entry_part);
   CHECK(ranges == 30);
   CHECK(gates == 30);
+  CHECK(limits == 3);
   CHECK(entries == 30);
 }
 
@@ -210,9 +219,12 @@
   range.holder = {"s", 1};
   table.services["shelf"] = {range};
   table.gates["s"] = {"10.0.0.9", 7201};
+  table.limits["s"] = {1700000000001, 6.1};
+  table.limits["t"] = {1700000000002, std::nullopt};
   const auto read = protocol::DecodeTable(protocol::EncodeTable(table));
   REQUIRE(read);
   CHECK(read->gates == table.gates);
+  CHECK(read->limits == table.limits);
   CHECK(read->services.at("shelf").front().holder == range.holder);
 }
 
@@ -303,6 +315,8 @@
   update.base_revision = 6;
   update.revision = 7;
   update.gates["s"] = std::nullopt;
+  update.limits["s"] = state::ServerLimit{4, 2.5};
+  update.limits["t"] = std::nullopt;
   const auto table = protocol::DecodeTableReply(
       protocol::EncodeTableUpdates({update, update}));
   REQUIRE(table);
@@ -310,6 +324,7 @@
   REQUIRE(updates.size() == 2);
   CHECK(updates.front().revision == 7);
   CHECK(updates.front().gates == update.gates);
+  CHECK(updates.front().limits == update.limits);
   const auto entries =
       protocol::DecodeEntryUpdates(protocol::EncodeEntryUpdates(
           {{3, 5, {{"a", "x"}, {"b", std::nullopt}}}}));
--- a/tests/servers/rate_limit_test.cc
+++ b/tests/servers/rate_limit_test.cc
@@ -285,6 +285,64 @@
   CHECK_FALSE(state.RateLimit(now + milliseconds(120)));
 }
 
+// A host kept to a limit whose end only other hosts had heard of, and refused
+// the callers of the server's keys.
+TEST_CASE("the newest of what the host was told and what is published counts",
+          "[LIMIT]") {
+  coordination::AnnouncedState state;
+  const Instant now{seconds(10)};
+  ServerAnnouncement announcement;
+  announcement.certain = true;
+  announcement.rate_limit = 6;
+  CHECK(state.Record(now, now, announcement));
+  state.SetPublishedLimit(now + seconds(1), std::nullopt);
+  CHECK_FALSE(state.RateLimit(now + seconds(1)));
+  // What is published again is not news.
+  CHECK(state.Record(now + seconds(2), now + seconds(2), announcement));
+  state.SetPublishedLimit(now + seconds(3), std::nullopt);
+  CHECK(state.RateLimit(now + seconds(3)) == 6);
+  state.SetPublishedLimit(now + seconds(4), 4);
+  CHECK(state.RateLimit(now + seconds(4)) == 4);
+  // Only what answers to this host have stated is reported as such.
+  CHECK(state.stated_limit() == 6);
+  CHECK(state.limit_stated_at() == now + seconds(2));
+  // An answer to an earlier request neither ends nor begins a limit.
+  announcement.rate_limit = std::nullopt;
+  CHECK_FALSE(state.Record(now + seconds(5), now + seconds(3), announcement));
+  CHECK(state.RateLimit(now + seconds(5)) == 4);
+  CHECK(state.Record(now + seconds(6), now + seconds(5), announcement));
+  announcement.rate_limit = 6;
+  CHECK_FALSE(state.Record(now + seconds(7), now + seconds(5), announcement));
+  CHECK_FALSE(state.RateLimit(now + seconds(7)));
+  // Without the leader's word, the host's own counts.
+  state.SetPublishedLimit(now + seconds(8), 3);
+  state.ClearPublishedLimit();
+  CHECK_FALSE(state.RateLimit(now + seconds(8)));
+}
+
+TEST_CASE("a published limit counts for its incarnation of the server",
+          "[LIMIT]") {
+  ServerPool pool("near", {}, [] { return 0.5; });
+  const Instant now{seconds(10)};
+  pool.SetPublishedLimits(now, {{"s1", {1, 4.0}}, {"s2", {1, 5.0}}});
+  state::ServerRecord record;
+  record.incarnation = kServer;
+  record.service = "desk";
+  record.slots = 6;
+  pool.Update(now, record);
+  const auto limit = [&](Instant at) {
+    return pool.servers().at("s1").announced.RateLimit(at);
+  };
+  CHECK(limit(now) == 4);
+  record.incarnation.start_time_ms = 2;
+  pool.Update(now, record);
+  CHECK_FALSE(limit(now));
+  pool.SetPublishedLimits(now, {{"s1", {2, 7.0}}});
+  CHECK(limit(now) == 7);
+  pool.SetPublishedLimits(now, {});
+  CHECK_FALSE(limit(now));
+}
+
 // A restarted server has announced nothing yet.
 TEST_CASE("a limit ends with the server's incarnation", "[LIMIT]") {
   ServerPool pool("near", {}, [] { return 0.5; });
