logs: Name the server for whose sake a request is refused

From a request that a limit refused, no line led to the server that had announced the limit. The refused line now names the server, so that its announced and limit-use lines appear in the request's trace, and the leader logs each limit that it publishes.

Measured: the test of paused servers checks the server's id; requests, transport and logs tests pass.

--- a/src/coordination/request_flow.cc
+++ b/src/coordination/request_flow.cc
@@ -36,8 +36,8 @@
 // retry delay if there is no server or the key has no owner.
 constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(250);
 constexpr Duration kNoServerRetryAfter = std::chrono::milliseconds(500);
-// The longest retry delay while the owner of the key wants no requests: during a
-// long pause, the key moves to another server within about this time.
+// The longest retry delay while the owner of the key wants no requests: during
+// a long pause, the key moves to another server within about this time.
 constexpr Duration kMaxPauseRetryAfter = std::chrono::seconds(1);
 // Refuse() reduces the delay by up to a quarter; callers come back only after
 // the pause.
@@ -218,7 +218,7 @@
       return;
     case SendResult::kGateRefused:
       Refuse(now, request, "gate", retry_after.value_or(kDefaultRetryAfter),
-             actions);
+             actions, server);
       return;
     case SendResult::kGateRejected:
       // As without a connection: the gate has sent nothing to the server.
@@ -298,7 +298,7 @@
     Refuse(now, request, ReasonName(reason),
            std::min(Scale(pool_.PauseLeft(now, by), kPauseMargin),
                     kMaxPauseRetryAfter),
-           actions);
+           actions, by);
   } else if (busy) {
     RefuseBusy(now, request, by, ReasonName(reason), actions);
   } else {
@@ -684,14 +684,16 @@
   AcceptanceRate& rate = acceptance_rates_[by];
   const Duration retry_after = rate.RetryAfter(now, kDefaultRetryAfter);
   rate.RecordRefused(now);
-  Refuse(now, request, reason, retry_after, actions);
+  Refuse(now, request, reason, retry_after, actions,
+         request->terms.key ? by : std::string());
 }
 
 void RequestFlow::Refuse(Instant now,
                          Request* request,
                          std::string_view reason,
                          Duration retry_after,
-                         FlowActions* actions) {
+                         FlowActions* actions,
+                         const std::string& server) {
   if (request->may_have_run) {
     EndWithoutSuccess(now, request, RequestOutcome::kUnknown, reason, "",
                       actions);
@@ -700,7 +702,8 @@
   // The random factor spreads the retries of refused callers over time.
   const Duration after = Scale(retry_after, 0.75 + 0.5 * random_());
   End(now, request,
-      {request->id, RequestOutcome::kRefused, reason, after, 0, ""}, actions);
+      {request->id, RequestOutcome::kRefused, reason, after, 0, server},
+      actions);
 }
 
 void RequestFlow::End(Instant now,
--- a/src/coordination/request_flow.h
+++ b/src/coordination/request_flow.h
@@ -123,7 +123,9 @@
   state::Duration retry_after{0};
   // The number of attempts that were sent.
   int sends = 0;
-  // The id of the server of the last attempt; "none" or empty if unknown.
+  // The id of the server of the last attempt, or, if it was for the sake of a
+  // server that the request was refused, of that server; "none" or empty if
+  // unknown.
   std::string server;
 };
 
@@ -277,11 +279,14 @@
                   std::string_view reason,
                   FlowActions* actions);
   // Ends the request as kRefused, or as kUnknown if it may have been run.
+  // `server` is the id of the server for whose sake it is refused, if there is
+  // one.
   void Refuse(state::Instant now,
               Request* request,
               std::string_view reason,
               state::Duration retry_after,
-              FlowActions* actions);
+              FlowActions* actions,
+              const std::string& server = "");
   // Ends a request that may have been run: as kFailed if a server has responded
   // with a failure, otherwise as `outcome`.
   void EndWithoutSuccess(state::Instant now,
--- a/src/transport/leader_duty.cc
+++ b/src/transport/leader_duty.cc
@@ -654,6 +654,11 @@
     const auto before = table_.limits.find(server);
     if (before == table_.limits.end() || before->second != limit) {
       changes[server] = limit;
+      log_.Write(LogPart::kLeader, "limit-published",
+                 {{"server", server},
+                  {"born", limit.start_time_ms},
+                  {"limit", limit.rate.value_or(-1)},
+                  {"hosts", static_cast<std::int64_t>(hooks_.host_count())}});
     }
   }
   for (const auto& [server, limit] : table_.limits) {
--- a/src/transport/request_relay.cc
+++ b/src/transport/request_relay.cc
@@ -730,7 +730,7 @@
     LogEnd(*request, event,
            conclusion.reason.empty() ? std::string_view{conclusion.server}
                                      : conclusion.reason,
-           answer.status, conclusion.sends);
+           answer.status, conclusion.sends, conclusion.server);
   }
   Finish(request, ending, std::move(answer));
 }
@@ -743,7 +743,7 @@
                                  std::string_view event,
                                  std::string_view reason,
                                  CallerAnswer answer) {
-  LogEnd(*request, event, reason, answer.status, 0);
+  LogEnd(*request, event, reason, answer.status, 0, "");
   const bool refused = event == "refused";
   const std::string_view outcome = refused ? "refused"
                                    : request->source == RequestSource::kHost
@@ -822,12 +822,14 @@
                           std::string_view event,
                           std::string_view reason,
                           int status,
-                          int sends) {
+                          int sends,
+                          std::string_view server) {
   log_.Write(
       LogPart::kRequest, event,
       {{"id", request.attempt_id},
        {"service", request.terms.service},
        {"reason", reason},
+       {"server", server},
        {"age_ms", Milliseconds(Now() - request.terms.received)},
        {"left_ms", Milliseconds(request.terms.end - Now())},
        {"key",
--- a/src/transport/request_relay.h
+++ b/src/transport/request_relay.h
@@ -241,7 +241,8 @@
               std::string_view event,
               std::string_view reason,
               int status,
-              int sends);
+              int sends,
+              std::string_view server);
 
   const state::HostProfile& profile_;
   const state::RoutingView& view_;
--- a/tests/requests/request_cases_test.cc
+++ b/tests/requests/request_cases_test.cc
@@ -313,6 +313,7 @@
     REQUIRE(refused != nullptr);
     CHECK(refused->outcome == RequestOutcome::kRefused);
     CHECK(refused->reason == "busy-paused");
+    CHECK(refused->server == "s1");
     // Spread over some time. In a long pause, the key moves meanwhile.
     CHECK(refused->retry_after >= milliseconds(is_long ? 750 : 299));
     CHECK(refused->retry_after <= milliseconds(is_long ? 1250 : 500));
