requests: Reject transfer codings other than chunked

A request whose Transfer-Encoding was not exactly "chunked" was read as one without a body, or decoded in part, and answered; what followed its head was taken for the caller's next request. A sender before the host that reads it otherwise could have a request smuggled in. Such requests now get 501, or 400 in HTTP/1.0 or beside a Content-Length, and the connection is closed.

--- a/src/transport/caller_connection.cc
+++ b/src/transport/caller_connection.cc
@@ -283,6 +283,28 @@
   if (message.target().empty() || message.target().front() != '/') {
     return Rejection{400, "target is not a path"};
   }
+  return CheckTransferCoding();
+}
+
+// Where the body of a request ends must be beyond doubt: what follows it is the
+// next request.
+std::optional<CallerConnection::Rejection>
+CallerConnection::CheckTransferCoding() const {
+  const auto& message = parser_->get();
+  const std::size_t count = message.count(http::field::transfer_encoding);
+  if (count == 0) {
+    return std::nullopt;
+  }
+  if (message.version() == 10) {
+    return Rejection{400, "Transfer-Encoding in HTTP/1.0"};
+  }
+  if (message.count(http::field::content_length) > 0) {
+    return Rejection{400, "Content-Length beside Transfer-Encoding"};
+  }
+  if (count > 1 ||
+      !beast::iequals(message[http::field::transfer_encoding], "chunked")) {
+    return Rejection{501, "transfer coding other than chunked"};
+  }
   return std::nullopt;
 }
 
--- a/src/transport/caller_connection.h
+++ b/src/transport/caller_connection.h
@@ -92,6 +92,7 @@
   void UseOriginForm();
   // Returns what is wrong with the request line or the header, if anything.
   std::optional<Rejection> CheckHeader() const;
+  std::optional<Rejection> CheckTransferCoding() const;
   // Rejects a body that is too large, as stated or as received so far.
   std::optional<Rejection> CheckBodySize() const;
   // Passes the request that the parser has completed to the relay.
--- a/tests/transport/caller_connection_test.cc
+++ b/tests/transport/caller_connection_test.cc
@@ -324,6 +324,52 @@
   CHECK(host.Receive(caller).starts_with("HTTP/1.1 400"));
 }
 
+// Such a request was read as one without a body, or decoded in part. What
+// followed its header was taken for the caller's next request, so that a sender
+// before this host that reads it otherwise could have one smuggled in.
+TEST_CASE("a request with another transfer coding than chunked is rejected",
+          "[S5]") {
+  const auto [version, fields, status] =
+      GENERATE(table<std::string, std::string, std::string>(
+          {{"1.1", "Transfer-Encoding: identity\r\n", "501"},
+           {"1.1", "Transfer-Encoding: x-unknown\r\n", "501"},
+           {"1.1", "Transfer-Encoding: chunked, identity\r\n", "501"},
+           {"1.1", "Transfer-Encoding: gzip, chunked\r\n", "501"},
+           {"1.1", "Transfer-Encoding: chunked, chunked\r\n", "501"},
+           {"1.1", "Transfer-Encoding: chunked;a=b\r\n", "501"},
+           {"1.1", "Transfer-Encoding: \r\n", "501"},
+           {"1.1", "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+            "501"},
+           {"1.1", "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+            "400"},
+           {"1.1", "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+            "400"},
+           {"1.0", "Transfer-Encoding: chunked\r\n", "400"},
+           {"1.0", "Transfer-Encoding: identity\r\n", "400"}}));
+  CAPTURE(version, fields);
+  RelayFixture host;
+  tcp::socket caller = host.ConnectCaller();
+  Send(caller, "POST /desk/1 HTTP/" + version +
+                   "\r\nHost: a.example\r\nX-Attempt-Id: 1\r\n" + fields +
+                   "\r\n0\r\n\r\n" + std::string(kRequest));
+  const std::string answer = host.Receive(caller);
+  CHECK(answer.starts_with("HTTP/1.1 " + status));
+  CHECK(Count(answer, "HTTP/1.1 ") == 1);
+  CHECK(Count(answer, "Connection: close") == 1);
+}
+
+TEST_CASE("the transfer coding chunked is accepted in any case", "[S5]") {
+  const std::string value = GENERATE("chunked", "Chunked", " chunked ");
+  RelayFixture host;
+  tcp::socket caller = host.ConnectCaller();
+  Send(caller,
+       "POST /desk/1 HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: 1\r\n"
+       "Transfer-Encoding: " +
+           value + "\r\n\r\n2\r\nhi\r\n0\r\n\r\n");
+  tcp::socket server = host.AcceptFromRelay();
+  CHECK(Count(host.Receive(server), "hi") == 1);
+}
+
 // Some clients send an empty line after a body or before a request; HTTP asks
 // servers to ignore it. It was rejected for good.
 TEST_CASE("empty lines before a request are ignored", "[R4]") {
