--- a/src/transport/leader_duty.cc
+++ b/src/transport/leader_duty.cc
@@ -3,7 +3,6 @@
 #include "transport/leader_duty.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -59,8 +58,6 @@
 // sent a report by then.
 constexpr Duration kInitialGateDelay = std::chrono::milliseconds(900);
 constexpr Duration kGateAssignmentInterval = std::chrono::milliseconds(300);
-// Limits of servers that change by a lower fraction are not published again.
-constexpr double kMinLimitChange = 0.05;
 // The keys of paused servers stay where they are if these servers have more
 // than this fraction of the service's capacity: the others would be overloaded.
 constexpr double kMaxPausedFraction = 0.35;
@@ -98,16 +95,6 @@
   return WriteOutcome::kUnknown;
 }
 
-// Whether a change from one limit to the other need not be published.
-bool IsSimilarLimit(const state::ServerLimit& left,
-                    const state::ServerLimit& right) {
-  if (left.start_time_ms != right.start_time_ms || !left.rate || !right.rate) {
-    return left == right;
-  }
-  return std::abs(*left.rate - *right.rate) <=
-         kMinLimitChange * std::max(*left.rate, *right.rate);
-}
-
 // Converts parts that all change the table.
 std::vector<state::TableUpdate> ToTableUpdates(
     std::int64_t term,
@@ -637,36 +624,25 @@
   return changes;
 }
 
-std::map<std::string, std::optional<state::ServerLimit>>
-LeaderDuty::UpdateLimits(Instant now) {
-  state::ServerLimits limits;
+coordination::LimitChanges LeaderDuty::UpdateLimits(Instant now) {
+  state::ServerLimits stated;
   for (const auto& [id, server] : pool_.servers()) {
     const auto limit = announcements_.Statement(now, server.record.incarnation);
     if (limit && !server.gone) {
-      const auto before = table_.limits.find(id);
-      const bool kept = before != table_.limits.end() &&
-                        IsSimilarLimit(before->second, *limit);
-      limits[id] = kept ? before->second : *limit;
+      stated[id] = *limit;
     }
   }
-  std::map<std::string, std::optional<state::ServerLimit>> changes;
-  for (const auto& [server, limit] : limits) {
-    const auto before = table_.limits.find(server);
-    if (before == table_.limits.end() || before->second != limit) {
-      changes[server] = limit;
+  coordination::LimitChanges changes =
+      coordination::UpdatePublishedLimits(stated, &table_.limits);
+  for (const auto& [server, limit] : changes) {
+    if (limit) {
       log_.Write(LogPart::kLeader, "limit-published",
                  {{"server", server},
-                  {"born", limit.start_time_ms},
-                  {"limit", limit.rate.value_or(-1)},
+                  {"born", limit->start_time_ms},
+                  {"limit", limit->rate.value_or(-1)},
                   {"hosts", static_cast<std::int64_t>(hooks_.host_count())}});
     }
   }
-  for (const auto& [server, limit] : table_.limits) {
-    if (!limits.contains(server)) {
-      changes[server] = std::nullopt;
-    }
-  }
-  table_.limits = std::move(limits);
   return changes;
 }
 
--- a/src/transport/leader_duty.h
+++ b/src/transport/leader_duty.h
@@ -17,6 +17,7 @@
 #include "coordination/keyspace_coordinator.h"
 #include "coordination/lead_proof.h"
 #include "coordination/leader_election.h"
+#include "coordination/published_limits.h"
 #include "coordination/reported_announcements.h"
 #include "coordination/reported_averages.h"
 #include "coordination/server_pool.h"
@@ -163,8 +164,7 @@
       state::Instant now);
   // Sets the limits of the table to what hosts have reported, and returns those
   // that changed by server id.
-  std::map<std::string, std::optional<state::ServerLimit>> UpdateLimits(
-      state::Instant now);
+  coordination::LimitChanges UpdateLimits(state::Instant now);
   // Asks for a successor, once in a term, if a far stronger host could lead.
   void HandOverIfWeak(state::Instant now);
   void BeginLeading(state::Instant now);
