logs: Tell what ended a lease, and when an order was written

Lines of orders name the order, the status of the answer, the connection and the age of the write; lease-expired names the last grant from which an expired lease was counted; late-tick tells how long the thread was busy. No logic is changed.

--- a/src/coordination/keyspace_coordinator.cc
+++ b/src/coordination/keyspace_coordinator.cc
@@ -254,6 +254,7 @@
     return;
   }
   slice->grant_pending = false;
+  slice->holder.last_grant = {order.id, outcome, now};
   switch (outcome) {
     case OrderOutcome::kAccepted:
       slice->holder.end = now + kMaxLeaseDuration;
@@ -382,6 +383,19 @@
   return now >= end || (lease.released && now >= LateGrantEnd(lease));
 }
 
+void KeyspaceCoordinator::RecordExpiredLeases(const Slice& slice) {
+  for (const Lease& lease : slice.former) {
+    if (!lease.released) {
+      expired_leases_.push_back(
+          {lease.server, slice.first, slice.last, lease.last_grant});
+    }
+  }
+}
+
+std::vector<ExpiredLease> KeyspaceCoordinator::TakeExpiredLeases() {
+  return std::exchange(expired_leases_, {});
+}
+
 void KeyspaceCoordinator::Advance(Instant now, Slice* slice) {
   if (slice->phase == Phase::kRecording && MayReplaceHolder(now, *slice)) {
     if (!slice->holder.server.id.empty()) {
@@ -406,6 +420,7 @@
                     [&](const Lease& lease) { return LeaseEnded(now, lease); });
     if (all_ended) {
       if (!slice->former.empty()) {
+        RecordExpiredLeases(*slice);
         slice->former.clear();
         ChangeRecorded();
       }
--- a/src/coordination/keyspace_coordinator.h
+++ b/src/coordination/keyspace_coordinator.h
@@ -82,6 +82,23 @@
   kUnknown,
 };
 
+// The last grant to a server that has ended, and when it ended.
+struct GrantResult {
+  // Id of the order; 0 if this leader has not granted anything.
+  std::uint64_t order = 0;
+  OrderOutcome outcome = OrderOutcome::kNotSent;
+  state::Instant at{};
+};
+
+// A range that was given on because the lease of its former holder had run out.
+struct ExpiredLease {
+  state::ServerIncarnation server;
+  std::int32_t first = 0;
+  std::int32_t last = 0;
+  // The grant from which the lease was counted.
+  GrantResult last_grant;
+};
+
 // Assigns the shard keys of one service to its servers: grants and renews
 // leases, moves ranges away from servers that may not hold them, and balances
 // the load. Runs at the leader. It does no I/O: the caller sends the orders
@@ -129,6 +146,10 @@
   // Plans moves and returns the orders to send.
   std::vector<KeyOrder> Tick(state::Instant now);
 
+  // Returns the ranges given on without a release since the last call, for the
+  // log.
+  std::vector<ExpiredLease> TakeExpiredLeases();
+
   ShardLoad& load() { return load_; }
 
   // The ranges that the store has to record, and a counter that rises with each
@@ -190,6 +211,7 @@
     // answer to a release of an earlier lease says nothing about this one.
     std::uint64_t pending_release = 0;
     state::Instant next_release{};
+    GrantResult last_grant;
   };
 
   // A range of keys with one holder.
@@ -311,6 +333,7 @@
   // Whether the lease can no longer be valid.
   bool LeaseEnded(state::Instant now, const Lease& lease) const;
   bool MayGrant(state::Instant now, const Slice& slice) const;
+  void RecordExpiredLeases(const Slice& slice);
   // Moves the slice to its next phase if the conditions of that phase hold.
   void Advance(state::Instant now, Slice* slice);
   // Adds the orders that are due for the slice.
@@ -335,6 +358,7 @@
   std::map<std::string, ServerState> servers_;
   std::optional<double> execution_seconds_;
   ShardLoad load_;
+  std::vector<ExpiredLease> expired_leases_;
   std::uint64_t recorded_change_ = 1;
   std::uint64_t confirmed_change_ = 0;
   std::uint64_t routed_change_ = 1;
--- a/src/transport/entry_host.cc
+++ b/src/transport/entry_host.cc
@@ -21,6 +21,8 @@
 namespace {
 
 constexpr Duration kTickInterval = std::chrono::milliseconds(20);
+// A tick that is this late is logged: the thread was busy or not running.
+constexpr Duration kLateTick = std::chrono::milliseconds(150);
 // Interval of the work that is not needed at each tick.
 constexpr Duration kSlowTickInterval = std::chrono::milliseconds(250);
 constexpr Duration kReportInterval = std::chrono::milliseconds(400);
@@ -288,12 +290,24 @@
   tick_timer_.expires_after(kTickInterval);
   tick_timer_.async_wait([this](const beast::error_code& error) {
     if (!error) {
+      LogLateTick(std::chrono::steady_clock::now() - tick_timer_.expiry());
       HandleTick();
       ScheduleTick();
     }
   });
 }
 
+void EntryHost::LogLateTick(std::chrono::steady_clock::duration lateness) {
+  if (lateness < kLateTick) {
+    return;
+  }
+  log_.Write(LogPart::kHost, "late-tick",
+             {{"late_ms",
+               std::chrono::duration_cast<std::chrono::milliseconds>(lateness)
+                   .count()},
+              {"leading", leader_.leading()}});
+}
+
 void EntryHost::HandleTick() {
   // Heartbeats that wait in the socket come before the decisions that depend on
   // their age, also if this host was suspended or short of processor time.
--- a/src/transport/entry_host.h
+++ b/src/transport/entry_host.h
@@ -58,6 +58,7 @@
 
  private:
   void HandleTick();
+  void LogLateTick(std::chrono::steady_clock::duration lateness);
   void ScheduleTick();
   // Logs, if due, how many requests this host has sent to each server that
   // limits their rate.
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -6,6 +6,8 @@
 #include <tuple>
 #include <utility>
 
+#include "transport/clocks.h"
+
 namespace mustardflow::transport {
 
 namespace outcome = boost::outcome_v2;
@@ -34,8 +36,9 @@
     std::string body,
     state::Duration timeout,
     HttpSendOptions options) {
-  bool ignored_sent = false;
-  bool& sent = options.sent != nullptr ? *options.sent : ignored_sent;
+  HttpSendTrace ignored_trace;
+  HttpSendTrace& trace =
+      options.trace != nullptr ? *options.trace : ignored_trace;
   Request request(method, target, 11);
   request.set(http::field::host, address.ip);
   request.set(http::field::content_type, "application/json");
@@ -52,7 +55,7 @@
     idle_[address].pop_back();
     stream->expires_at(end);
     bool keep = false;
-    sent = true;
+    trace = {true, true, Now()};
     auto reply = co_await SendOver(*stream, request, times, &keep);
     if (reply) {
       if (keep) {
@@ -83,7 +86,7 @@
   // The option is set here because the stream closes itself when it times out.
   stream->socket().set_option(asio::socket_base::linger(true, 0), ignored);
   bool keep = false;
-  sent = true;
+  trace = {true, false, Now()};
   auto reply = co_await SendOver(*stream, request, times, &keep);
   if (reply && keep) {
     KeepIdle(address, std::move(stream));
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -30,6 +30,16 @@
   bool ok() const { return status >= 200 && status < 300; }
 };
 
+// What became of the request itself.
+struct HttpSendTrace {
+  // Whether bytes of the request may have left this host.
+  bool sent = false;
+  // Whether the last connection that it was written to had been used before.
+  bool reused = false;
+  // When it was last handed to the network.
+  state::Instant written{};
+};
+
 // Optional properties of a request.
 struct HttpSendOptions {
   // The constructor keeps this type from being an aggregate: g++ 12 destroys an
@@ -44,8 +54,8 @@
   // in time, as long as no two parts of it are farther apart than the timeout:
   // a long reply takes seconds over a busy link.
   state::Duration transfer_time{0};
-  // If not null, set to true once bytes of the request may have left this host.
-  bool* sent = nullptr;
+  // If not null, filled in while the request is sent.
+  HttpSendTrace* trace = nullptr;
 };
 
 // Sends requests with bodies that fit in memory. Reuses idle connections: a
--- a/src/transport/leader_duty.cc
+++ b/src/transport/leader_duty.cc
@@ -658,6 +658,24 @@
   return may_grant_now;
 }
 
+void LeaderDuty::LogExpiredLeases(
+    Instant now,
+    const std::string& service,
+    coordination::KeyspaceCoordinator& coordinator) {
+  for (const coordination::ExpiredLease& lease :
+       coordinator.TakeExpiredLeases()) {
+    const coordination::GrantResult& grant = lease.last_grant;
+    log_.Write(LogPart::kKeys, "lease-expired",
+               {{"service", service},
+                {"server", lease.server.id},
+                {"first", static_cast<std::int64_t>(lease.first)},
+                {"last", static_cast<std::int64_t>(lease.last)},
+                {"order", static_cast<std::int64_t>(grant.order)},
+                {"outcome", static_cast<std::int64_t>(grant.outcome)},
+                {"grant_age_ms", (now - grant.at).count() / 1000}});
+  }
+}
+
 void LeaderDuty::TickKeyspaces(Instant now) {
   AddKeyspaces(now);
   UpdateServerList(now);
@@ -672,6 +690,7 @@
                        asio::detached);
       }
     }
+    LogExpiredLeases(now, service, *keyspace.coordinator);
     urgent = urgent || keyspace.coordinator->record_urgent();
     stale = stale ||
             keyspace.coordinator->recorded_change() != keyspace.written_change;
@@ -816,16 +835,18 @@
                                       KeyOrder order) {
   const state::ServerRecord* record = FindRecord(order.server);
   OrderOutcome outcome = OrderOutcome::kNotSent;
+  const Instant begun = Now();
+  HttpSendTrace trace;
+  int status = 0;
   std::string handover;
   const bool grant = order.kind == OrderKind::kGrant;
   bool has_handover = false;
   // The process may have been suspended since the order was made, so MayGrant()
   // is checked again before a grant is sent.
   if (record != nullptr && (!grant || MayGrant(Now()))) {
-    bool sent = false;
     HttpSendOptions options;
     options.fields.emplace_back(platform::kServerIdField, order.server.id);
-    options.sent = &sent;
+    options.trace = &trace;
     // On a new connection the order could reach a later incarnation of the
     // server, for which the grant is not meant.
     options.reconnect = false;
@@ -842,8 +863,9 @@
     const auto reply =
         co_await order_client_.Send(record->address, http::verb::post, path,
                                     body, timeout, std::move(options));
+    status = reply ? reply.value().status : 0;
     if (!reply) {
-      outcome = sent ? OrderOutcome::kUnknown : OrderOutcome::kNotSent;
+      outcome = trace.sent ? OrderOutcome::kUnknown : OrderOutcome::kNotSent;
     } else if (reply.value().ok()) {
       outcome = OrderOutcome::kAccepted;
       for (const auto& [name, value] : reply.value().fields) {
@@ -870,7 +892,13 @@
                 {"first", static_cast<std::int64_t>(order.first)},
                 {"last", static_cast<std::int64_t>(order.last)},
                 {"fence", order.fence},
-                {"outcome", static_cast<std::int64_t>(outcome)}});
+                {"outcome", static_cast<std::int64_t>(outcome)},
+                {"order", static_cast<std::int64_t>(order.id)},
+                {"status", static_cast<std::int64_t>(status)},
+                {"kept_connection", trace.reused},
+                {"write_age_ms",
+                 trace.sent ? (Now() - trace.written).count() / 1000 : -1},
+                {"age_ms", (Now() - begun).count() / 1000}});
   }
   coordination::KeyspaceCoordinator* coordinator =
       FindCoordinator(term, service);
--- a/src/transport/leader_duty.h
+++ b/src/transport/leader_duty.h
@@ -170,6 +170,9 @@
   void BeginLeading(state::Instant now);
   void EndLeading(std::string_view reason);
   void TickKeyspaces(state::Instant now);
+  void LogExpiredLeases(state::Instant now,
+                        const std::string& service,
+                        coordination::KeyspaceCoordinator& coordinator);
   // Creates the coordinators of services that have become keyed.
   void AddKeyspaces(state::Instant now);
   // Passes the current servers and their capacities to the coordinators.
--- a/tests/transport/http_client_test.cc
+++ b/tests/transport/http_client_test.cc
@@ -26,12 +26,12 @@
   acceptor.async_accept(peer, [](const boost::system::error_code&) {});
 
   transport::HttpClient client(context.get_executor(), 1000);
-  bool sent = false;
+  transport::HttpSendTrace trace;
   bool failed = false;
   const auto port = acceptor.local_endpoint().port();
   const auto send_request = [&]() -> transport::awaitable<void> {
     transport::HttpSendOptions options;
-    options.sent = &sent;
+    options.trace = &trace;
     const state::Address address{"127.0.0.1", port};
     const auto reply =
         co_await client.Send(address, transport::http::verb::post, "/grant",
@@ -40,7 +40,7 @@
   };
   asio::co_spawn(context, send_request(), asio::detached);
   context.run();
-  CHECK(sent);
+  CHECK(trace.sent);
   CHECK(failed);
 
   std::array<char, 4096> buffer{};
@@ -96,11 +96,11 @@
 TEST_CASE("a request without a connection is reported as not sent") {
   asio::io_context context;
   transport::HttpClient client(context.get_executor(), 1000);
-  bool sent = false;
+  transport::HttpSendTrace trace;
   bool failed = false;
   const auto send_request = [&]() -> transport::awaitable<void> {
     transport::HttpSendOptions options;
-    options.sent = &sent;
+    options.trace = &trace;
     const state::Address address{"127.0.0.1", 1};
     const auto reply =
         co_await client.Send(address, transport::http::verb::post, "/grant",
@@ -110,7 +110,7 @@
   asio::co_spawn(context, send_request(), asio::detached);
   context.run();
   CHECK(failed);
-  CHECK_FALSE(sent);
+  CHECK_FALSE(trace.sent);
 }
 
 }  // namespace mustardflow::tests
