keys: A test of an unanswered grant that leaves after its timeout

The simulation can stall a leader: its timers run, but what it writes leaves only at the end of the stall, as on a host whose thread works through a long queue without waiting for events. After stalls of 450, 900 and 1600 ms a key gets a second holder.

--- a/tests/keys/keyspace_cases_test.cc
+++ b/tests/keys/keyspace_cases_test.cc
@@ -109,6 +109,25 @@
   CHECK(simulation.held() == KeyspaceSimulation::kWatchedKeys);
 }
 
+// Guards against a key given to a second server because the lease of the first
+// was counted from the reset of an unanswered order, although the order left
+// only at the end of a long turn of the leader's loop.
+TEST_CASE("an unanswered grant that leaves after its timeout ends no lease",
+          "[O1][O2][!shouldfail]") {
+  KeyspaceSimulation simulation(GENERATE(range(1, 21)));
+  simulation.Advance(seconds(2));
+  const int stall_ms = GENERATE(450, 900, 1600);
+  simulation.StallNewestLeader(milliseconds(stall_ms));
+  simulation.Advance(milliseconds(stall_ms));
+  const int lost = simulation.HolderOf(0);
+  REQUIRE(lost >= 0);
+  simulation.DisconnectNewestLeader(lost, true);
+  simulation.SetDraining(lost, true);
+  simulation.Advance(seconds(5));
+  CHECK(simulation.violation() == "");
+  CHECK(simulation.held() == KeyspaceSimulation::kWatchedKeys);
+}
+
 // Found by the fuzzer: an unanswered grant of the successor shortened the time
 // during which the coordinator expected late grants of the predecessor. It then
 // took the lease as ended by a release, although the predecessor could still
--- a/tests/keys/keyspace_simulation.cc
+++ b/tests/keys/keyspace_simulation.cc
@@ -86,7 +86,7 @@
     const std::uint64_t change = leader.coordinator->recorded_change();
     state::ServiceRanges ranges = leader.coordinator->RecordedRanges();
     // The store refuses the writes of a succeeded leader.
-    Schedule(now_ + RandomDelay(2, 20),
+    Schedule(std::max(now_, leader.stalled_until) + RandomDelay(2, 20),
              [this, index, change, sent = now_, ranges = std::move(ranges)] {
                Leader& writer = leaders_[index];
                writer.writing = false;
@@ -114,7 +114,8 @@
 
 void KeyspaceSimulation::SendOrder(std::size_t index, const KeyOrder& order) {
   const int target = order.server.id.back() - '0';
-  const Instant sent = now_;
+  const Instant sent = std::max(now_, leaders_[index].stalled_until);
+  const auto timeout_at = now_ + coordination::kOrderTimeout;
   const auto answer = [this, index, order](Instant when, OrderOutcome outcome) {
     Schedule(when, [this, index, order, outcome] {
       Leader& leader = leaders_[index];
@@ -129,7 +130,6 @@
       }
     });
   };
-  const auto timeout_at = sent + coordination::kOrderTimeout;
   const Server& server = servers_[static_cast<std::size_t>(target)];
   // An order names only the server's id, so it also reaches a later
   // incarnation.
@@ -165,9 +165,17 @@
   }
   const bool lose_answer = Chance(faults_.answer_lost);
   const Instant answered = arrives + RandomDelay(1, 90);
+  // The leader resets the connection then, and does not read a later answer.
+  const bool timed_out = answered > timeout_at;
+  if (timed_out) {
+    answer(timeout_at, OrderOutcome::kUnknown);
+  }
   Schedule(arrives, [this, order, arrives, start_time_ms, lose_answer, answer,
-                     answered, timeout_at] {
+                     answered, timeout_at, timed_out] {
     const bool accepted = Apply(order, arrives, start_time_ms);
+    if (timed_out) {
+      return;
+    }
     const Server& reached =
         servers_[static_cast<std::size_t>(order.server.id.back() - '0')];
     if (lose_answer || !reached.up || reached.start_time_ms != start_time_ms) {
@@ -310,6 +318,10 @@
   leaders_.back().disconnected[static_cast<std::size_t>(server)] = disconnected;
 }
 
+void KeyspaceSimulation::StallNewestLeader(Duration time) {
+  leaders_.back().stalled_until = now_ + time;
+}
+
 void KeyspaceSimulation::SetCapacity(int server, double capacity) {
   servers_[static_cast<std::size_t>(server)].capacity = capacity;
 }
--- a/tests/keys/keyspace_simulation.h
+++ b/tests/keys/keyspace_simulation.h
@@ -56,6 +56,9 @@
   void SetCapacity(int server, double capacity);
   // Disconnects the newest leader from the server, or connects it again.
   void DisconnectNewestLeader(int server, bool disconnected);
+  // The newest leader's thread does not wait for events for this long: its
+  // timers run, but what it writes leaves, and answers arrive, only at the end.
+  void StallNewestLeader(state::Duration time);
   // Sets whether the store confirms writes.
   void SetStoreUp(bool up) { store_up_ = up; }
   // A new leader takes over with the ranges in the store. Former leaders
@@ -106,6 +109,8 @@
     std::array<std::int64_t, kServers> connected_epoch{};
     bool writing = false;
     state::Instant next_renewal{};
+    // What the leader writes before this moment leaves at this moment.
+    state::Instant stalled_until{};
   };
 
   void Step();
