orders: Give orders a client of their own

LeaderDuty built orders, sent them and judged their answers in one function, which no test could reach without a leader. OrderClient does this now, and asks its caller whether it may write. Nothing else changes: no outcome, field or timeout.

--- a/src/transport/leader_duty.cc
+++ b/src/transport/leader_duty.cc
@@ -63,10 +63,6 @@
 constexpr double kMaxPausedFraction = 0.35;
 constexpr Duration kServerListInterval = std::chrono::milliseconds(1000);
 constexpr Duration kProbeInterval = std::chrono::milliseconds(800);
-// A server replies to a release only when its requests on the released keys
-// have ended.
-constexpr Duration kReleaseTimeout = std::chrono::milliseconds(2600);
-constexpr std::size_t kMaxReplyBytes = 64 << 10;
 // Capacity of a cold server as a fraction of that of a warm one.
 constexpr double kColdCapacityFactor = 0.5;
 // The bounds of a server's relative latency.
@@ -124,7 +120,7 @@
       pool_(pool),
       log_(log),
       hooks_(std::move(hooks)),
-      order_client_(executor, kMaxReplyBytes),
+      order_client_(executor),
       election_(Now(), std::move(claim), stagger, profile.bootstrap) {}
 
 void LeaderDuty::SetConfig(std::shared_ptr<const state::RoutingConfig> config) {
@@ -849,71 +845,32 @@
                                       std::string service,
                                       KeyOrder order) {
   const state::ServerRecord* record = FindRecord(order.server);
-  OrderOutcome outcome = OrderOutcome::kNotSent;
   const Instant begun = Now();
-  HttpSendTrace trace;
-  int status = 0;
-  std::string handover;
   const bool grant = order.kind == OrderKind::kGrant;
-  bool has_handover = false;
-  // The process may have been suspended since the order was made, so MayGrant()
-  // is checked again before a grant is sent.
-  if (record != nullptr && (!grant || MayGrant(Now()))) {
-    HttpSendOptions options;
-    options.fields.emplace_back(platform::kServerIdField, order.server.id);
-    options.trace = &trace;
-    // On a new connection the order could reach a later incarnation of the
-    // server, for which the grant is not meant.
-    options.reconnect = false;
-    // These are built before the awaited call, because g++ 12 destroys the
-    // temporaries of conditional arguments of an awaited call twice.
-    const std::string path(grant ? platform::kGrantPath
-                                 : platform::kReleasePath);
-    const std::string body =
-        grant ? platform::GrantBody(order.first, order.last, order.fence,
-                                    coordination::kKeyLease, order.handover)
-              : platform::ReleaseBody(order.first, order.last, order.fence);
-    const Duration timeout =
-        grant ? coordination::kOrderTimeout : kReleaseTimeout;
-    const auto reply =
-        co_await order_client_.Send(record->address, http::verb::post, path,
-                                    body, timeout, std::move(options));
-    status = reply ? reply.value().status : 0;
-    if (!reply) {
-      outcome = trace.sent ? OrderOutcome::kUnknown : OrderOutcome::kNotSent;
-    } else if (reply.value().ok()) {
-      outcome = OrderOutcome::kAccepted;
-      for (const auto& [name, value] : reply.value().fields) {
-        if (beast::iequals(name, std::string(platform::kHandoverField))) {
-          handover = value;
-          has_handover = true;
-        }
-      }
-      // Only the answer to a release has the field. Without it, this may be a
-      // late copy of the answer to an earlier grant.
-      if (!grant && !has_handover) {
-        outcome = OrderOutcome::kUnknown;
-      }
-    } else if (reply.value().status == 409) {
-      outcome = OrderOutcome::kRefused;
-    } else {
-      outcome = OrderOutcome::kNotSent;
-    }
-  }
-  if (outcome != OrderOutcome::kAccepted || !grant) {
-    log_.Write(LogPart::kKeys, grant ? "grant-failed" : "release-ended",
-               {{"service", service},
-                {"server", order.server.id},
-                {"first", static_cast<std::int64_t>(order.first)},
-                {"last", static_cast<std::int64_t>(order.last)},
-                {"fence", order.fence},
-                {"outcome", static_cast<std::int64_t>(outcome)},
-                {"order", static_cast<std::int64_t>(order.id)},
-                {"status", static_cast<std::int64_t>(status)},
-                {"kept_connection", trace.reused},
-                {"write_age_ms",
-                 trace.sent ? (Now() - trace.written).count() / 1000 : -1},
-                {"age_ms", (Now() - begun).count() / 1000}});
+  OrderReply reply;
+  if (record != nullptr) {
+    const state::Address address = record->address;
+    // The process may have been suspended since the order was made.
+    const std::function<bool()> may_write = [this, grant] {
+      return !grant || MayGrant(Now());
+    };
+    reply = co_await order_client_.Send(address, order, may_write);
+  }
+  if (reply.outcome != OrderOutcome::kAccepted || !grant) {
+    log_.Write(
+        LogPart::kKeys, grant ? "grant-failed" : "release-ended",
+        {{"service", service},
+         {"server", order.server.id},
+         {"first", static_cast<std::int64_t>(order.first)},
+         {"last", static_cast<std::int64_t>(order.last)},
+         {"fence", order.fence},
+         {"outcome", static_cast<std::int64_t>(reply.outcome)},
+         {"order", static_cast<std::int64_t>(order.id)},
+         {"status", static_cast<std::int64_t>(reply.status)},
+         {"kept_connection", reply.trace.reused},
+         {"write_age_ms",
+          reply.trace.sent ? (Now() - reply.trace.written).count() / 1000 : -1},
+         {"age_ms", (Now() - begun).count() / 1000}});
   }
   coordination::KeyspaceCoordinator* coordinator =
       FindCoordinator(term, service);
@@ -921,7 +878,7 @@
     co_return;
   }
   const std::uint64_t routed = coordinator->routed_change();
-  coordinator->HandleOrderOutcome(Now(), order, outcome, handover);
+  coordinator->HandleOrderOutcome(Now(), order, reply.outcome, reply.handover);
   if (coordinator->superseded()) {
     election_.HandleFenced();
     co_return;
@@ -931,8 +888,6 @@
   }
 }
 
-// Sends a release of keys that the server does not hold. The release changes
-// nothing; a reply shows that orders reach the server again.
 awaitable<void> LeaderDuty::ProbeServer(std::int64_t term,
                                         std::string service,
                                         state::ServerIncarnation server) {
@@ -940,15 +895,11 @@
   if (record == nullptr) {
     co_return;
   }
-  HttpSendOptions options;
-  options.fields.emplace_back(platform::kServerIdField, server.id);
-  const auto reply = co_await order_client_.Send(
-      record->address, http::verb::post, std::string(platform::kReleasePath),
-      platform::ReleaseBody(0, 0, 0), coordination::kOrderTimeout,
-      std::move(options));
+  const state::Address address = record->address;
+  const bool answers = co_await order_client_.Probe(address, server);
   coordination::KeyspaceCoordinator* coordinator =
       FindCoordinator(term, service);
-  if (reply && reply.value().ok() && coordinator != nullptr) {
+  if (answers && coordinator != nullptr) {
     coordinator->HandleResponsive(server);
   }
 }
--- a/src/transport/leader_duty.h
+++ b/src/transport/leader_duty.h
@@ -27,7 +27,7 @@
 #include "state/routing_config.h"
 #include "transport/asio.h"
 #include "transport/event_log.h"
-#include "transport/http_client.h"
+#include "transport/order_client.h"
 #include "transport/store_client.h"
 
 namespace mustardflow::transport {
@@ -240,7 +240,7 @@
   const coordination::ServerPool& pool_;
   EventLog& log_;
   const Hooks hooks_;
-  HttpClient order_client_;
+  OrderClient order_client_;
   coordination::LeaderElection election_;
   std::shared_ptr<const state::RoutingConfig> config_;
 
--- /dev/null
+++ b/src/transport/order_client.cc
@@ -0,0 +1,110 @@
+// Sends orders and judges their answers.
+
+#include "transport/order_client.h"
+
+#include <utility>
+
+#include "platform/server_protocol.h"
+
+namespace mustardflow::transport {
+
+using coordination::KeyOrder;
+using coordination::OrderKind;
+using coordination::OrderOutcome;
+using state::Duration;
+
+namespace {
+
+// A server replies to a release only when its requests on the released keys
+// have ended.
+constexpr Duration kReleaseTimeout = std::chrono::milliseconds(2600);
+constexpr std::size_t kMaxReplyBytes = 64 << 10;
+
+// Returns the value of a header field, or null if the reply does not have it.
+const std::string* FindField(const HttpReply& reply, std::string_view name) {
+  for (const auto& [field, value] : reply.fields) {
+    if (beast::iequals(field, beast::string_view(name.data(), name.size()))) {
+      return &value;
+    }
+  }
+  return nullptr;
+}
+
+OrderOutcome GrantOutcome(const HttpReply& reply) {
+  if (reply.ok()) {
+    return OrderOutcome::kAccepted;
+  }
+  return reply.status == 409 ? OrderOutcome::kRefused : OrderOutcome::kNotSent;
+}
+
+OrderOutcome ReleaseOutcome(const HttpReply& reply) {
+  if (reply.ok()) {
+    // Only the answer to a release has the field. Without it, this may be a
+    // late copy of the answer to an earlier grant.
+    return FindField(reply, platform::kHandoverField) != nullptr
+               ? OrderOutcome::kAccepted
+               : OrderOutcome::kUnknown;
+  }
+  return reply.status == 409 ? OrderOutcome::kRefused : OrderOutcome::kNotSent;
+}
+
+}  // namespace
+
+OrderClient::OrderClient(const asio::any_io_executor& executor)
+    : client_(executor, kMaxReplyBytes) {}
+
+awaitable<OrderReply> OrderClient::Send(state::Address address,
+                                        KeyOrder order,
+                                        std::function<bool()> may_write) {
+  OrderReply result;
+  if (!may_write()) {
+    co_return result;
+  }
+  const bool grant = order.kind == OrderKind::kGrant;
+  HttpSendOptions options;
+  options.fields.emplace_back(platform::kServerIdField, order.server.id);
+  options.trace = &result.trace;
+  // On a new connection the order could reach a later incarnation of the
+  // server, for which the grant is not meant.
+  options.reconnect = false;
+  // These are built before the awaited call, because g++ 12 destroys the
+  // temporaries of conditional arguments of an awaited call twice.
+  const std::string path(grant ? platform::kGrantPath : platform::kReleasePath);
+  const std::string body =
+      grant ? platform::GrantBody(order.first, order.last, order.fence,
+                                  coordination::kKeyLease, order.handover)
+            : platform::ReleaseBody(order.first, order.last, order.fence);
+  const Duration timeout =
+      grant ? coordination::kOrderTimeout : kReleaseTimeout;
+  const auto reply = co_await client_.Send(address, http::verb::post, path,
+                                           body, timeout, std::move(options));
+  if (!reply) {
+    result.outcome =
+        result.trace.sent ? OrderOutcome::kUnknown : OrderOutcome::kNotSent;
+    co_return result;
+  }
+  result.status = reply.value().status;
+  result.outcome =
+      grant ? GrantOutcome(reply.value()) : ReleaseOutcome(reply.value());
+  if (const std::string* handover =
+          FindField(reply.value(), platform::kHandoverField);
+      handover != nullptr && reply.value().ok()) {
+    result.handover = *handover;
+  }
+  co_return result;
+}
+
+// The release of keys that the server does not hold changes nothing.
+awaitable<bool> OrderClient::Probe(state::Address address,
+                                   state::ServerIncarnation server) {
+  HttpSendOptions options;
+  options.fields.emplace_back(platform::kServerIdField, server.id);
+  const std::string path(platform::kReleasePath);
+  const std::string body = platform::ReleaseBody(0, 0, 0);
+  const auto reply =
+      co_await client_.Send(address, http::verb::post, path, body,
+                            coordination::kOrderTimeout, std::move(options));
+  co_return reply&& reply.value().ok();
+}
+
+}  // namespace mustardflow::transport
--- /dev/null
+++ b/src/transport/order_client.h
@@ -0,0 +1,48 @@
+// Sends the leader's orders to backend servers and tells what is known of
+// their end.
+
+#ifndef MUSTARDFLOW_TRANSPORT_ORDER_CLIENT_H_
+#define MUSTARDFLOW_TRANSPORT_ORDER_CLIENT_H_
+
+#include <functional>
+#include <string>
+
+#include "coordination/keyspace_coordinator.h"
+#include "state/document.h"
+#include "transport/asio.h"
+#include "transport/http_client.h"
+
+namespace mustardflow::transport {
+
+// How an order has ended.
+struct OrderReply {
+  coordination::OrderOutcome outcome = coordination::OrderOutcome::kNotSent;
+  // The status of the answer; 0 without an answer.
+  int status = 0;
+  // From the answer to a release: the data for the next holder.
+  std::string handover;
+  HttpSendTrace trace;
+};
+
+// Not thread-safe.
+class OrderClient {
+ public:
+  explicit OrderClient(const asio::any_io_executor& executor);
+
+  // Sends the order to the server at `address`, provided that `may_write`
+  // returns true.
+  awaitable<OrderReply> Send(state::Address address,
+                             coordination::KeyOrder order,
+                             std::function<bool()> may_write);
+
+  // Returns whether the server answers an order that changes nothing.
+  awaitable<bool> Probe(state::Address address,
+                        state::ServerIncarnation server);
+
+ private:
+  HttpClient client_;
+};
+
+}  // namespace mustardflow::transport
+
+#endif  // MUSTARDFLOW_TRANSPORT_ORDER_CLIENT_H_
