orders: Take only an answer that says so as proof of no effect

A grant or release that was answered with any status besides 2xx and 409 counted as not sent, which shortens what is known of a lease: keys could be given on while a server held them. A 5xx may come after the order was applied. A release with 409 counted as refused, although releases never are.

Now 421, or an error with X-Not-Executed, says that nothing was carried out. Any other error is unknown.

--- a/src/transport/order_client.cc
+++ b/src/transport/order_client.cc
@@ -30,22 +30,36 @@
   return nullptr;
 }
 
+// Returns whether the reply states that the order was not carried out. No other
+// error does: it may come from something between this host and the server, or
+// from the server after it has applied the order.
+bool StatesNotExecuted(const HttpReply& reply) {
+  return reply.status == 421 ||
+         (!reply.ok() &&
+          FindField(reply, platform::kNotExecutedField) != nullptr);
+}
+
 OrderOutcome GrantOutcome(const HttpReply& reply) {
-  if (reply.ok()) {
+  if (StatesNotExecuted(reply)) {
+    return OrderOutcome::kNotSent;
+  }
+  if (reply.ok() && FindField(reply, platform::kNotExecutedField) == nullptr) {
     return OrderOutcome::kAccepted;
   }
-  return reply.status == 409 ? OrderOutcome::kRefused : OrderOutcome::kNotSent;
+  return reply.status == 409 ? OrderOutcome::kRefused : OrderOutcome::kUnknown;
 }
 
 OrderOutcome ReleaseOutcome(const HttpReply& reply) {
-  if (reply.ok()) {
-    // Only the answer to a release has the field. Without it, this may be a
-    // late copy of the answer to an earlier grant.
-    return FindField(reply, platform::kHandoverField) != nullptr
-               ? OrderOutcome::kAccepted
-               : OrderOutcome::kUnknown;
+  if (StatesNotExecuted(reply)) {
+    return OrderOutcome::kNotSent;
   }
-  return reply.status == 409 ? OrderOutcome::kRefused : OrderOutcome::kNotSent;
+  // Only the answer to a release has the handover. Without it, this may be a
+  // late copy of the answer to an earlier grant.
+  return reply.ok() &&
+                 FindField(reply, platform::kNotExecutedField) == nullptr &&
+                 FindField(reply, platform::kHandoverField) != nullptr
+             ? OrderOutcome::kAccepted
+             : OrderOutcome::kUnknown;
 }
 
 }  // namespace
@@ -88,7 +102,7 @@
       grant ? GrantOutcome(reply.value()) : ReleaseOutcome(reply.value());
   if (const std::string* handover =
           FindField(reply.value(), platform::kHandoverField);
-      handover != nullptr && reply.value().ok()) {
+      handover != nullptr && result.outcome == OrderOutcome::kAccepted) {
     result.handover = *handover;
   }
   co_return result;
--- /dev/null
+++ b/tests/transport/order_client_test.cc
@@ -0,0 +1,186 @@
+// Tests what the leader takes as known of an order, with a backend server that
+// answers as the test says.
+
+#include "transport/order_client.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace mustardflow::tests {
+
+namespace {
+
+using coordination::KeyOrder;
+using coordination::OrderKind;
+using coordination::OrderOutcome;
+using std::chrono::milliseconds;
+using transport::OrderReply;
+using transport::asio::ip::tcp;
+namespace asio = transport::asio;
+namespace http = transport::http;
+
+std::string Answer(int status, const std::string& fields = "") {
+  return "HTTP/1.1 " + std::to_string(status) +
+         " Status\r\nContent-Length: 0\r\n" + fields + "\r\n";
+}
+
+// An order as the server has received it.
+struct Received {
+  // Connections are counted from 0.
+  int connection = 0;
+  std::string path;
+  std::string attempt_id;
+};
+
+// A client of orders and the server that receives them.
+class OrderFixture {
+ public:
+  // Acts on a received order: may write to the socket or close it.
+  using Action = std::function<void(tcp::socket&, const Received&)>;
+
+  explicit OrderFixture(Action action)
+      : acceptor_(context_, {asio::ip::make_address("127.0.0.1"), 0}),
+        action_(std::move(action)),
+        client_(context_.get_executor()) {
+    asio::co_spawn(context_, Accept(), asio::detached);
+  }
+
+  // Sends an order without waiting for its end.
+  void Start(OrderKind kind, std::function<bool()> may_write) {
+    asio::co_spawn(context_, SendOne(kind, std::move(may_write)),
+                   asio::detached);
+  }
+
+  // Sends an order and returns its end.
+  OrderReply Send(OrderKind kind) {
+    Start(kind, [] { return true; });
+    RunUntilReplies(replies.size() + 1);
+    return replies.back();
+  }
+
+  void RunUntilReplies(std::size_t count) {
+    while (replies.size() < count) {
+      context_.run_one();
+    }
+  }
+
+  void RunFor(milliseconds duration) { context_.run_for(duration); }
+
+  asio::io_context& context() { return context_; }
+
+  std::vector<Received> received;
+  // How the connections ended that the client ended.
+  std::vector<boost::system::error_code> ends;
+  std::vector<OrderReply> replies;
+  // The open connections.
+  std::vector<tcp::socket*> connections;
+
+ private:
+  transport::awaitable<void> SendOne(OrderKind kind,
+                                     std::function<bool()> may_write) {
+    KeyOrder order;
+    order.id = ++order_count_;
+    order.kind = kind;
+    order.server = {"s1", 1};
+    order.first = 10;
+    order.last = 19;
+    order.fence = 7;
+    const state::Address address{"127.0.0.1",
+                                 acceptor_.local_endpoint().port()};
+    replies.push_back(
+        co_await client_.Send(address, order, std::move(may_write)));
+  }
+
+  transport::awaitable<void> Accept() {
+    for (int count = 0;; ++count) {
+      auto [error, socket] =
+          co_await acceptor_.async_accept(transport::kNoThrow);
+      if (error) {
+        co_return;
+      }
+      asio::co_spawn(context_, Serve(std::move(socket), count), asio::detached);
+    }
+  }
+
+  transport::awaitable<void> Serve(tcp::socket socket, int connection) {
+    connections.push_back(&socket);
+    transport::beast::flat_buffer buffer;
+    while (socket.is_open()) {
+      http::request<http::string_body> request;
+      const auto [error, bytes] = co_await http::async_read(
+          socket, buffer, request, transport::kNoThrow);
+      if (error) {
+        ends.push_back(error);
+        break;
+      }
+      received.push_back({connection, std::string(request.target()),
+                          std::string(request["X-Attempt-Id"])});
+      action_(socket, received.back());
+    }
+    std::erase(connections, &socket);
+  }
+
+  asio::io_context context_;
+  tcp::acceptor acceptor_;
+  const Action action_;
+  transport::OrderClient client_;
+  std::uint64_t order_count_ = 0;
+};
+
+// An action that writes one text as the answer to each order.
+OrderFixture::Action AnswerWith(std::string text) {
+  return [text = std::move(text)](tcp::socket& socket, const Received&) {
+    asio::write(socket, asio::buffer(text));
+  };
+}
+
+}  // namespace
+
+// Guards against keys that are given on while their holder's lease runs: an
+// answer with any other status was taken as proof that the order had no effect.
+TEST_CASE("only an answer that says so proves that an order had no effect",
+          "[O1]") {
+  struct Case {
+    OrderKind kind;
+    int status;
+    std::string fields;
+    OrderOutcome outcome;
+  };
+  const std::string not_executed = "X-Not-Executed: 1\r\n";
+  const std::string handover = "X-Handover: 5c0e\r\n";
+  const auto test = GENERATE_COPY(values<Case>({
+      {OrderKind::kGrant, 200, "", OrderOutcome::kAccepted},
+      {OrderKind::kGrant, 409, "", OrderOutcome::kRefused},
+      {OrderKind::kGrant, 421, "", OrderOutcome::kNotSent},
+      {OrderKind::kGrant, 503, not_executed, OrderOutcome::kNotSent},
+      {OrderKind::kGrant, 302, "", OrderOutcome::kUnknown},
+      {OrderKind::kGrant, 400, "", OrderOutcome::kUnknown},
+      {OrderKind::kGrant, 404, "", OrderOutcome::kUnknown},
+      {OrderKind::kGrant, 500, "", OrderOutcome::kUnknown},
+      {OrderKind::kGrant, 503, "", OrderOutcome::kUnknown},
+      {OrderKind::kGrant, 200, not_executed, OrderOutcome::kUnknown},
+      {OrderKind::kRelease, 200, handover, OrderOutcome::kAccepted},
+      {OrderKind::kRelease, 200, "", OrderOutcome::kUnknown},
+      {OrderKind::kRelease, 421, "", OrderOutcome::kNotSent},
+      {OrderKind::kRelease, 429, not_executed, OrderOutcome::kNotSent},
+      // A release is never refused.
+      {OrderKind::kRelease, 409, "", OrderOutcome::kUnknown},
+      {OrderKind::kRelease, 500, handover, OrderOutcome::kUnknown},
+  }));
+  OrderFixture fixture(AnswerWith(Answer(test.status, test.fields)));
+  const OrderReply reply = fixture.Send(test.kind);
+  CAPTURE(test.kind, test.status, test.fields);
+  CHECK(reply.outcome == test.outcome);
+  CHECK(reply.status == test.status);
+  CHECK(reply.handover ==
+        (test.outcome == OrderOutcome::kAccepted && !test.fields.empty()
+             ? "5c0e"
+             : ""));
+}
+
+}  // namespace mustardflow::tests
