http: Use an idle connection only if nothing has arrived on it

A server may send an extra answer when a connection is idle. It counted as the answer to the next order, so that a grant which had not even arrived counted as accepted, and its lease as counted from the answer. An order on a connection that the server had closed counted as possibly carried out.

Now an idle connection is dropped if anything can be read from it, the end included. If no other idle connection is left, a request that must not be repeated fails unsent: on a new connection a grant could reach a later life of the server, which no newer proof covers.

The test failed before in both cases, an extra answer and a closed connection, and passes now.

--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -23,6 +23,17 @@
 constexpr auto kMaxIdleTime = std::chrono::seconds(30);
 constexpr auto kPruneInterval = std::chrono::seconds(5);
 
+// Returns whether an idle connection cannot be reused, because the peer has
+// closed it or has sent something that is not the reply to the next request.
+bool IsUnusable(beast::tcp_stream& stream) {
+  beast::error_code error;
+  stream.socket().non_blocking(true, error);
+  char byte = 0;
+  stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek,
+                          error);
+  return error != asio::error::would_block;
+}
+
 }  // namespace
 
 HttpClient::HttpClient(asio::any_io_executor executor,
@@ -50,9 +61,14 @@
   const auto end = std::chrono::steady_clock::now() + timeout;
   const ReplyTimes times{timeout, end + options.transfer_time};
   PruneIdle();
+  bool lost = false;
   while (!idle_[address].empty()) {
     Stream stream = std::move(idle_[address].back().stream);
     idle_[address].pop_back();
+    if (IsUnusable(*stream)) {
+      lost = true;
+      continue;
+    }
     stream->expires_at(end);
     bool keep = false;
     trace = {true, true, Now()};
@@ -70,6 +86,9 @@
       co_return reply;
     }
   }
+  if (lost && !options.reconnect) {
+    co_return beast::error_code(asio::error::connection_aborted);
+  }
   auto stream = std::make_unique<beast::tcp_stream>(executor_);
   stream->expires_at(
       std::min(end, std::chrono::steady_clock::now() + kConnectTimeout));
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -48,7 +48,8 @@
 
   std::vector<std::pair<std::string, std::string>> fields;
   // Whether the request is retried on another connection if a reused connection
-  // fails for another reason than the timeout.
+  // fails for another reason than the timeout, and whether a connection is
+  // opened for it after an idle one was found to be unusable.
   bool reconnect = true;
   // How much longer than the timeout a reply may take whose header has arrived
   // in time, as long as no two parts of it are farther apart than the timeout:
@@ -58,9 +59,9 @@
   HttpSendTrace* trace = nullptr;
 };
 
-// Sends requests with bodies that fit in memory. Reuses idle connections: a
-// peer may receive a request twice unless HttpSendOptions::reconnect is
-// false. Not thread-safe.
+// Sends requests with bodies that fit in memory. Reuses idle connections on
+// which nothing has arrived since their last reply; a peer may receive a
+// request twice unless HttpSendOptions::reconnect is false. Not thread-safe.
 class HttpClient {
  public:
   HttpClient(asio::any_io_executor executor, std::size_t max_reply_bytes);
--- a/tests/transport/order_client_test.cc
+++ b/tests/transport/order_client_test.cc
@@ -183,4 +183,29 @@
              : ""));
 }
 
+// Guards against an extra answer, sent while a connection is idle, that counts
+// as the answer to the next order; and against an order that is written to a
+// connection which the server has closed.
+TEST_CASE("an order is not written where something is waiting to be read",
+          "[O1]") {
+  OrderFixture fixture(AnswerWith(Answer(200)));
+  REQUIRE(fixture.Send(OrderKind::kGrant).outcome == OrderOutcome::kAccepted);
+  const bool closes = GENERATE(false, true);
+  if (closes) {
+    fixture.connections[0]->shutdown(tcp::socket::shutdown_send);
+  } else {
+    asio::write(*fixture.connections[0], asio::buffer(Answer(200)));
+  }
+  const OrderReply reply = fixture.Send(OrderKind::kGrant);
+  CAPTURE(closes);
+  CHECK_FALSE(reply.trace.sent);
+  CHECK(reply.outcome == OrderOutcome::kNotSent);
+  fixture.RunFor(milliseconds(20));
+  CHECK(fixture.received.size() == 1);
+  // The next order takes another connection.
+  CHECK(fixture.Send(OrderKind::kGrant).outcome == OrderOutcome::kAccepted);
+  REQUIRE(fixture.received.size() == 2);
+  CHECK(fixture.received[1].connection == 1);
+}
+
 }  // namespace mustardflow::tests
