orders: Tell the answer to another order by its id

Answers were matched to orders by their order of arrival on a connection alone. A late answer to an earlier order counted for a later one: a lease as renewed by a grant that had not arrived, or as released while work went on.

Now each order carries an id of its own. An answer with another id proves nothing: the order's outcome is unknown, and the connection is reset. An answer without an id still counts, as servers need not repeat it.

--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -72,7 +72,7 @@
     stream->expires_at(end);
     bool keep = false;
     trace = {true, true, Now()};
-    auto reply = co_await SendOver(*stream, request, times, &keep);
+    auto reply = co_await SendOver(*stream, request, times, options, &keep);
     if (reply) {
       if (keep) {
         KeepIdle(address, std::move(stream));
@@ -106,7 +106,7 @@
   stream->socket().set_option(asio::socket_base::linger(true, 0), ignored);
   bool keep = false;
   trace = {true, false, Now()};
-  auto reply = co_await SendOver(*stream, request, times, &keep);
+  auto reply = co_await SendOver(*stream, request, times, options, &keep);
   if (reply && keep) {
     KeepIdle(address, std::move(stream));
   }
@@ -138,6 +138,7 @@
     beast::tcp_stream& stream,
     Request& request,
     ReplyTimes times,
+    const HttpSendOptions& options,
     bool* keep) {
   const auto [write_error, written] =
       co_await http::async_write(stream, request, kNoThrow);
@@ -159,7 +160,6 @@
   if (read_error) {
     co_return read_error;
   }
-  *keep = parser.get().keep_alive() && buffer.size() == 0;
   HttpReply reply;
   reply.status = static_cast<int>(parser.get().result_int());
   reply.body = std::move(parser.get().body());
@@ -167,6 +167,10 @@
     reply.fields.emplace_back(std::string(field.name_string()),
                               std::string(field.value()));
   }
+  if (options.is_own_reply && !options.is_own_reply(reply)) {
+    co_return make_error_code(boost::system::errc::bad_message);
+  }
+  *keep = parser.get().keep_alive() && buffer.size() == 0;
   co_return reply;
 }
 
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -55,6 +56,9 @@
   // in time, as long as no two parts of it are farther apart than the timeout:
   // a long reply takes seconds over a busy link.
   state::Duration transfer_time{0};
+  // Returns whether a reply belongs to this request. If not, the request fails
+  // and its connection is reset. If empty, each reply belongs to it.
+  std::function<bool(const HttpReply&)> is_own_reply;
   // If not null, filled in while the request is sent.
   HttpSendTrace* trace = nullptr;
 };
@@ -94,6 +98,7 @@
       beast::tcp_stream& stream,
       Request& request,
       ReplyTimes times,
+      const HttpSendOptions& options,
       bool* keep);
 
   // An open connection without a request.
--- a/src/transport/order_client.cc
+++ b/src/transport/order_client.cc
@@ -2,6 +2,9 @@
 
 #include "transport/order_client.h"
 
+#include <iomanip>
+#include <random>
+#include <sstream>
 #include <utility>
 
 #include "platform/server_protocol.h"
@@ -39,6 +42,13 @@
           FindField(reply, platform::kNotExecutedField) != nullptr);
 }
 
+// Returns whether the reply can be the one to the order with this id. Servers
+// need not repeat the id.
+bool MayAnswer(const HttpReply& reply, const std::string& id) {
+  const std::string* repeated = FindField(reply, platform::kAttemptIdField);
+  return repeated == nullptr || *repeated == id;
+}
+
 OrderOutcome GrantOutcome(const HttpReply& reply) {
   if (StatesNotExecuted(reply)) {
     return OrderOutcome::kNotSent;
@@ -65,7 +75,25 @@
 }  // namespace
 
 OrderClient::OrderClient(const asio::any_io_executor& executor)
-    : client_(executor, kMaxReplyBytes) {}
+    : id_prefix_(std::random_device()()), client_(executor, kMaxReplyBytes) {}
+
+std::string OrderClient::MakeId() {
+  std::ostringstream id;
+  id << std::hex << std::setfill('0') << std::setw(8) << id_prefix_
+     << std::setw(8) << ++id_count_;
+  return id.str();
+}
+
+HttpSendOptions OrderClient::MakeOptions(const std::string& server) {
+  const std::string id = MakeId();
+  HttpSendOptions options;
+  options.fields.emplace_back(platform::kServerIdField, server);
+  options.fields.emplace_back(platform::kAttemptIdField, id);
+  options.is_own_reply = [id](const HttpReply& reply) {
+    return MayAnswer(reply, id);
+  };
+  return options;
+}
 
 awaitable<OrderReply> OrderClient::Send(state::Address address,
                                         KeyOrder order,
@@ -75,8 +103,7 @@
     co_return result;
   }
   const bool grant = order.kind == OrderKind::kGrant;
-  HttpSendOptions options;
-  options.fields.emplace_back(platform::kServerIdField, order.server.id);
+  HttpSendOptions options = MakeOptions(order.server.id);
   options.trace = &result.trace;
   // On a new connection the order could reach a later incarnation of the
   // server, for which the grant is not meant.
@@ -111,8 +138,7 @@
 // The release of keys that the server does not hold changes nothing.
 awaitable<bool> OrderClient::Probe(state::Address address,
                                    state::ServerIncarnation server) {
-  HttpSendOptions options;
-  options.fields.emplace_back(platform::kServerIdField, server.id);
+  HttpSendOptions options = MakeOptions(server.id);
   const std::string path(platform::kReleasePath);
   const std::string body = platform::ReleaseBody(0, 0, 0);
   const auto reply =
--- a/src/transport/order_client.h
+++ b/src/transport/order_client.h
@@ -4,6 +4,7 @@
 #ifndef MUSTARDFLOW_TRANSPORT_ORDER_CLIENT_H_
 #define MUSTARDFLOW_TRANSPORT_ORDER_CLIENT_H_
 
+#include <cstdint>
 #include <functional>
 #include <string>
 
@@ -40,6 +41,14 @@
                         state::ServerIncarnation server);
 
  private:
+  std::string MakeId();
+  // The options that all orders have: an id of its own, by which the answer to
+  // another order is told, and the intended server.
+  HttpSendOptions MakeOptions(const std::string& server);
+
+  // Both make up an order's id.
+  const std::uint32_t id_prefix_;
+  std::uint32_t id_count_ = 0;
   HttpClient client_;
 };
 
--- a/tests/transport/order_client_test.cc
+++ b/tests/transport/order_client_test.cc
@@ -208,4 +208,35 @@
   CHECK(fixture.received[1].connection == 1);
 }
 
+// Guards against a lease that counts as renewed, or as released, by the answer
+// to an earlier order.
+TEST_CASE("an answer with the id of another order proves nothing", "[O1]") {
+  const OrderKind kind = GENERATE(OrderKind::kGrant, OrderKind::kRelease);
+  const int status = GENERATE(200, 409, 421);
+  OrderFixture fixture(AnswerWith(Answer(
+      status, "X-Handover: 5c0e\r\nX-Attempt-Id: 0011223344556677\r\n")));
+  const OrderReply reply = fixture.Send(kind);
+  CAPTURE(kind, status);
+  CHECK(reply.outcome == OrderOutcome::kUnknown);
+  CHECK(reply.handover.empty());
+  fixture.RunFor(milliseconds(20));
+  REQUIRE(fixture.ends.size() == 1);
+  CHECK(fixture.ends[0] == asio::error::connection_reset);
+}
+
+TEST_CASE("each order has an id, and its answer may repeat it", "[O1]") {
+  OrderFixture fixture([](tcp::socket& socket, const Received& order) {
+    asio::write(socket,
+                asio::buffer(Answer(200, "x-attempt-id: " + order.attempt_id +
+                                             "\r\nX-Handover: 5c0e\r\n")));
+  });
+  CHECK(fixture.Send(OrderKind::kGrant).outcome == OrderOutcome::kAccepted);
+  CHECK(fixture.Send(OrderKind::kGrant).outcome == OrderOutcome::kAccepted);
+  CHECK(fixture.Send(OrderKind::kRelease).outcome == OrderOutcome::kAccepted);
+  REQUIRE(fixture.received.size() == 3);
+  CHECK_FALSE(fixture.received[0].attempt_id.empty());
+  CHECK(fixture.received[0].attempt_id != fixture.received[1].attempt_id);
+  CHECK(fixture.received[1].attempt_id != fixture.received[2].attempt_id);
+}
+
 }  // namespace mustardflow::tests
