orders: Tell a reset by the server from other ends

A grant without an answer has no end of its lease until something written later is known to have arrived. If the server has reset the connection, the order cannot arrive any more, and the lease counts from the reset. Nothing reported it.

Now a write or read that fails with connection_reset or broken_pipe ends as kReset. A timeout, the end of the stream, or bytes that are no answer stay unknown.

The test failed before for the reset and passes now; its other sections passed before and pass now.

--- a/src/transport/order_client.cc
+++ b/src/transport/order_client.cc
@@ -49,6 +49,17 @@
   return repeated == nullptr || *repeated == id;
 }
 
+// The outcome of an order without an answer.
+OrderOutcome FailureOutcome(const beast::error_code& error, bool sent) {
+  if (!sent) {
+    return OrderOutcome::kNotSent;
+  }
+  return error == asio::error::connection_reset ||
+                 error == asio::error::broken_pipe
+             ? OrderOutcome::kReset
+             : OrderOutcome::kUnknown;
+}
+
 OrderOutcome GrantOutcome(const HttpReply& reply) {
   if (StatesNotExecuted(reply)) {
     return OrderOutcome::kNotSent;
@@ -120,8 +131,7 @@
   const auto reply = co_await client_.Send(address, http::verb::post, path,
                                            body, timeout, std::move(options));
   if (!reply) {
-    result.outcome =
-        result.trace.sent ? OrderOutcome::kUnknown : OrderOutcome::kNotSent;
+    result.outcome = FailureOutcome(reply.error(), result.trace.sent);
     co_return result;
   }
   result.status = reply.value().status;
--- a/tests/transport/order_client_test.cc
+++ b/tests/transport/order_client_test.cc
@@ -239,4 +239,38 @@
   CHECK(fixture.received[1].attempt_id != fixture.received[2].attempt_id);
 }
 
+// Guards against a lease that counts as unknown for longer than needed, and
+// against one that counts from an end which proves nothing.
+TEST_CASE("only a reset by the server tells that an order is not under way",
+          "[O1]") {
+  SECTION("reset") {
+    OrderFixture fixture([](tcp::socket& socket, const Received&) {
+      socket.set_option(asio::socket_base::linger(true, 0));
+      socket.close();
+    });
+    CHECK(fixture.Send(OrderKind::kGrant).outcome == OrderOutcome::kReset);
+  }
+  SECTION("closed") {
+    OrderFixture fixture(
+        [](tcp::socket& socket, const Received&) { socket.close(); });
+    CHECK(fixture.Send(OrderKind::kGrant).outcome == OrderOutcome::kUnknown);
+  }
+  SECTION("not an answer") {
+    OrderFixture fixture(AnswerWith("good morning\r\n\r\n"));
+    CHECK(fixture.Send(OrderKind::kGrant).outcome == OrderOutcome::kUnknown);
+  }
+  SECTION("a part of an answer") {
+    OrderFixture fixture([](tcp::socket& socket, const Received&) {
+      asio::write(socket, asio::buffer(std::string_view(
+                              "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n")));
+      socket.close();
+    });
+    CHECK(fixture.Send(OrderKind::kGrant).outcome == OrderOutcome::kUnknown);
+  }
+  SECTION("nothing") {
+    OrderFixture fixture([](tcp::socket&, const Received&) {});
+    CHECK(fixture.Send(OrderKind::kGrant).outcome == OrderOutcome::kUnknown);
+  }
+}
+
 }  // namespace mustardflow::tests
