orders: Ask for the right to send at the moment of the write

Whether a grant may be sent was asked before a connection was opened, which takes up to 300 ms. A grant could leave after the proof of the term, the term itself or the record of the server had ended.

Now HttpClient asks the sender immediately before each write. If it says no, nothing is written, the connection is kept, and the order counts as not sent. LeaderDuty says yes while it leads the term, the server's record and address are the same, and, for grants, MayGrant holds.

It covers the client; what LeaderDuty answers has no test of its own.

--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -69,6 +69,10 @@
       lost = true;
       continue;
     }
+    if (options.may_write && !options.may_write()) {
+      KeepIdle(address, std::move(stream));
+      co_return beast::error_code(asio::error::operation_aborted);
+    }
     stream->expires_at(end);
     bool keep = false;
     trace = {true, true, Now()};
@@ -104,6 +108,10 @@
   // then discarded, so that a request which timed out is not executed later.
   // The option is set here because the stream closes itself when it times out.
   stream->socket().set_option(asio::socket_base::linger(true, 0), ignored);
+  if (options.may_write && !options.may_write()) {
+    KeepIdle(address, std::move(stream));
+    co_return beast::error_code(asio::error::operation_aborted);
+  }
   bool keep = false;
   trace = {true, false, Now()};
   auto reply = co_await SendOver(*stream, request, times, options, &keep);
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -56,6 +56,9 @@
   // in time, as long as no two parts of it are farther apart than the timeout:
   // a long reply takes seconds over a busy link.
   state::Duration transfer_time{0};
+  // Asked immediately before the request is written. If it returns false,
+  // nothing is written, and the request fails. If empty, it is always written.
+  std::function<bool()> may_write;
   // Returns whether a reply belongs to this request. If not, the request fails
   // and its connection is reset. If empty, each reply belongs to it.
   std::function<bool(const HttpReply&)> is_own_reply;
--- a/src/transport/leader_duty.cc
+++ b/src/transport/leader_duty.cc
@@ -841,6 +841,16 @@
              : nullptr;
 }
 
+bool LeaderDuty::MayWrite(std::int64_t term,
+                          const std::string& service,
+                          const KeyOrder& order,
+                          const state::Address& address) {
+  const state::ServerRecord* record = FindRecord(order.server);
+  return FindCoordinator(term, service) != nullptr && record != nullptr &&
+         record->address == address &&
+         (order.kind != OrderKind::kGrant || MayGrant(Now()));
+}
+
 awaitable<void> LeaderDuty::SendOrder(std::int64_t term,
                                       std::string service,
                                       KeyOrder order) {
@@ -850,9 +860,11 @@
   OrderReply reply;
   if (record != nullptr) {
     const state::Address address = record->address;
-    // The process may have been suspended since the order was made.
-    const std::function<bool()> may_write = [this, grant] {
-      return !grant || MayGrant(Now());
+    // The process may have been suspended since the order was made, and a
+    // connection may have to be opened first.
+    const std::function<bool()> may_write = [this, term, &service, &order,
+                                             &address] {
+      return MayWrite(term, service, order, address);
     };
     reply = co_await order_client_.Send(address, order, may_write);
   }
--- a/src/transport/leader_duty.h
+++ b/src/transport/leader_duty.h
@@ -221,6 +221,11 @@
   awaitable<platform::AppendOutcome> AppendNext(
       std::shared_ptr<TermWriter> writer,
       std::vector<platform::KeyedRecord> records);
+  // Whether the order may be written to the server at `address` now.
+  bool MayWrite(std::int64_t term,
+                const std::string& service,
+                const coordination::KeyOrder& order,
+                const state::Address& address);
   awaitable<void> SendOrder(std::int64_t term,
                             std::string service,
                             coordination::KeyOrder order);
--- a/src/transport/order_client.cc
+++ b/src/transport/order_client.cc
@@ -110,12 +110,10 @@
                                         KeyOrder order,
                                         std::function<bool()> may_write) {
   OrderReply result;
-  if (!may_write()) {
-    co_return result;
-  }
   const bool grant = order.kind == OrderKind::kGrant;
   HttpSendOptions options = MakeOptions(order.server.id);
   options.trace = &result.trace;
+  options.may_write = std::move(may_write);
   // On a new connection the order could reach a later incarnation of the
   // server, for which the grant is not meant.
   options.reconnect = false;
--- a/src/transport/order_client.h
+++ b/src/transport/order_client.h
@@ -30,8 +30,9 @@
  public:
   explicit OrderClient(const asio::any_io_executor& executor);
 
-  // Sends the order to the server at `address`, provided that `may_write`
-  // returns true.
+  // Sends the order to the server at `address`. `may_write` is asked
+  // immediately before the order is written; if it returns false, nothing is
+  // written.
   awaitable<OrderReply> Send(state::Address address,
                              coordination::KeyOrder order,
                              std::function<bool()> may_write);
--- a/tests/transport/order_client_test.cc
+++ b/tests/transport/order_client_test.cc
@@ -273,4 +273,29 @@
   }
 }
 
+// Guards against a grant that leaves after this host has lost the right to
+// grant: it was asked for only before a connection was opened.
+TEST_CASE("the right to send an order is asked for when it is written",
+          "[O1]") {
+  OrderFixture fixture(AnswerWith(Answer(200)));
+  const bool kept = GENERATE(false, true);
+  if (kept) {
+    REQUIRE(fixture.Send(OrderKind::kGrant).outcome == OrderOutcome::kAccepted);
+  }
+  const std::size_t earlier = fixture.received.size();
+  bool allowed = !kept;
+  fixture.Start(OrderKind::kGrant, [&allowed] { return allowed; });
+  // Takes effect while the connection is being opened.
+  asio::post(fixture.context(), [&allowed] { allowed = false; });
+  fixture.RunUntilReplies(earlier + 1);
+  CAPTURE(kept);
+  CHECK(fixture.replies.back().outcome == OrderOutcome::kNotSent);
+  CHECK_FALSE(fixture.replies.back().trace.sent);
+  fixture.RunFor(milliseconds(20));
+  CHECK(fixture.received.size() == earlier);
+  // The connection is kept for the next order.
+  CHECK(fixture.Send(OrderKind::kGrant).outcome == OrderOutcome::kAccepted);
+  CHECK(fixture.received.back().connection == 0);
+}
+
 }  // namespace mustardflow::tests
