orders: Send the grants to a server one after the other

A leader kept four connections to a server and opened new ones for all grants beyond that, which the server may let wait for a slot: in a trace, nearly all grants without an answer had timed out on new connections. Each adds a wait to the keys of its range.

Now the grants to one server wait for each other and share one kept connection. Releases have connections of their own, as a server answers them when its requests on the released keys have ended. coordination/order_queue decides, without I/O.

Twelve grants at once took new connections before and take one now; five grants to a silent server were all written before, and at most two are now. Not measured: the effect on a leader of 533 servers.

--- a/src/transport/order_client.cc
+++ b/src/transport/order_client.cc
@@ -86,7 +86,11 @@
 }  // namespace
 
 OrderClient::OrderClient(const asio::any_io_executor& executor)
-    : id_prefix_(std::random_device()()), client_(executor, kMaxReplyBytes) {}
+    : id_prefix_(std::random_device()()),
+      executor_(executor),
+      grants_(std::make_shared<Grants>()),
+      grant_client_(executor, kMaxReplyBytes),
+      release_client_(executor, kMaxReplyBytes) {}
 
 std::string OrderClient::MakeId() {
   std::ostringstream id;
@@ -106,9 +110,62 @@
   return options;
 }
 
+class OrderClient::Turn {
+ public:
+  Turn(const std::shared_ptr<Grants>& grants, state::Address address)
+      : grants_(grants), address_(std::move(address)) {}
+  Turn(const Turn&) = delete;
+  Turn& operator=(const Turn&) = delete;
+
+  // Lets the next grant to the server begin, if any.
+  ~Turn() {
+    const std::shared_ptr<Grants> grants = grants_.lock();
+    const auto next =
+        grants != nullptr ? grants->queue.Leave(address_) : std::nullopt;
+    if (next) {
+      grants->waits.at(*next)->cancel();
+    }
+  }
+
+ private:
+  const std::weak_ptr<Grants> grants_;
+  const state::Address address_;
+};
+
+awaitable<bool> OrderClient::WaitForTurn(state::Address address) {
+  const std::uint64_t ticket = ++ticket_count_;
+  switch (grants_->queue.Enter(address, ticket)) {
+    case coordination::OrderQueue::Entry::kBegins:
+      co_return true;
+    case coordination::OrderQueue::Entry::kFull:
+      co_return false;
+    case coordination::OrderQueue::Entry::kWaits:
+      break;
+  }
+  asio::steady_timer timer(executor_, coordination::kOrderTimeout);
+  grants_->waits[ticket] = &timer;
+  co_await timer.async_wait(kNoThrow);
+  grants_->waits.erase(ticket);
+  co_return !grants_->queue.GiveUp(address, ticket);
+}
+
 awaitable<OrderReply> OrderClient::Send(state::Address address,
                                         KeyOrder order,
                                         std::function<bool()> may_write) {
+  if (order.kind == OrderKind::kRelease) {
+    co_return co_await SendNow(address, order, std::move(may_write));
+  }
+  const bool begins = co_await WaitForTurn(address);
+  if (!begins) {
+    co_return OrderReply();
+  }
+  const Turn turn(grants_, address);
+  co_return co_await SendNow(address, order, std::move(may_write));
+}
+
+awaitable<OrderReply> OrderClient::SendNow(state::Address address,
+                                           KeyOrder order,
+                                           std::function<bool()> may_write) {
   OrderReply result;
   const bool grant = order.kind == OrderKind::kGrant;
   HttpSendOptions options = MakeOptions(order.server.id);
@@ -126,8 +183,9 @@
             : platform::ReleaseBody(order.first, order.last, order.fence);
   const Duration timeout =
       grant ? coordination::kOrderTimeout : kReleaseTimeout;
-  const auto reply = co_await client_.Send(address, http::verb::post, path,
-                                           body, timeout, std::move(options));
+  HttpClient& client = grant ? grant_client_ : release_client_;
+  const auto reply = co_await client.Send(address, http::verb::post, path, body,
+                                          timeout, std::move(options));
   if (!reply) {
     result.outcome = FailureOutcome(reply.error(), result.trace.sent);
     co_return result;
@@ -149,10 +207,10 @@
   HttpSendOptions options = MakeOptions(server.id);
   const std::string path(platform::kReleasePath);
   const std::string body = platform::ReleaseBody(0, 0, 0);
-  const auto reply =
-      co_await client_.Send(address, http::verb::post, path, body,
-                            coordination::kOrderTimeout, std::move(options));
-  co_return reply&& reply.value().ok();
+  const auto reply = co_await release_client_.Send(
+      address, http::verb::post, path, body, coordination::kOrderTimeout,
+      std::move(options));
+  co_return reply.has_value() && reply.value().ok();
 }
 
 }  // namespace mustardflow::transport
--- a/src/transport/order_client.h
+++ b/src/transport/order_client.h
@@ -6,9 +6,12 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
+#include <memory>
 #include <string>
 
 #include "coordination/keyspace_coordinator.h"
+#include "coordination/order_queue.h"
 #include "state/document.h"
 #include "transport/asio.h"
 #include "transport/http_client.h"
@@ -25,14 +28,16 @@
   HttpSendTrace trace;
 };
 
-// Not thread-safe.
+// Grants to one server go one after the other over one kept connection: a
+// server may let new connections wait. Not thread-safe.
 class OrderClient {
  public:
   explicit OrderClient(const asio::any_io_executor& executor);
 
   // Sends the order to the server at `address`. `may_write` is asked
   // immediately before the order is written; if it returns false, nothing is
-  // written.
+  // written. A grant that waits for earlier ones longer than kOrderTimeout is
+  // not written either.
   awaitable<OrderReply> Send(state::Address address,
                              coordination::KeyOrder order,
                              std::function<bool()> may_write);
@@ -42,6 +47,22 @@
                         state::ServerIncarnation server);
 
  private:
+  // The grants that are under way or wait.
+  struct Grants {
+    coordination::OrderQueue queue;
+    // By ticket: ends the wait of a grant whose turn has come.
+    std::map<std::uint64_t, asio::steady_timer*> waits;
+  };
+  // Ends the turn of a grant when it is destroyed.
+  class Turn;
+
+  // Waits until no other grant to the server is under way. Returns false if
+  // that takes too long.
+  awaitable<bool> WaitForTurn(state::Address address);
+  // Sends the order at once.
+  awaitable<OrderReply> SendNow(state::Address address,
+                                coordination::KeyOrder order,
+                                std::function<bool()> may_write);
   std::string MakeId();
   // The options that all orders have: an id of its own, by which the answer to
   // another order is told, and the intended server.
@@ -50,7 +71,14 @@
   // Both make up an order's id.
   const std::uint32_t id_prefix_;
   std::uint32_t id_count_ = 0;
-  HttpClient client_;
+  const asio::any_io_executor executor_;
+  // Never null. Turns that end after this client do not touch it.
+  const std::shared_ptr<Grants> grants_;
+  std::uint64_t ticket_count_ = 0;
+  HttpClient grant_client_;
+  // Releases have connections of their own, since a server answers them only
+  // when its requests on the released keys have ended.
+  HttpClient release_client_;
 };
 
 }  // namespace mustardflow::transport
--- a/tests/transport/order_client_test.cc
+++ b/tests/transport/order_client_test.cc
@@ -298,4 +298,59 @@
   CHECK(fixture.received.back().connection == 0);
 }
 
+// Guards against new connections to a server for each burst of grants, which
+// the server may let wait: most of these grants got no answer in time.
+TEST_CASE("grants to one server share one connection", "[O1]") {
+  OrderFixture fixture(AnswerWith(Answer(200)));
+  const auto may_write = [] { return true; };
+  for (int i = 0; i < 12; ++i) {
+    fixture.Start(OrderKind::kGrant, may_write);
+  }
+  fixture.RunUntilReplies(12);
+  REQUIRE(fixture.received.size() == 12);
+  for (std::size_t i = 0; i < 12; ++i) {
+    CHECK(fixture.replies[i].outcome == OrderOutcome::kAccepted);
+    CHECK(fixture.received[i].connection == 0);
+  }
+}
+
+// Guards against grants that wait behind a release, which a server answers only
+// when its requests on the released keys have ended.
+TEST_CASE("a release without an answer holds up no other order", "[O1]") {
+  OrderFixture fixture([](tcp::socket& socket, const Received& order) {
+    if (order.path == "/grant") {
+      asio::write(socket, asio::buffer(Answer(200)));
+    }
+  });
+  const auto may_write = [] { return true; };
+  fixture.Start(OrderKind::kRelease, may_write);
+  fixture.Start(OrderKind::kRelease, may_write);
+  fixture.Start(OrderKind::kGrant, may_write);
+  fixture.RunUntilReplies(1);
+  CHECK(fixture.replies[0].outcome == OrderOutcome::kAccepted);
+  fixture.RunFor(milliseconds(20));
+  REQUIRE(fixture.received.size() == 3);
+  CHECK(fixture.connections.size() == 3);
+}
+
+// Guards against a silent server that gets order upon order, each of which
+// counts as unanswered.
+TEST_CASE("grants that wait for a silent server too long are not written",
+          "[O1]") {
+  OrderFixture fixture([](tcp::socket&, const Received&) {});
+  const auto may_write = [] { return true; };
+  for (int i = 0; i < 5; ++i) {
+    fixture.Start(OrderKind::kGrant, may_write);
+  }
+  fixture.RunUntilReplies(5);
+  int unknown = 0;
+  for (const OrderReply& reply : fixture.replies) {
+    unknown += reply.outcome == OrderOutcome::kUnknown ? 1 : 0;
+    CHECK((reply.outcome == OrderOutcome::kUnknown) == reply.trace.sent);
+    CHECK((reply.outcome == OrderOutcome::kNotSent) == !reply.trace.sent);
+  }
+  CHECK(fixture.received.size() == static_cast<std::size_t>(unknown));
+  CHECK(unknown <= 2);
+}
+
 }  // namespace mustardflow::tests
