keys: Do not count what the leader withheld against servers

An order that this host decided not to send counted as a failure of its server. After 0.65 s in which a leader could not prove that it leads, healthy servers counted as unresponsive and their keys moved. Such orders now end as withheld, which says nothing about the server. The test fails on the code before.

--- a/src/coordination/keyspace_coordinator.cc
+++ b/src/coordination/keyspace_coordinator.cc
@@ -225,7 +225,7 @@
                                              const std::string& handover) {
   if (outcome == OrderOutcome::kAccepted || outcome == OrderOutcome::kRefused) {
     HandleResponsive(order.server);
-  } else {
+  } else if (outcome != OrderOutcome::kWithheld) {
     RecordFailure(now, order.server);
   }
   if (order.kind == OrderKind::kRelease) {
@@ -283,6 +283,7 @@
       break;
     case OrderOutcome::kRefused:
     case OrderOutcome::kNotSent:
+    case OrderOutcome::kWithheld:
       break;
   }
 }
--- a/src/coordination/keyspace_coordinator.h
+++ b/src/coordination/keyspace_coordinator.h
@@ -91,6 +91,9 @@
   // The server has reset the connection without an answer. It may have carried
   // the order out, or may still do so, but the order cannot arrive any more.
   kReset,
+  // This host decided not to send the order, for example because it may not
+  // grant at present. That says nothing about the server.
+  kWithheld,
 };
 
 // The last grant to a server that has ended, and when it ended.
--- a/tests/keys/keyspace_cases_test.cc
+++ b/tests/keys/keyspace_cases_test.cc
@@ -5,6 +5,8 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "tests/keys/keyspace_simulation.h"
 
@@ -109,6 +111,31 @@
   CHECK(simulation.held() == KeyspaceSimulation::kWatchedKeys);
 }
 
+// Guards against keys that move from all servers because the leader itself
+// could not send for a while.
+TEST_CASE("orders that the leader withheld make no server unresponsive",
+          "[O1]") {
+  Instant now(seconds(100));
+  KeyspaceCoordinator coordinator(now, 1, {}, now);
+  coordinator.SetServers(now, {{{"a", 1}, 1, true}, {{"b", 1}, 1, true}});
+  int withheld = 0;
+  const Instant sends_until = now + seconds(4);
+  while (now < sends_until + seconds(2)) {
+    now += milliseconds(10);
+    for (const KeyOrder& order : coordinator.Tick(now)) {
+      const bool sent = now < sends_until;
+      withheld += sent ? 0 : 1;
+      coordinator.HandleOrderOutcome(
+          now, order, sent ? OrderOutcome::kAccepted : OrderOutcome::kWithheld,
+          "");
+    }
+    coordinator.HandleRecordConfirmed(coordinator.recorded_change());
+    coordinator.HandleProof(now);
+  }
+  CHECK(withheld > 2);
+  CHECK(coordinator.UnresponsiveServers().empty());
+}
+
 // Guards against a key given to a second server because the lease of the first
 // was counted from the reset of an unanswered order, although the order left
 // only at the end of a long turn of the leader's loop.
