keys: Send a release again to a restarted server

A release whose server restarted before it answered stayed pending for good: its outcome names the former incarnation. No release went to the new one, and the keys waited for the end of the lease. The test fails on the code before.

--- a/src/coordination/keyspace_coordinator.cc
+++ b/src/coordination/keyspace_coordinator.cc
@@ -194,6 +194,8 @@
   for (Lease& lease : slice->former) {
     if (update_incarnation(&lease)) {
       lease.released = false;
+      // The answer to a release of the former incarnation ends nothing.
+      lease.pending_release = 0;
       lease.next_release = now;
     }
   }
--- a/tests/keys/keyspace_cases_test.cc
+++ b/tests/keys/keyspace_cases_test.cc
@@ -136,6 +136,43 @@
   CHECK(coordinator.UnresponsiveServers().empty());
 }
 
+// Guards against keys that wait for the end of a lease because the release was
+// sent to a former incarnation only.
+TEST_CASE("a release is sent again to a restarted server", "[O8]") {
+  Instant now(seconds(100));
+  KeyspaceCoordinator coordinator(now, 1, {}, now);
+  std::vector<KeyOrder> orders;
+  const auto run = [&](milliseconds time) {
+    for (const Instant end = now + time; now < end;) {
+      now += milliseconds(10);
+      for (KeyOrder& order : coordinator.Tick(now)) {
+        orders.push_back(std::move(order));
+      }
+      coordinator.HandleRecordConfirmed(coordinator.recorded_change());
+      coordinator.HandleProof(now);
+      coordinator.HandleDelivery(now, now);
+    }
+    return std::exchange(orders, {});
+  };
+  coordinator.SetServers(now, {{{"a", 1}, 1, true}});
+  const std::vector<KeyOrder> grants = run(seconds(1));
+  REQUIRE(grants.size() == 1);
+  coordinator.HandleOrderOutcome(now, grants[0], OrderOutcome::kAccepted, "");
+  coordinator.SetServers(now, {{{"a", 1}, 1, false}, {{"b", 1}, 1, true}});
+  const std::vector<KeyOrder> releases = run(milliseconds(100));
+  REQUIRE_FALSE(releases.empty());
+  coordinator.SetServers(now, {{{"a", 2}, 1, false}, {{"b", 1}, 1, true}});
+  for (const KeyOrder& release : releases) {
+    coordinator.HandleOrderOutcome(now, release, OrderOutcome::kReset, "");
+  }
+  bool sent_again = false;
+  for (const KeyOrder& order : run(seconds(2))) {
+    sent_again = sent_again || (order.kind == OrderKind::kRelease &&
+                                order.server.start_time_ms == 2);
+  }
+  CHECK(sent_again);
+}
+
 // Guards against a key given to a second server because the lease of the first
 // was counted from the reset of an unanswered order, although the order left
 // only at the end of a long turn of the leader's loop.
