--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -23,6 +23,17 @@
 constexpr auto kMaxIdleTime = std::chrono::seconds(30);
 constexpr auto kPruneInterval = std::chrono::seconds(5);
 
+// Returns whether an idle connection cannot be reused, because the peer has
+// closed it or has sent something that is not the reply to the next request.
+bool IsUnusable(beast::tcp_stream& stream) {
+  beast::error_code error;
+  stream.socket().non_blocking(true, error);
+  char byte = 0;
+  stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek,
+                          error);
+  return error != asio::error::would_block;
+}
+
 }  // namespace
 
 HttpClient::HttpClient(asio::any_io_executor executor,
@@ -50,13 +61,22 @@
   const auto end = std::chrono::steady_clock::now() + timeout;
   const ReplyTimes times{timeout, end + options.transfer_time};
   PruneIdle();
+  bool lost = false;
   while (!idle_[address].empty()) {
     Stream stream = std::move(idle_[address].back().stream);
     idle_[address].pop_back();
+    if (IsUnusable(*stream)) {
+      lost = true;
+      continue;
+    }
+    if (options.may_write && !options.may_write()) {
+      KeepIdle(address, std::move(stream));
+      co_return beast::error_code(asio::error::operation_aborted);
+    }
     stream->expires_at(end);
     bool keep = false;
     trace = {true, true, Now()};
-    auto reply = co_await SendOver(*stream, request, times, &keep);
+    auto reply = co_await SendOver(*stream, request, times, options, &keep);
     if (reply) {
       if (keep) {
         KeepIdle(address, std::move(stream));
@@ -70,6 +90,9 @@
       co_return reply;
     }
   }
+  if (lost && !options.reconnect) {
+    co_return beast::error_code(asio::error::connection_aborted);
+  }
   auto stream = std::make_unique<beast::tcp_stream>(executor_);
   stream->expires_at(
       std::min(end, std::chrono::steady_clock::now() + kConnectTimeout));
@@ -85,9 +108,13 @@
   // then discarded, so that a request which timed out is not executed later.
   // The option is set here because the stream closes itself when it times out.
   stream->socket().set_option(asio::socket_base::linger(true, 0), ignored);
+  if (options.may_write && !options.may_write()) {
+    KeepIdle(address, std::move(stream));
+    co_return beast::error_code(asio::error::operation_aborted);
+  }
   bool keep = false;
   trace = {true, false, Now()};
-  auto reply = co_await SendOver(*stream, request, times, &keep);
+  auto reply = co_await SendOver(*stream, request, times, options, &keep);
   if (reply && keep) {
     KeepIdle(address, std::move(stream));
   }
@@ -119,6 +146,7 @@
     beast::tcp_stream& stream,
     Request& request,
     ReplyTimes times,
+    const HttpSendOptions& options,
     bool* keep) {
   const auto [write_error, written] =
       co_await http::async_write(stream, request, kNoThrow);
@@ -140,7 +168,6 @@
   if (read_error) {
     co_return read_error;
   }
-  *keep = parser.get().keep_alive() && buffer.size() == 0;
   HttpReply reply;
   reply.status = static_cast<int>(parser.get().result_int());
   reply.body = std::move(parser.get().body());
@@ -148,6 +175,10 @@
     reply.fields.emplace_back(std::string(field.name_string()),
                               std::string(field.value()));
   }
+  if (options.is_own_reply && !options.is_own_reply(reply)) {
+    co_return make_error_code(boost::system::errc::bad_message);
+  }
+  *keep = parser.get().keep_alive() && buffer.size() == 0;
   co_return reply;
 }
 
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -48,19 +49,26 @@
 
   std::vector<std::pair<std::string, std::string>> fields;
   // Whether the request is retried on another connection if a reused connection
-  // fails for another reason than the timeout.
+  // fails for another reason than the timeout, and whether a connection is
+  // opened for it after an idle one was found to be unusable.
   bool reconnect = true;
   // How much longer than the timeout a reply may take whose header has arrived
   // in time, as long as no two parts of it are farther apart than the timeout:
   // a long reply takes seconds over a busy link.
   state::Duration transfer_time{0};
+  // Asked immediately before the request is written. If it returns false,
+  // nothing is written, and the request fails. If empty, it is always written.
+  std::function<bool()> may_write;
+  // Returns whether a reply belongs to this request. If not, the request fails
+  // and its connection is reset. If empty, each reply belongs to it.
+  std::function<bool(const HttpReply&)> is_own_reply;
   // If not null, filled in while the request is sent.
   HttpSendTrace* trace = nullptr;
 };
 
-// Sends requests with bodies that fit in memory. Reuses idle connections: a
-// peer may receive a request twice unless HttpSendOptions::reconnect is
-// false. Not thread-safe.
+// Sends requests with bodies that fit in memory. Reuses idle connections on
+// which nothing has arrived since their last reply; a peer may receive a
+// request twice unless HttpSendOptions::reconnect is false. Not thread-safe.
 class HttpClient {
  public:
   HttpClient(asio::any_io_executor executor, std::size_t max_reply_bytes);
@@ -93,6 +101,7 @@
       beast::tcp_stream& stream,
       Request& request,
       ReplyTimes times,
+      const HttpSendOptions& options,
       bool* keep);
 
   // An open connection without a request.
--- a/src/transport/leader_duty.h
+++ b/src/transport/leader_duty.h
@@ -27,7 +27,7 @@
 #include "state/routing_config.h"
 #include "transport/asio.h"
 #include "transport/event_log.h"
-#include "transport/http_client.h"
+#include "transport/order_client.h"
 #include "transport/store_client.h"
 
 namespace mustardflow::transport {
@@ -221,6 +221,11 @@
   awaitable<platform::AppendOutcome> AppendNext(
       std::shared_ptr<TermWriter> writer,
       std::vector<platform::KeyedRecord> records);
+  // Whether the order may be written to the server at `address` now.
+  bool MayWrite(std::int64_t term,
+                const std::string& service,
+                const coordination::KeyOrder& order,
+                const state::Address& address);
   awaitable<void> SendOrder(std::int64_t term,
                             std::string service,
                             coordination::KeyOrder order);
@@ -240,7 +245,7 @@
   const coordination::ServerPool& pool_;
   EventLog& log_;
   const Hooks hooks_;
-  HttpClient order_client_;
+  OrderClient order_client_;
   coordination::LeaderElection election_;
   std::shared_ptr<const state::RoutingConfig> config_;
 
