orders: Do not write an order whose timeout has passed

A busy leader may learn of a new connection only after the order's timeout. The order was then written and its connection reset at once: it could be carried out, but not be answered. Such an order, and one that the leader has lost the right to send, now ends as withheld, which is not held against the server; its connection is kept.

--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -108,7 +108,10 @@
   // then discarded, so that a request which timed out is not executed later.
   // The option is set here because the stream closes itself when it times out.
   stream->socket().set_option(asio::socket_base::linger(true, 0), ignored);
-  if (options.may_write && !options.may_write()) {
+  // A busy thread may learn of the connection only after the timeout. The
+  // request would then leave and be reset at once.
+  const bool late = std::chrono::steady_clock::now() >= end;
+  if (late || (options.may_write && !options.may_write())) {
     KeepIdle(address, std::move(stream));
     co_return beast::error_code(asio::error::operation_aborted);
   }
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -66,6 +66,10 @@
   HttpSendTrace* trace = nullptr;
 };
 
+// A request that was not written because of HttpSendOptions::may_write, or
+// because its timeout had passed before its connection was open, fails with
+// operation_aborted. Its connection is kept.
+//
 // Sends requests with bodies that fit in memory. Reuses idle connections on
 // which nothing has arrived since their last reply; a peer may receive a
 // request twice unless HttpSendOptions::reconnect is false. Not thread-safe.
--- a/src/transport/order_client.cc
+++ b/src/transport/order_client.cc
@@ -52,7 +52,8 @@
 // The outcome of an order without an answer.
 OrderOutcome FailureOutcome(const beast::error_code& error, bool sent) {
   if (!sent) {
-    return OrderOutcome::kNotSent;
+    return error == asio::error::operation_aborted ? OrderOutcome::kWithheld
+                                                   : OrderOutcome::kNotSent;
   }
   return error == asio::error::connection_reset ||
                  error == asio::error::broken_pipe
