keys: Plan moves with steps in proportion to the slices

Cause: with 50 to 80 of 533 servers leaving, turns of the leader took over a second. Each range of a server that left cost a walk over all servers, each balancing move several walks over all slices, each answer to an order one more, and each split or merge moved all slices that follow.

Change: ServerLoads keeps the servers sorted by load while a plan moves load, so a plan computes loads once. Slices are kept in a map by first key; answers find theirs by that key, since a slice with an order under way is neither split nor merged. Slices without a usable server are looked for only after a change of the list or of a server's usability; incarnations are compared only if one is new. FindCut() is a binary search. Balancing starts no further move after 16 steps for each slice, so that many candidates without a fitting slice cannot cost slices times servers; the rest follows at the next balancing.

The coordinator counts its steps.

--- a/src/coordination/keyspace_coordinator.cc
+++ b/src/coordination/keyspace_coordinator.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <limits>
 #include <set>
 #include <utility>
@@ -40,6 +41,10 @@
 // most requests for that server would be refused anyway.
 constexpr double kSevereOverload = 2;
 constexpr std::size_t kServersPerUrgentMove = 8;
+// Balancing starts no further move once it has taken this many steps for each
+// slice: a move may look at all slices, and there are more moves where there
+// are more servers.
+constexpr std::uint64_t kMaxMoveSteps = 16;
 // The initial assignment waits until no further server has been listed for
 // kSettleTime, but at most for kMaxSettleTime. The entries of servers that
 // start together arrive within about a second.
@@ -118,13 +123,13 @@
     slice.phase = !slice.former.empty()      ? Phase::kEnding
                   : !range.holder.id.empty() ? Phase::kGranting
                                              : Phase::kSteady;
-    slices_.push_back(std::move(slice));
+    slices_.emplace(range.first, std::move(slice));
   }
   if (slices_.empty()) {
     Slice whole;
     whole.last = state::kShardKeyCount - 1;
     whole.holder.end = now;
-    slices_.push_back(std::move(whole));
+    slices_.emplace(whole.first, std::move(whole));
   }
 }
 
@@ -145,21 +150,28 @@
 
 bool KeyspaceCoordinator::IsUsable(const ServerIncarnation& incarnation) const {
   const ServerState* found = FindServer(incarnation);
-  return found != nullptr && found->server.eligible && !found->unresponsive;
+  return found != nullptr && IsUsable(*found);
 }
 
 void KeyspaceCoordinator::SetServers(Instant now,
                                      std::vector<KeyServer> servers) {
   std::map<std::string, ServerState> next;
+  bool has_new = false;
   for (KeyServer& server : servers) {
+    ++steps_;
     ServerState state;
     if (const ServerState* known = FindServer(server.incarnation)) {
+      usability_changed_ =
+          usability_changed_ || known->server.eligible != server.eligible;
       state = *known;
-    } else if (has_servers_) {
-      // The server may have restarted and forgotten a successor's fences. The
-      // servers of the first list need no newer proof: the claim of the term
-      // proves that this host leads.
-      state.needs_proof_after = now;
+    } else {
+      has_new = true;
+      if (has_servers_) {
+        // The server may have restarted and forgotten a successor's fences. The
+        // servers of the first list need no newer proof: the claim of the term
+        // proves that this host leads.
+        state.needs_proof_after = now;
+      }
     }
     state.server = std::move(server);
     const std::string id = state.server.incarnation.id;
@@ -168,10 +180,14 @@
   if (next.size() > servers_.size()) {
     server_count_rose_at_ = now;
   }
+  usability_changed_ =
+      usability_changed_ || has_new || next.size() != servers_.size();
   has_servers_ = has_servers_ || !next.empty();
   servers_ = std::move(next);
-  for (Slice& slice : slices_) {
-    UpdateIncarnations(now, &slice);
+  if (has_new) {
+    for (auto& [first, slice] : slices_) {
+      UpdateIncarnations(now, &slice);
+    }
   }
   MoveFromUnusable(now);
 }
@@ -181,6 +197,7 @@
 // have reached the new incarnation. The new incarnation therefore counts as a
 // possible holder.
 void KeyspaceCoordinator::UpdateIncarnations(Instant now, Slice* slice) {
+  ++steps_;
   const auto update_incarnation = [this](Lease* lease) {
     const auto found = servers_.find(lease->server.id);
     if (found == servers_.end() ||
@@ -232,12 +249,11 @@
     HandleReleaseOutcome(now, order, outcome, handover);
     return;
   }
-  const auto slice =
-      std::find_if(slices_.begin(), slices_.end(), [&](const Slice& candidate) {
-        return candidate.pending_grant == order.id;
-      });
-  if (slice != slices_.end()) {
-    HandleGrantOutcome(now, order, outcome, &*slice);
+  // A slice with a grant under way is neither split nor merged.
+  ++steps_;
+  const auto found = slices_.find(order.first);
+  if (found != slices_.end() && found->second.pending_grant == order.id) {
+    HandleGrantOutcome(now, order, outcome, &found->second);
   }
 }
 
@@ -245,14 +261,13 @@
                                                const KeyOrder& order,
                                                OrderOutcome outcome,
                                                const std::string& handover) {
-  const auto slice =
-      std::find_if(slices_.begin(), slices_.end(), [&](const Slice& candidate) {
-        return candidate.first == order.first && candidate.last == order.last;
-      });
-  if (slice == slices_.end()) {
+  ++steps_;
+  const auto found = slices_.find(order.first);
+  if (found == slices_.end() || found->second.last != order.last) {
     return;
   }
-  for (Lease& lease : slice->former) {
+  Slice& slice = found->second;
+  for (Lease& lease : slice.former) {
     if (lease.server != order.server || lease.pending_release != order.id) {
       continue;
     }
@@ -260,7 +275,7 @@
     lease.next_release = now + kRetryInterval;
     if (outcome == OrderOutcome::kAccepted) {
       lease.released = true;
-      slice->handover = handover;
+      slice.handover = handover;
     }
   }
 }
@@ -348,7 +363,7 @@
       lease->late_grant_end = std::max(lease->late_grant_end, end);
     }
   };
-  for (Slice& slice : slices_) {
+  for (auto& [first, slice] : slices_) {
     update_lease(&slice.holder);
     std::for_each(slice.former.begin(), slice.former.end(),
                   [&](Lease& lease) { update_lease(&lease); });
@@ -369,6 +384,7 @@
   if (!state.failing_since) {
     state.failing_since = now;
   } else if (now - *state.failing_since >= kUnresponsiveTimeout) {
+    usability_changed_ = usability_changed_ || !state.unresponsive;
     state.unresponsive = true;
   }
 }
@@ -405,7 +421,8 @@
     Balance(now);
   }
   std::vector<KeyOrder> orders;
-  for (Slice& slice : slices_) {
+  for (auto& [first, slice] : slices_) {
+    ++steps_;
     Advance(now, &slice);
     AddOrders(now, &slice, &orders);
   }
@@ -490,14 +507,16 @@
 }
 
 bool KeyspaceCoordinator::MayGrant(Instant now, const Slice& slice) const {
-  const ServerState* holder = FindServer(slice.holder.server);
   // A range that is to move is granted to its present holder only if the holder
   // may have it already, not while leases of former holders still have to end.
   const bool may_hold = slice.accepted || slice.former.empty();
+  if (slice.pending_grant != 0 || now < slice.next_grant ||
+      (slice.phase == Phase::kRecording && !may_hold)) {
+    return false;
+  }
+  const ServerState* holder = FindServer(slice.holder.server);
   return holder != nullptr && !holder->unresponsive &&
-         !holder->needs_proof_after && slice.pending_grant == 0 &&
-         now >= slice.next_grant &&
-         (slice.phase != Phase::kRecording || may_hold);
+         !holder->needs_proof_after;
 }
 
 void KeyspaceCoordinator::AddOrders(Instant now,
@@ -529,26 +548,36 @@
   slice->phase = Phase::kRecording;
   ChangeRecorded();
   slice->awaited_change = recorded_change_;
+  last_awaited_change_ = recorded_change_;
+}
+
+const ServerIncarnation& KeyspaceCoordinator::PlannedServer(
+    const Slice& slice) {
+  return slice.phase == Phase::kRecording ? slice.next : slice.holder.server;
+}
+
+double KeyspaceCoordinator::LoadOf(std::int32_t first,
+                                   std::int32_t last) const {
+  const double idle = (kIdleWeight * load_.total() + 1) / state::kShardKeyCount;
+  return load_.Sum(first, last) + idle * (last - first + 1);
 }
 
-std::map<ServerIncarnation, double> KeyspaceCoordinator::LoadByServer() const {
-  std::map<ServerIncarnation, double> loads;
+ServerLoads KeyspaceCoordinator::LoadByServer() const {
+  ServerLoads::Entries entries;
   for (const auto& [id, state] : servers_) {
-    if (IsUsable(state.server.incarnation)) {
-      loads[state.server.incarnation] = 0;
+    ++steps_;
+    if (IsUsable(state)) {
+      entries[state.server.incarnation].capacity = state.capacity;
     }
   }
-  const double idle = (kIdleWeight * load_.total() + 1) / state::kShardKeyCount;
-  for (const Slice& slice : slices_) {
-    const ServerIncarnation& server =
-        slice.phase == Phase::kRecording ? slice.next : slice.holder.server;
-    const auto found = loads.find(server);
-    if (found != loads.end()) {
-      found->second += load_.Sum(slice.first, slice.last) +
-                       idle * (slice.last - slice.first + 1);
+  for (const auto& [first, slice] : slices_) {
+    ++steps_;
+    const auto found = entries.find(PlannedServer(slice));
+    if (found != entries.end()) {
+      found->second.load += LoadOf(slice.first, slice.last);
     }
   }
-  return loads;
+  return ServerLoads(std::move(entries));
 }
 
 ServerRates KeyspaceCoordinator::RatesOf(const KeyServer& server) const {
@@ -573,8 +602,9 @@
   std::vector<ServerState*> usable;
   std::vector<ServerRates> rates;
   for (auto& [id, state] : servers_) {
+    ++steps_;
     state.capacity = state.server.capacity;
-    if (IsUsable(state.server.incarnation)) {
+    if (IsUsable(state)) {
       usable.push_back(&state);
       rates.push_back(RatesOf(state.server));
     }
@@ -597,28 +627,16 @@
          load;
 }
 
-ServerIncarnation KeyspaceCoordinator::LeastLoadedServer(
-    const std::map<ServerIncarnation, double>& loads) const {
-  ServerIncarnation best;
-  double best_ratio = 0;
-  for (const auto& [incarnation, load] : loads) {
-    const double ratio = load / CapacityOf(incarnation);
-    if (best.id.empty() || ratio < best_ratio) {
-      best = incarnation;
-      best_ratio = ratio;
-    }
-  }
-  return best;
-}
-
 bool KeyspaceCoordinator::IsInitialAssignment() const {
-  return slices_.size() == 1 && slices_.front().holder.server.id.empty();
+  return slices_.size() == 1 &&
+         slices_.begin()->second.holder.server.id.empty();
 }
 
 std::size_t KeyspaceCoordinator::MovingSlices() const {
+  steps_ += slices_.size();
   return static_cast<std::size_t>(std::count_if(
       slices_.begin(), slices_.end(),
-      [](const Slice& slice) { return slice.phase != Phase::kSteady; }));
+      [](const auto& entry) { return entry.second.phase != Phase::kSteady; }));
 }
 
 std::size_t KeyspaceCoordinator::MaxMovingSlices(double ratio) const {
@@ -627,64 +645,75 @@
   return std::max(kMinMovingLimit, servers_.size() / servers_per_move);
 }
 
+std::vector<KeyspaceCoordinator::Slice*>
+KeyspaceCoordinator::SlicesWithoutServer() {
+  std::vector<Slice*> slices;
+  for (auto& [first, slice] : slices_) {
+    ++steps_;
+    if (!IsUsable(PlannedServer(slice))) {
+      slices.push_back(&slice);
+    }
+  }
+  return slices;
+}
+
 void KeyspaceCoordinator::MoveFromUnusable(Instant now) {
-  const auto needs_server = [this](const Slice& slice) {
-    const ServerIncarnation& server =
-        slice.phase == Phase::kRecording ? slice.next : slice.holder.server;
-    return !IsUsable(server);
-  };
-  if (std::none_of(slices_.begin(), slices_.end(), needs_server)) {
+  if (!usability_changed_) {
     return;
   }
-  std::map<ServerIncarnation, double> loads = LoadByServer();
-  if (loads.empty()) {
+  const std::vector<Slice*> lost = SlicesWithoutServer();
+  if (lost.empty()) {
+    usability_changed_ = false;
     return;
   }
   UpdateCapacities();
+  ServerLoads loads = LoadByServer();
+  if (loads.size() == 0) {
+    return;
+  }
   const bool initial_assignment = IsInitialAssignment();
   if (initial_assignment && now - server_count_rose_at_ < kSettleTime &&
       now - start_time_ < kMaxSettleTime) {
     return;
   }
-  // Splits wide ranges, to assign them to several servers.
-  for (std::size_t i = 0; i < slices_.size(); ++i) {
-    const Slice& slice = slices_[i];
-    if (!needs_server(slice) || slice.pending_grant != 0 ||
-        slice.phase != Phase::kSteady) {
-      continue;
-    }
-    const auto parts = static_cast<std::int32_t>(
-        initial_assignment
-            ? loads.size()
-            : std::min<std::size_t>(kMaxPartsOfLostRange, loads.size()));
-    const std::int32_t width = slice.last - slice.first + 1;
-    const double load = load_.Sum(slice.first, slice.last);
-    if (width < parts * 2 ||
-        slices_.size() + parts > kMaxSlicesPerServer * servers_.size()) {
-      continue;
-    }
-    for (std::int32_t part = 1; part < parts; ++part) {
-      const Slice& rest = slices_[i];
-      const std::int32_t cut =
-          load > 0 ? load_.CutAfter(rest.first, rest.last, load / parts)
-                   : rest.first + width / parts - 1;
-      if (cut >= rest.last) {
-        break;
-      }
-      SplitAfter(i, cut);
-      ++i;
+  const std::size_t parts =
+      initial_assignment
+          ? loads.size()
+          : std::min<std::size_t>(kMaxPartsOfLostRange, loads.size());
+  for (Slice* slice : lost) {
+    for (Slice* part : SplitLost(slice, static_cast<std::int32_t>(parts))) {
+      const ServerIncarnation to = loads.least_loaded().first;
+      loads.Add(to, LoadOf(part->first, part->last));
+      StartMove(part, to);
     }
   }
-  const double idle = (kIdleWeight * load_.total() + 1) / state::kShardKeyCount;
-  for (Slice& slice : slices_) {
-    if (needs_server(slice)) {
-      const ServerIncarnation to = LeastLoadedServer(loads);
-      loads[to] += load_.Sum(slice.first, slice.last) +
-                   idle * (slice.last - slice.first + 1);
-      StartMove(&slice, to);
+  usability_changed_ = false;
+  next_balance_ = std::max(next_balance_, now);
+}
+
+std::vector<KeyspaceCoordinator::Slice*> KeyspaceCoordinator::SplitLost(
+    Slice* slice,
+    std::int32_t parts) {
+  std::vector<Slice*> result = {slice};
+  const std::int32_t width = slice->last - slice->first + 1;
+  if (slice->pending_grant != 0 || slice->phase != Phase::kSteady ||
+      width < parts * 2 ||
+      slices_.size() + static_cast<std::size_t>(parts) >
+          kMaxSlicesPerServer * servers_.size()) {
+    return result;
+  }
+  const double load = load_.Sum(slice->first, slice->last);
+  for (std::int32_t part = 1; part < parts; ++part) {
+    Slice* rest = result.back();
+    const std::int32_t cut =
+        load > 0 ? load_.CutAfter(rest->first, rest->last, load / parts)
+                 : rest->first + width / parts - 1;
+    if (cut >= rest->last) {
+      break;
     }
+    result.push_back(SplitAfter(rest, cut));
   }
-  next_balance_ = std::max(next_balance_, now);
+  return result;
 }
 
 void KeyspaceCoordinator::PlaceHotKeys(Instant now) {
@@ -693,7 +722,8 @@
   }
   std::size_t usable = 0;
   for (const auto& [id, state] : servers_) {
-    if (IsUsable(state.server.incarnation)) {
+    ++steps_;
+    if (IsUsable(state)) {
       ++usable;
     }
   }
@@ -705,51 +735,52 @@
       load_.KeysAbove(std::max(kMinHotLoad, kHotShare * fair_share));
   std::set<ServerIncarnation> with_hot_key;
   for (const auto& [load, key] : hot_keys) {
-    with_hot_key.insert(slices_[SliceIndexOf(key)].holder.server);
+    ++steps_;
+    with_hot_key.insert(SliceOf(key).holder.server);
+  }
+  const ServerState* fastest = FastestServer(with_hot_key);
+  if (fastest == nullptr) {
+    return;
   }
   for (const auto& [load, key] : hot_keys) {
-    const std::size_t index = SliceIndexOf(key);
-    const Slice& slice = slices_[index];
+    ++steps_;
+    Slice& slice = SliceOf(key);
     const ServerState* holder = FindServer(slice.holder.server);
     if (slice.phase != Phase::kSteady || slice.pending_grant != 0 ||
         holder == nullptr) {
       continue;
     }
-    const ServerState* fastest = nullptr;
-    for (const auto& [id, state] : servers_) {
-      if (IsUsable(state.server.incarnation) &&
-          !with_hot_key.contains(state.server.incarnation) &&
-          (fastest == nullptr || state.capacity > fastest->capacity)) {
-        fastest = &state;
-      }
-    }
-    if (fastest != nullptr &&
-        fastest->capacity >= kHotMoveGain * holder->capacity) {
-      const ServerIncarnation to = fastest->server.incarnation;
-      StartMove(&slices_[IsolateKey(index, key)], to);
+    if (fastest->capacity >= kHotMoveGain * holder->capacity) {
+      StartMove(IsolateKey(&slice, key), fastest->server.incarnation);
       next_hot_move_ = now + kHotMoveInterval;
       return;
     }
   }
 }
 
-std::size_t KeyspaceCoordinator::SliceIndexOf(std::int32_t key) const {
-  const auto after = std::upper_bound(
-      slices_.begin(), slices_.end(), key,
-      [](std::int32_t value, const Slice& s) { return value < s.first; });
-  return static_cast<std::size_t>(after - slices_.begin()) - 1;
+const KeyspaceCoordinator::ServerState* KeyspaceCoordinator::FastestServer(
+    const std::set<ServerIncarnation>& excluded) const {
+  const ServerState* fastest = nullptr;
+  for (const auto& [id, state] : servers_) {
+    ++steps_;
+    if (IsUsable(state) && !excluded.contains(state.server.incarnation) &&
+        (fastest == nullptr || state.capacity > fastest->capacity)) {
+      fastest = &state;
+    }
+  }
+  return fastest;
+}
+
+KeyspaceCoordinator::Slice& KeyspaceCoordinator::SliceOf(std::int32_t key) {
+  return std::prev(slices_.upper_bound(key))->second;
 }
 
-std::size_t KeyspaceCoordinator::IsolateKey(std::size_t index,
-                                            std::int32_t key) {
-  if (key < slices_[index].last) {
-    SplitAfter(index, key);
+KeyspaceCoordinator::Slice* KeyspaceCoordinator::IsolateKey(Slice* slice,
+                                                            std::int32_t key) {
+  if (key < slice->last) {
+    SplitAfter(slice, key);
   }
-  if (key > slices_[index].first) {
-    SplitAfter(index, key - 1);
-    ++index;
-  }
-  return index;
+  return key > slice->first ? SplitAfter(slice, key - 1) : slice;
 }
 
 double KeyspaceCoordinator::OverloadThreshold() const {
@@ -762,164 +793,168 @@
   if (MovingSlices() < MaxMovingSlices(1)) {
     PlaceHotKeys(now);
   }
-  while (true) {
-    const std::map<ServerIncarnation, double> loads = LoadByServer();
-    double total_load = 0;
-    double total_capacity = 0;
-    for (const auto& [incarnation, load] : loads) {
-      total_load += load;
-      total_capacity += CapacityOf(incarnation);
-    }
-    if (loads.size() < 2 || total_load <= 0) {
-      return;
-    }
-    const double mean = total_load / total_capacity;
-    std::vector<std::pair<double, ServerIncarnation>> by_ratio;
-    for (const auto& [incarnation, load] : loads) {
-      by_ratio.emplace_back(load / CapacityOf(incarnation), incarnation);
+  ServerLoads loads = LoadByServer();
+  if (loads.size() < 2 || loads.total_load() <= 0) {
+    return;
+  }
+  MovableSlices movable = FindMovableSlices();
+  const double mean = loads.mean();
+  const std::uint64_t last_step = steps_ + kMaxMoveSteps * slices_.size();
+  std::size_t moving = MovingSlices();
+  while (steps_ < last_step &&
+         moving < MaxMovingSlices(loads.most_loaded().second.ratio() / mean) &&
+         MoveToLeastLoaded(mean, &loads, &movable)) {
+    ++moving;
+  }
+}
+
+KeyspaceCoordinator::MovableSlices KeyspaceCoordinator::FindMovableSlices() {
+  MovableSlices movable;
+  for (auto& [first, slice] : slices_) {
+    ++steps_;
+    if (slice.phase == Phase::kSteady && slice.pending_grant == 0) {
+      movable[slice.holder.server].push_back(&slice);
     }
-    std::sort(by_ratio.rbegin(), by_ratio.rend());
-    if (MovingSlices() >= MaxMovingSlices(by_ratio.front().first / mean)) {
-      return;
+  }
+  return movable;
+}
+
+bool KeyspaceCoordinator::MoveToLeastLoaded(double mean,
+                                            ServerLoads* loads,
+                                            MovableSlices* movable) {
+  const auto& [to, to_load] = loads->least_loaded();
+  const double spare_load = SpareLoad(to, to_load.load, mean);
+  if (spare_load <= 0) {
+    return false;
+  }
+  // A server without keys gets some although no server is overloaded.
+  const bool empty_target = to_load.load <= 0;
+  const double threshold = (1 + OverloadThreshold()) * mean;
+  for (auto next = loads->by_ratio().rbegin(); next != loads->by_ratio().rend();
+       ++next) {
+    ++steps_;
+    const auto& [from, from_load] = **next;
+    const double ratio = from_load.ratio();
+    if (ratio <= threshold && !(empty_target && ratio > mean * 0.9)) {
+      return false;
     }
-    const ServerIncarnation least_loaded = by_ratio.back().second;
-    const double spare_load =
-        SpareLoad(least_loaded, loads.at(least_loaded), mean);
-    if (spare_load <= 0) {
-      return;
+    const double excess =
+        empty_target ? spare_load : from_load.load - mean * from_load.capacity;
+    const double amount = std::min(excess, spare_load);
+    Slice* moved = TakeLoad(amount, amount * kMaxOvershoot, &(*movable)[from]);
+    if (moved == nullptr && ratio >= kSevereOverload * mean) {
+      moved = TakeToEqualize(from_load, to_load, &(*movable)[from]);
     }
-    bool moved = false;
-    for (const auto& [ratio, incarnation] : by_ratio) {
-      const bool overloaded = ratio > (1 + OverloadThreshold()) * mean;
-      // A server without keys gets some although no server is overloaded.
-      const bool empty_target = loads.at(least_loaded) <= 0;
-      if (!overloaded && !(empty_target && ratio > mean * 0.9)) {
-        break;
-      }
-      const double excess =
-          empty_target ? spare_load
-                       : loads.at(incarnation) - mean * CapacityOf(incarnation);
-      const double amount = std::min(excess, spare_load);
-      const bool severe = ratio >= kSevereOverload * mean;
-      if (MoveLoad(incarnation, least_loaded, amount, amount * kMaxOvershoot) ||
-          (severe && MoveToEqualize(incarnation, least_loaded, loads))) {
-        moved = true;
-        break;
-      }
-    }
-    if (!moved) {
-      return;
+    if (moved != nullptr) {
+      StartMove(moved, to);
+      loads->Move(from, to, LoadOf(moved->first, moved->last));
+      return true;
     }
   }
+  return false;
 }
 
-bool KeyspaceCoordinator::MoveToEqualize(
-    const ServerIncarnation& from,
-    const ServerIncarnation& to,
-    const std::map<ServerIncarnation, double>& loads) {
-  const double from_capacity = CapacityOf(from);
-  const double to_capacity = CapacityOf(to);
+KeyspaceCoordinator::Slice* KeyspaceCoordinator::TakeToEqualize(
+    const ServerLoads::Entry& from,
+    const ServerLoads::Entry& to,
+    std::vector<Slice*>* slices) {
   // With this much more load, the target would be loaded as the source is now.
-  const double difference =
-      loads.at(from) * to_capacity / from_capacity - loads.at(to);
+  const double difference = from.ratio() * to.capacity - to.load;
   const double equal =
-      difference * from_capacity / (from_capacity + to_capacity);
-  return difference > 0 &&
-         MoveLoad(from, to, equal, difference * kMaxEqualizingShare);
+      difference * from.capacity / (from.capacity + to.capacity);
+  return difference > 0
+             ? TakeLoad(equal, difference * kMaxEqualizingShare, slices)
+             : nullptr;
 }
 
-bool KeyspaceCoordinator::MoveLoad(const ServerIncarnation& from,
-                                   const ServerIncarnation& to,
-                                   double amount,
-                                   double max_load) {
+KeyspaceCoordinator::Slice* KeyspaceCoordinator::TakeLoad(
+    double amount,
+    double max_load,
+    std::vector<Slice*>* slices) {
   // A lower load does not justify a move.
   const double min_load = amount * 0.2;
-  std::size_t best = slices_.size();
+  auto best = slices->end();
   double best_load = 0;
-  std::size_t largest = slices_.size();
+  auto largest = slices->end();
   double largest_load = 0;
-  const double idle = (kIdleWeight * load_.total() + 1) / state::kShardKeyCount;
-  for (std::size_t i = 0; i < slices_.size(); ++i) {
-    const Slice& slice = slices_[i];
-    if (slice.phase != Phase::kSteady || slice.pending_grant != 0 ||
-        slice.holder.server != from) {
-      continue;
-    }
-    const double load = load_.Sum(slice.first, slice.last) +
-                        idle * (slice.last - slice.first + 1);
+  for (auto next = slices->begin(); next != slices->end(); ++next) {
+    ++steps_;
+    const double load = LoadOf((*next)->first, (*next)->last);
     if (load <= max_load && load > best_load) {
-      best = i;
+      best = next;
       best_load = load;
     }
     if (load > max_load && load > largest_load) {
-      largest = i;
+      largest = next;
       largest_load = load;
     }
   }
   // Splits a larger slice if no whole slice carries most of `amount`.
   const bool may_split = slices_.size() < kMaxSlicesPerServer * servers_.size();
-  if (largest < slices_.size() && may_split && best_load < 0.7 * amount) {
-    const Slice& slice = slices_[largest];
-    const std::int32_t cut = FindCut(slice, amount, idle);
-    const double prefix =
-        load_.Sum(slice.first, cut) + idle * (cut - slice.first + 1);
-    if (cut < slice.last && prefix >= min_load && prefix <= max_load) {
-      SplitAfter(largest, cut);
-      StartMove(&slices_[largest], to);
-      return true;
+  if (largest != slices->end() && may_split && best_load < 0.7 * amount) {
+    Slice* slice = *largest;
+    const std::int32_t cut = FindCut(*slice, amount);
+    const double prefix = LoadOf(slice->first, cut);
+    if (cut < slice->last && prefix >= min_load && prefix <= max_load) {
+      *largest = SplitAfter(slice, cut);
+      return slice;
     }
     // A hot key in the prefix or right after it keeps the prefix from fitting.
     // The rest of the slice, after the cut, may fit instead.
     const double suffix = largest_load - prefix;
-    if (cut < slice.last && suffix >= min_load && suffix <= max_load) {
-      SplitAfter(largest, cut);
-      StartMove(&slices_[largest + 1], to);
-      return true;
+    if (cut < slice->last && suffix >= min_load && suffix <= max_load) {
+      return SplitAfter(slice, cut);
     }
   }
-  if (best < slices_.size() && best_load >= min_load) {
-    StartMove(&slices_[best], to);
-    return true;
+  if (best != slices->end() && best_load >= min_load) {
+    Slice* slice = *best;
+    slices->erase(best);
+    return slice;
   }
-  return false;
+  return nullptr;
 }
 
 std::int32_t KeyspaceCoordinator::FindCut(const Slice& slice,
-                                          double amount,
-                                          double idle) const {
-  double sum = 0;
-  for (std::int32_t key = slice.first; key < slice.last; ++key) {
-    const double next = sum + load_.Sum(key, key) + idle;
-    if (next > amount * 1.1 && key > slice.first && sum >= amount * 0.2) {
-      return key - 1;
-    }
-    sum = next;
-    if (sum >= amount) {
-      return key;
+                                          double amount) const {
+  // The first key up to which the slice carries `amount`.
+  std::int32_t cut = slice.first;
+  std::int32_t end = slice.last;
+  while (cut < end) {
+    ++steps_;
+    const std::int32_t middle = cut + (end - cut) / 2;
+    if (LoadOf(slice.first, middle) >= amount) {
+      end = middle;
+    } else {
+      cut = middle + 1;
     }
   }
-  return slice.last;
+  const bool overshoots = cut > slice.first && cut < slice.last &&
+                          LoadOf(slice.first, cut) > amount * 1.1 &&
+                          LoadOf(slice.first, cut - 1) >= amount * 0.2;
+  return overshoots ? cut - 1 : cut;
 }
 
-void KeyspaceCoordinator::SplitAfter(std::size_t index, std::int32_t last) {
-  Slice rest = slices_[index];
+KeyspaceCoordinator::Slice* KeyspaceCoordinator::SplitAfter(Slice* slice,
+                                                            std::int32_t last) {
+  ++steps_;
+  Slice rest = *slice;
   rest.first = last + 1;
-  slices_[index].last = last;
-  slices_.insert(slices_.begin() + static_cast<std::ptrdiff_t>(index) + 1,
-                 std::move(rest));
+  slice->last = last;
   ChangeRouted();
+  return &slices_.emplace(rest.first, std::move(rest)).first->second;
 }
 
 void KeyspaceCoordinator::MergeSteady() {
-  for (std::size_t i = 0; i + 1 < slices_.size();) {
-    Slice& left = slices_[i];
-    const Slice& right = slices_[i + 1];
+  for (auto next = std::next(slices_.begin()); next != slices_.end();) {
+    ++steps_;
+    Slice& left = std::prev(next)->second;
+    const Slice& right = next->second;
     const bool can_merge =
         left.phase == Phase::kSteady && right.phase == Phase::kSteady &&
         left.accepted && right.accepted && left.pending_grant == 0 &&
         right.pending_grant == 0 && left.holder.server == right.holder.server;
     if (!can_merge) {
-      ++i;
+      ++next;
       continue;
     }
     left.last = right.last;
@@ -931,26 +966,25 @@
         std::max(left.holder.given_up_at, right.holder.given_up_at);
     left.holder.inherited = left.holder.inherited || right.holder.inherited;
     left.next_grant = std::min(left.next_grant, right.next_grant);
-    slices_.erase(slices_.begin() + static_cast<std::ptrdiff_t>(i) + 1);
+    next = slices_.erase(next);
     ChangeRouted();
   }
 }
 
 bool KeyspaceCoordinator::record_urgent() const {
-  const bool proof_needed =
-      std::any_of(servers_.begin(), servers_.end(), [](const auto& entry) {
-        return entry.second.needs_proof_after && !entry.second.unresponsive;
-      });
-  return proof_needed ||
-         std::any_of(slices_.begin(), slices_.end(), [this](const Slice& s) {
-           return s.phase == Phase::kRecording &&
-                  s.awaited_change > confirmed_change_;
-         });
+  // A slice leaves Phase::kRecording only once its record is confirmed.
+  if (last_awaited_change_ > confirmed_change_) {
+    return true;
+  }
+  steps_ += servers_.size();
+  return std::any_of(servers_.begin(), servers_.end(), [](const auto& entry) {
+    return entry.second.needs_proof_after && !entry.second.unresponsive;
+  });
 }
 
 ServiceRanges KeyspaceCoordinator::RecordedRanges() const {
   ServiceRanges ranges;
-  for (const Slice& slice : slices_) {
+  for (const auto& [first, slice] : slices_) {
     OwnedRange range;
     range.first = slice.first;
     range.last = slice.last;
@@ -970,16 +1004,25 @@
   return ranges;
 }
 
+bool KeyspaceCoordinator::IsServing(const Slice& slice) {
+  return slice.accepted &&
+         (slice.phase == Phase::kSteady || slice.phase == Phase::kRecording);
+}
+
+bool KeyspaceCoordinator::serves_all_keys() const {
+  return std::all_of(slices_.begin(), slices_.end(),
+                     [](const auto& entry) { return IsServing(entry.second); });
+}
+
 ServiceRanges KeyspaceCoordinator::RoutedRanges() const {
   ServiceRanges ranges;
-  for (const Slice& slice : slices_) {
+  for (const auto& [first, slice] : slices_) {
     OwnedRange range;
     range.first = slice.first;
     range.last = slice.last;
     range.fence = slice.fence;
     range.holder = slice.holder.server;
-    range.serving = slice.accepted && (slice.phase == Phase::kSteady ||
-                                       slice.phase == Phase::kRecording);
+    range.serving = IsServing(slice);
     ranges.push_back(std::move(range));
   }
   state::MergeAdjacentRanges(&ranges);
--- a/src/coordination/keyspace_coordinator.h
+++ b/src/coordination/keyspace_coordinator.h
@@ -19,11 +19,13 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include "coordination/key_shares.h"
+#include "coordination/server_loads.h"
 #include "coordination/shard_load.h"
 #include "state/ownership_table.h"
 #include "state/time.h"
@@ -179,6 +181,8 @@
   // of them.
   state::ServiceRanges RoutedRanges() const;
   std::uint64_t routed_change() const { return routed_change_; }
+  // Whether each key has a server that hosts may send its requests to.
+  bool serves_all_keys() const;
 
   // Servers that have not answered orders for a while. The caller probes each
   // of them with an order that changes nothing and reports an answer to
@@ -195,6 +199,10 @@
   // Counts a key again each time it moves.
   double moved_share() const { return moved_share_; }
 
+  // The number of slices, servers and single keys that planning has looked at,
+  // a measure of the work of a turn.
+  std::uint64_t steps() const { return steps_; }
+
  private:
   enum class Phase {
     // The holder has accepted a grant, or the range has no holder.
@@ -274,11 +282,11 @@
     std::optional<state::Instant> needs_proof_after;
   };
 
+  // By holder, in order of keys: the steady slices without a grant under way.
+  using MovableSlices = std::map<state::ServerIncarnation, std::vector<Slice*>>;
+
   const ServerState* FindServer(
       const state::ServerIncarnation& incarnation) const;
-  double CapacityOf(const state::ServerIncarnation& incarnation) const {
-    return FindServer(incarnation)->capacity;
-  }
   // Sets the capacities of the servers so that the balance, in which all have
   // the same ratio of load and capacity, keeps to the rates of the servers.
   void UpdateCapacities();
@@ -288,17 +296,28 @@
   double SpareLoad(const state::ServerIncarnation& server,
                    double load,
                    double mean) const;
+  static bool IsUsable(const ServerState& state) {
+    return state.server.eligible && !state.unresponsive;
+  }
   // Whether the server is listed, eligible and not unresponsive.
   bool IsUsable(const state::ServerIncarnation& incarnation) const;
   // Replaces restarted servers in the slice by their new incarnations.
   void UpdateIncarnations(state::Instant now, Slice* slice);
   std::int64_t NextFence();
 
+  // The server that the slice has or moves to.
+  static const state::ServerIncarnation& PlannedServer(const Slice& slice);
+  static bool IsServing(const Slice& slice);
   void StartMove(Slice* slice, const state::ServerIncarnation& to);
   // Starts a move of each range whose server is missing or not usable to the
   // least loaded server. Splits wide ranges first. This includes the initial
   // assignment.
   void MoveFromUnusable(state::Instant now);
+  // The slices whose server is missing or not usable, in order of keys.
+  std::vector<Slice*> SlicesWithoutServer();
+  // Splits the slice into at most `parts` of about the same load, if it is wide
+  // enough and steady. Returns all parts, `slice` included.
+  std::vector<Slice*> SplitLost(Slice* slice, std::int32_t parts);
   // Whether no key has been assigned yet.
   bool IsInitialAssignment() const;
   // The number of slices that are not in Phase::kSteady.
@@ -314,35 +333,41 @@
   // the server with the highest capacity among those without a hot key.
   // Balancing then moves the other keys of the target server away.
   void PlaceHotKeys(state::Instant now);
-  // Starts a move of about `amount` of load, in requests per second, and at
-  // most `max_load`. Returns false if no slice or part of a slice carries about
-  // that load.
-  bool MoveLoad(const state::ServerIncarnation& from,
-                const state::ServerIncarnation& to,
-                double amount,
-                double max_load);
-  // Starts a move that brings the loads of two servers closer together,
+  // The usable server of the highest capacity that is not in `excluded`.
+  const ServerState* FastestServer(
+      const std::set<state::ServerIncarnation>& excluded) const;
+  MovableSlices FindMovableSlices();
+  // Starts a move from an overloaded server to the least loaded one. Returns
+  // false if nothing is to move.
+  bool MoveToLeastLoaded(double mean,
+                         ServerLoads* loads,
+                         MovableSlices* movable);
+  // Takes a slice with about `amount` of load, in requests per second, and at
+  // most `max_load` from `slices`. Splits a slice if needed. Returns null if no
+  // slice or part of a slice carries about that load.
+  Slice* TakeLoad(double amount, double max_load, std::vector<Slice*>* slices);
+  // Takes a slice whose move brings the loads of two servers closer together,
   // although the target then exceeds its fair share. This spreads keys that
   // carry more than a fair share each.
-  bool MoveToEqualize(const state::ServerIncarnation& from,
-                      const state::ServerIncarnation& to,
-                      const std::map<state::ServerIncarnation, double>& loads);
+  Slice* TakeToEqualize(const ServerLoads::Entry& from,
+                        const ServerLoads::Entry& to,
+                        std::vector<Slice*>* slices);
+  // The load of the keys from `first` to `last`, inclusive, and that assumed
+  // for each of them in addition.
+  double LoadOf(std::int32_t first, std::int32_t last) const;
   // Returns the last key of a prefix of the slice that carries about `amount`.
   // A prefix that carries at least a fifth of `amount` ends before a key that
-  // would raise it above `amount` by more than a tenth. `idle` is the load
-  // assumed for each key in addition to its measured load.
-  std::int32_t FindCut(const Slice& slice, double amount, double idle) const;
-  // Splits the slice at `index` after the key `last`.
-  void SplitAfter(std::size_t index, std::int32_t last);
-  std::size_t SliceIndexOf(std::int32_t key) const;
-  // Splits the slice at `index` so that `key` is a slice of its own. Returns
-  // the index of that slice.
-  std::size_t IsolateKey(std::size_t index, std::int32_t key);
+  // would raise it above `amount` by more than a tenth.
+  std::int32_t FindCut(const Slice& slice, double amount) const;
+  // Splits the slice after the key `last`. Returns the slice that follows.
+  Slice* SplitAfter(Slice* slice, std::int32_t last);
+  Slice& SliceOf(std::int32_t key);
+  // Splits the slice so that `key` is a slice of its own, and returns that.
+  Slice* IsolateKey(Slice* slice, std::int32_t key);
   // Merges adjacent steady slices of the same holder.
   void MergeSteady();
-  std::map<state::ServerIncarnation, double> LoadByServer() const;
-  state::ServerIncarnation LeastLoadedServer(
-      const std::map<state::ServerIncarnation, double>& loads) const;
+  // The loads of the usable servers.
+  ServerLoads LoadByServer() const;
 
   // Whether `next` may become the holder of the slice.
   bool MayReplaceHolder(state::Instant now, const Slice& slice) const;
@@ -380,11 +405,13 @@
   state::Instant predecessor_lease_end_;
   std::int64_t fence_count_ = 0;
   std::uint64_t order_count_ = 0;
-  // Invariant: sorted by key; each key is in exactly one slice.
-  std::vector<Slice> slices_;
+  // By first key. Invariant: each key is in exactly one slice.
+  std::map<std::int32_t, Slice> slices_;
   // Whether SetServers() has been called with a non-empty list.
   bool has_servers_ = false;
   std::map<std::string, ServerState> servers_;
+  // Whether a slice may have a server that is missing or not usable.
+  bool usability_changed_ = true;
   std::optional<double> execution_seconds_;
   ShardLoad load_;
   // The latest Lease::given_up_at; nothing if no lease has one.
@@ -392,6 +419,8 @@
   std::vector<ExpiredLease> expired_leases_;
   std::uint64_t recorded_change_ = 1;
   std::uint64_t confirmed_change_ = 0;
+  // The latest Slice::awaited_change.
+  std::uint64_t last_awaited_change_ = 0;
   std::uint64_t routed_change_ = 1;
   // When the number of servers last rose.
   state::Instant server_count_rose_at_;
@@ -400,6 +429,7 @@
   state::Instant next_hot_move_;
   bool superseded_ = false;
   double moved_share_ = 0;
+  mutable std::uint64_t steps_ = 0;
 };
 
 }  // namespace mustardflow::coordination
