leading: Plan once for all orders that end in a turn

Cause: each release and each first grant that ended planned all keyspaces at once. Hundreds of them end in one turn of the loop when many servers leave, and each cost a walk over all slices.

Change: CoalescedCall runs a function once, after the handlers that are ready. An order that ends requests a tick from it.

--- a/src/transport/leader_duty.cc
+++ b/src/transport/leader_duty.cc
@@ -125,7 +125,8 @@
       log_(log),
       hooks_(std::move(hooks)),
       order_client_(executor, kMaxReplyBytes),
-      election_(Now(), std::move(claim), stagger, profile.bootstrap) {}
+      election_(Now(), std::move(claim), stagger, profile.bootstrap),
+      outcomes_tick_(executor_, [this] { TickAfterOutcomes(); }) {}
 
 void LeaderDuty::SetConfig(std::shared_ptr<const state::RoutingConfig> config) {
   config_ = std::move(config);
@@ -729,6 +730,12 @@
   }
 }
 
+void LeaderDuty::TickAfterOutcomes() {
+  if (leading() && config_) {
+    TickKeyspaces(Now());
+  }
+}
+
 bool LeaderDuty::IsTableIncomplete(Instant now) const {
   if (table_.revision > 0 || now - leading_since_ >= kFirstTableDelay) {
     return false;
@@ -927,7 +934,7 @@
     co_return;
   }
   if (routed != coordinator->routed_change() || !grant) {
-    TickKeyspaces(Now());
+    outcomes_tick_.Request();
   }
 }
 
--- a/src/transport/leader_duty.h
+++ b/src/transport/leader_duty.h
@@ -26,6 +26,7 @@
 #include "state/ownership_table.h"
 #include "state/routing_config.h"
 #include "transport/asio.h"
+#include "transport/coalesced_call.h"
 #include "transport/event_log.h"
 #include "transport/http_client.h"
 #include "transport/store_client.h"
@@ -172,6 +173,8 @@
   void BeginLeading(state::Instant now);
   void EndLeading(std::string_view reason);
   void TickKeyspaces(state::Instant now);
+  // Runs once for all orders that have ended in a turn of the loop.
+  void TickAfterOutcomes();
   void LogExpiredLeases(state::Instant now,
                         const std::string& service,
                         coordination::KeyspaceCoordinator& coordinator);
@@ -242,6 +245,8 @@
   const Hooks hooks_;
   HttpClient order_client_;
   coordination::LeaderElection election_;
+  // Requested by each order that ends.
+  CoalescedCall outcomes_tick_;
   std::shared_ptr<const state::RoutingConfig> config_;
 
   // The ledger as last read by this host. A new leader starts from it.
