keys: Limit the orders of one turn

Cause: a turn returned all orders that were due: 8,000 at once for a new leader of 1,000 servers with eight ranges each. A leader short of processor time writes them, times them out and resets their connections within one turn.

Change: a turn has orders for a sixteenth of the slices, or 64 if that is more. Those with the earliest deadline come first: first grants and releases when they are due, renewals 1.2 s after the last accepted grant, so nothing waits without end. After a late tick a turn has more, so that all slices get their orders within 1.2 s however late the ticks are. The moves that one turn starts stay as they are: in parts, they would need more writes of the table.

--- a/src/coordination/keyspace_coordinator.cc
+++ b/src/coordination/keyspace_coordinator.cc
@@ -27,6 +27,18 @@
     kKeyLease + kKeyLease / 50 + std::chrono::milliseconds(60);
 // Allows for four renewals in one lease, so that three of them may be lost.
 constexpr Duration kRenewInterval = std::chrono::milliseconds(600);
+// Counted from the last accepted grant. An accepted lease that is not renewed
+// by then comes before first grants and releases.
+constexpr Duration kRenewDeadline = 2 * kRenewInterval;
+// A turn has orders for at most one of kTicksPerOrderRound slices, but not for
+// fewer than kMinOrderLimit, since each order costs the leader processor time
+// and a long turn delays its heartbeats. If ticks are late, a turn has more, so
+// that all slices get their orders within kMaxOrderRound. After that time and
+// kRenewInterval, a lease still has time for a repeated order.
+constexpr std::size_t kMinOrderLimit = 64;
+constexpr std::size_t kTicksPerOrderRound = 16;
+constexpr std::chrono::duration<double> kMaxOrderRound =
+    std::chrono::milliseconds(1200);
 constexpr Duration kRetryInterval = std::chrono::milliseconds(250);
 // A server that fails all orders for this long loses its keys.
 constexpr Duration kUnresponsiveTimeout = std::chrono::milliseconds(650);
@@ -117,8 +129,10 @@
       Lease lease;
       lease.server = server;
       lease.inherited = true;
+      lease.next_release = now;
       slice.former.push_back(std::move(lease));
     }
+    slice.next_grant = now;
     slice.fence = NextFence();
     slice.phase = !slice.former.empty()      ? Phase::kEnding
                   : !range.holder.id.empty() ? Phase::kGranting
@@ -328,6 +342,7 @@
   slice->holder.given_up_at.reset();
   slice->holder.inherited = false;
   slice->next_grant = now + kRenewInterval;
+  slice->accepted_at = now;
   slice->handover.clear();
   if (!slice->accepted) {
     slice->accepted = true;
@@ -420,15 +435,71 @@
     MergeSteady();
     Balance(now);
   }
-  std::vector<KeyOrder> orders;
+  std::vector<DueSlice> due;
   for (auto& [first, slice] : slices_) {
     ++steps_;
     Advance(now, &slice);
-    AddOrders(now, &slice, &orders);
+    if (const auto deadline = OrderDeadline(now, slice)) {
+      due.emplace_back(*deadline, &slice);
+    }
+  }
+  const std::size_t limit = MaxOrders(now);
+  last_tick_ = now;
+  if (due.size() > limit) {
+    KeepEarliest(limit, &due);
+  }
+  std::vector<KeyOrder> orders;
+  for (const auto& [deadline, slice] : due) {
+    AddOrders(now, slice, &orders);
   }
   return orders;
 }
 
+std::size_t KeyspaceCoordinator::MaxOrders(Instant now) const {
+  const Duration elapsed = last_tick_ ? now - *last_tick_ : Duration(0);
+  const auto late_part = static_cast<std::size_t>(
+      static_cast<double>(slices_.size()) * (elapsed / kMaxOrderRound));
+  return std::max(
+      {kMinOrderLimit, slices_.size() / kTicksPerOrderRound, late_part});
+}
+
+void KeyspaceCoordinator::KeepEarliest(std::size_t count,
+                                       std::vector<DueSlice>* due) {
+  const auto end = due->begin() + static_cast<std::ptrdiff_t>(count);
+  std::partial_sort(due->begin(), end, due->end(),
+                    [](const DueSlice& left, const DueSlice& right) {
+                      return left.first != right.first
+                                 ? left.first < right.first
+                                 : left.second->first < right.second->first;
+                    });
+  due->erase(end, due->end());
+}
+
+std::optional<Instant> KeyspaceCoordinator::OrderDeadline(
+    Instant now,
+    const Slice& slice) const {
+  if (slice.phase != Phase::kEnding) {
+    if (!MayGrant(now, slice)) {
+      return std::nullopt;
+    }
+    return slice.accepted ? slice.accepted_at + kRenewDeadline
+                          : slice.next_grant;
+  }
+  std::optional<Instant> deadline;
+  for (const Lease& lease : slice.former) {
+    if (MayRelease(now, lease)) {
+      deadline =
+          std::min(deadline.value_or(lease.next_release), lease.next_release);
+    }
+  }
+  return deadline;
+}
+
+bool KeyspaceCoordinator::MayRelease(Instant now, const Lease& lease) {
+  return !lease.released && lease.pending_release == 0 &&
+         now >= lease.next_release;
+}
+
 // A holder that answers orders keeps getting grants until no earlier,
 // unanswered grant may still arrive. A release then ends its lease at once, so
 // the move needs no wait for the lease to expire. A slice with former holders
@@ -476,6 +547,7 @@
   if (slice->phase == Phase::kRecording && MayReplaceHolder(now, *slice)) {
     if (!slice->holder.server.id.empty()) {
       slice->former.push_back(slice->holder);
+      slice->former.back().next_release = now;
       moved_share_ += static_cast<double>(slice->last - slice->first + 1) /
                       state::kShardKeyCount;
     }
@@ -524,8 +596,7 @@
                                     std::vector<KeyOrder>* orders) {
   if (slice->phase == Phase::kEnding) {
     for (Lease& lease : slice->former) {
-      if (!lease.released && lease.pending_release == 0 &&
-          now >= lease.next_release) {
+      if (MayRelease(now, lease)) {
         lease.pending_release = ++order_count_;
         orders->push_back({lease.pending_release, OrderKind::kRelease,
                            lease.server, slice->first, slice->last,
@@ -966,6 +1037,7 @@
         std::max(left.holder.given_up_at, right.holder.given_up_at);
     left.holder.inherited = left.holder.inherited || right.holder.inherited;
     left.next_grant = std::min(left.next_grant, right.next_grant);
+    left.accepted_at = std::min(left.accepted_at, right.accepted_at);
     next = slices_.erase(next);
     ChangeRouted();
   }
--- a/src/coordination/keyspace_coordinator.h
+++ b/src/coordination/keyspace_coordinator.h
@@ -21,6 +21,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -160,7 +161,8 @@
   // `now`. So all that it wrote or reset before has left it by now.
   void HandleDelivery(state::Instant now, state::Instant written);
 
-  // Plans moves and returns the orders to send.
+  // Plans moves and returns the orders to send. If many are due, it returns
+  // those with the earliest deadlines; the others follow at the next calls.
   std::vector<KeyOrder> Tick(state::Instant now);
 
   // Returns the ranges given on without a release since the last call, for the
@@ -259,6 +261,8 @@
     // of the holder is not known while there is one.
     std::uint64_t pending_grant = 0;
     state::Instant next_grant{};
+    // When the holder last accepted a grant of this term, if it has.
+    state::Instant accepted_at{};
     // The change count of the record that has to be confirmed before `next`
     // gets a grant.
     std::uint64_t awaited_change = 0;
@@ -285,6 +289,9 @@
   // By holder, in order of keys: the steady slices without a grant under way.
   using MovableSlices = std::map<state::ServerIncarnation, std::vector<Slice*>>;
 
+  // A slice that an order is due for, and the time by which it should be sent.
+  using DueSlice = std::pair<state::Instant, Slice*>;
+
   const ServerState* FindServer(
       const state::ServerIncarnation& incarnation) const;
   // Sets the capacities of the servers so that the balance, in which all have
@@ -377,6 +384,15 @@
   // Whether the lease can no longer be valid.
   bool LeaseEnded(state::Instant now, const Lease& lease) const;
   bool MayGrant(state::Instant now, const Slice& slice) const;
+  static bool MayRelease(state::Instant now, const Lease& lease);
+  // The time by which the order that is due for the slice should be sent;
+  // nothing if none is due.
+  std::optional<state::Instant> OrderDeadline(state::Instant now,
+                                              const Slice& slice) const;
+  // The number of slices that get orders in one turn.
+  std::size_t MaxOrders(state::Instant now) const;
+  // Keeps the `count` slices with the earliest deadlines.
+  static void KeepEarliest(std::size_t count, std::vector<DueSlice>* due);
   void RecordExpiredLeases(const Slice& slice);
   // Moves the slice to its next phase if the conditions of that phase hold.
   void Advance(state::Instant now, Slice* slice);
@@ -427,6 +443,7 @@
   state::Instant start_time_;
   state::Instant next_balance_;
   state::Instant next_hot_move_;
+  std::optional<state::Instant> last_tick_;
   bool superseded_ = false;
   double moved_share_ = 0;
   mutable std::uint64_t steps_ = 0;
