--- a/src/transport/leader_duty.cc
+++ b/src/transport/leader_duty.cc
@@ -121,7 +121,8 @@
       log_(log),
       hooks_(std::move(hooks)),
       order_client_(executor),
-      election_(Now(), std::move(claim), stagger, profile.bootstrap) {}
+      election_(Now(), std::move(claim), stagger, profile.bootstrap),
+      outcomes_tick_(executor_, [this] { TickAfterOutcomes(); }) {}
 
 void LeaderDuty::SetConfig(std::shared_ptr<const state::RoutingConfig> config) {
   config_ = std::move(config);
@@ -725,18 +726,20 @@
   }
 }
 
+void LeaderDuty::TickAfterOutcomes() {
+  if (leading() && config_) {
+    TickKeyspaces(Now());
+  }
+}
+
 bool LeaderDuty::IsTableIncomplete(Instant now) const {
   if (table_.revision > 0 || now - leading_since_ >= kFirstTableDelay) {
     return false;
   }
-  return std::any_of(
-      keyspaces_.begin(), keyspaces_.end(), [](const auto& entry) {
-        const state::ServiceRanges ranges =
-            entry.second.coordinator->RoutedRanges();
-        return std::any_of(
-            ranges.begin(), ranges.end(),
-            [](const state::OwnedRange& range) { return !range.serving; });
-      });
+  return std::any_of(keyspaces_.begin(), keyspaces_.end(),
+                     [](const auto& entry) {
+                       return !entry.second.coordinator->serves_all_keys();
+                     });
 }
 
 void LeaderDuty::Publish(Instant now) {
@@ -896,7 +899,7 @@
     co_return;
   }
   if (routed != coordinator->routed_change() || !grant) {
-    TickKeyspaces(Now());
+    outcomes_tick_.Request();
   }
 }
 
