election: A host never leads a term that it has led

A host that had led a term and stopped (store away for over 10 s, fenced, or refused by a server) found its own claim at the head of the ledger and led the same term again. Its fences and the numbers of its appends began anew, so a fence could be used twice and the store could take a new table for the repeat of an earlier append. Such a host now claims the next term. It does not wait for the ledger to rest first, since the leader it would wait for is itself.

--- a/src/coordination/leader_election.cc
+++ b/src/coordination/leader_election.cc
@@ -163,7 +163,7 @@
     return;
   }
   if (head->term == claimed_term_ && head->claim == claim_ &&
-      claimed_term_ > 0) {
+      claimed_term_ > led_term_) {
     // An earlier claim of this host has taken effect although its answer was
     // lost.
     Lead(phase_since_, now);
@@ -185,7 +185,11 @@
     term_ = head.term;
     leader_stepping_down_ = false;
   }
-  if (term_advanced || (!host_replied_ && head.term > 0 && !ledger_idle)) {
+  // A host that reaches no other host needs no proof that it has stopped
+  // itself.
+  const bool may_be_led =
+      head.term > 0 && !(head.term == led_term_ && head.claim == claim_);
+  if (term_advanced || (!host_replied_ && may_be_led && !ledger_idle)) {
     Follow(now);
     return;
   }
@@ -235,6 +239,7 @@
 void LeaderElection::Lead(Instant last_proof, Instant next_renewal) {
   phase_ = Phase::kLeading;
   term_ = claimed_term_;
+  led_term_ = term_;
   claim_base_.reset();
   last_proof_ = last_proof;
   next_renewal_ = next_renewal;
--- a/src/coordination/leader_election.h
+++ b/src/coordination/leader_election.h
@@ -222,6 +222,10 @@
   bool claim_sent_ = false;
   // The term of this host's last claim; 0 if there was none.
   std::int64_t claimed_term_ = 0;
+  // The last term that this host has led; 0 if there was none. Invariant: it
+  // begins to lead only terms above this one, since a term's fences and numbers
+  // of appends are used once.
+  std::int64_t led_term_ = 0;
   // The end of the ledger as last seen, and when this host first saw it there.
   std::int64_t seen_end_ = -1;
   state::Instant seen_end_at_;
--- a/tests/keys/leader_election_test.cc
+++ b/tests/keys/leader_election_test.cc
@@ -129,6 +129,40 @@
   CHECK(Await<coordination::BeginLeading>(election, &now, seconds(1)));
 }
 
+// Guards against fences and appends of a term that are used twice: a leader
+// that had stopped found its own claim at the head of the ledger and led again.
+TEST_CASE("a host that has led a term claims the next one", "[O3][O5]") {
+  Instant now(seconds(10));
+  LeaderElection election(now, "a", 0);
+  const auto claim = ReachClaim(election, &now, {0, "", 0, 0});
+  REQUIRE(claim);
+  const bool answered = GENERATE(true, false);
+  const LedgerHead head{claim->term, "a", 0, 1};
+  if (answered) {
+    election.HandleWrite(now, now, WriteOutcome::kDone);
+  } else {
+    election.HandleWrite(now, now, WriteOutcome::kUnknown);
+    REQUIRE(Await<coordination::ReadLedger>(election, &now, seconds(1)));
+    election.HandleLedger(now, head);
+  }
+  REQUIRE(Await<coordination::BeginLeading>(election, &now, seconds(1)));
+  const bool fenced = GENERATE(true, false);
+  if (fenced) {
+    election.HandleFenced();
+  }
+  REQUIRE(Await<coordination::StopLeading>(election, &now, seconds(20)));
+  // No other host replies, and the ledger still ends with this host's claim.
+  const auto next = ReachClaim(election, &now, head);
+  CHECK_FALSE(election.leading());
+  REQUIRE(next);
+  CHECK(next->term == claim->term + 1);
+  election.HandleWrite(now, now, WriteOutcome::kDone);
+  const auto begin =
+      Await<coordination::BeginLeading>(election, &now, seconds(1));
+  REQUIRE(begin);
+  CHECK(begin->term == claim->term + 1);
+}
+
 TEST_CASE("a host whose claim meets a conflict does not lead", "[O7]") {
   Instant now(seconds(10));
   LeaderElection election(now, "a", 0);
