election: The answer to an earlier write wins no claim

A claim that waited for its result took any result for its own: that of a renewal of the term that the host had led before, or that of an earlier claim whose answer had timed out. A host could so begin to lead a term that the store had not given it. Results of what was sent before the claim are now ignored.

The new case failed before (2 of 10 assertions). clocks_test passed a time of sending before the claim; its simulated past now ends at the time of sending, and it compares the suspension with the proof's time. The cases of the election in keys_test, hosts_test and the case of clocks_test pass.

--- a/src/coordination/leader_election.cc
+++ b/src/coordination/leader_election.cc
@@ -220,7 +220,9 @@
     }
     return;
   }
-  if (phase_ != Phase::kClaiming) {
+  // What was written before belongs to a term that has ended, or to an earlier
+  // claim.
+  if (phase_ != Phase::kClaiming || sent < phase_since_) {
     return;
   }
   claim_base_.reset();
--- a/src/coordination/leader_election.h
+++ b/src/coordination/leader_election.h
@@ -122,7 +122,8 @@
   // The result of ReadLedger; nothing if the store did not answer.
   void HandleLedger(state::Instant now, const std::optional<LedgerHead>& head);
 
-  // The result of a ClaimTerm or RenewTerm that was sent at `sent`.
+  // The result of a ClaimTerm or RenewTerm that was sent at `sent`. While a
+  // claim waits for its result, those of earlier writes have no effect.
   void HandleWrite(state::Instant now,
                    state::Instant sent,
                    WriteOutcome outcome);
--- a/tests/keys/leader_election_test.cc
+++ b/tests/keys/leader_election_test.cc
@@ -163,6 +163,29 @@
   CHECK(begin->term == claim->term + 1);
 }
 
+// Guards against a claim that counts as won because of the answer to something
+// written before it: a renewal of a term that this host has led, or an earlier
+// claim.
+TEST_CASE("the late answer to an earlier write wins no claim", "[O3][O7]") {
+  Instant now(seconds(10));
+  LeaderElection election(now, "a", 0);
+  REQUIRE(ReachClaim(election, &now, {0, "", 0, 0}));
+  Instant written = now;
+  const bool led = GENERATE(true, false);
+  if (led) {
+    election.HandleWrite(now, now, WriteOutcome::kDone);
+    REQUIRE(Await<coordination::RenewTerm>(election, &now, seconds(2)));
+    written = now;
+    election.HandleFenced();
+    REQUIRE(Await<coordination::StopLeading>(election, &now, seconds(1)));
+  }
+  REQUIRE(ReachClaim(election, &now, {0, "", 0, 0}));
+  election.HandleWrite(now, written, WriteOutcome::kDone);
+  CHECK_FALSE(election.leading());
+  election.HandleWrite(now, now, WriteOutcome::kDone);
+  CHECK(election.leading());
+}
+
 TEST_CASE("a host whose claim meets a conflict does not lead", "[O7]") {
   Instant now(seconds(10));
   LeaderElection election(now, "a", 0);
--- a/tests/transport/clocks_test.cc
+++ b/tests/transport/clocks_test.cc
@@ -32,7 +32,8 @@
 
 TEST_CASE("a leader stops leading if its proof expired during a suspension",
           "[O1]") {
-  const state::Instant started = transport::Now();
+  const state::Instant sent = transport::Now();
+  const state::Instant started = sent - std::chrono::seconds(3);
   coordination::LeaderElection election(started, "claim", 0);
   // No host answers: the host queries the others, reads the ledger and claims
   // the term.
@@ -43,14 +44,13 @@
   election.Tick(now);
   election.HandleLedger(now, coordination::LedgerHead{});
   election.Tick(now);
-  election.HandleWrite(now, transport::Now(),
-                       coordination::WriteOutcome::kDone);
+  election.HandleWrite(now, sent, coordination::WriteOutcome::kDone);
   REQUIRE(election.leading());
 
   suspended_seconds = 11;
   const state::Instant resumed = transport::Now();
   suspended_seconds = 0;
-  CHECK(resumed - started > coordination::kLeadershipLease);
+  CHECK(resumed - sent > coordination::kLeadershipLease);
   election.Tick(resumed);
   CHECK_FALSE(election.leading());
 }
