soak: Answer releases when the running work has ended

The loop that should wait for running work ended after 10 ms, so a release was answered while requests on its keys ran, and none of our tests had a server that behaves as backend servers do. Work is now noted with its key; a release stops new work at once and is answered when the work on its keys that ran then has ended. Work of an earlier life of a server no longer counts for its next.

--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -81,6 +81,14 @@
                          f"{len(body)} bytes, {body[:40]!r}")
 
 
+class Work:
+    """A request that is worked on; `key` is None without one."""
+
+    def __init__(self, attempt, key):
+        self.attempt = attempt
+        self.key = key
+
+
 class Server:
     def __init__(self, random, oracle, store, number, service, address,
                  entry_address):
@@ -96,7 +104,7 @@
         self.up = False
         self.born = 0
         self.seq = 0
-        self.running = 0
+        self.at_work = []
         # Spoils a part of the answers; one of WRONG_ANSWERS.
         self.wrong_answers = None
         self.writers = set()
@@ -115,7 +123,7 @@
         self.seq = 0
         self.leases = {}
         self.seen = []
-        self.running = 0
+        self.at_work = []
         self.announced = Announcements(self)
         self.listener = await serve(self.address, self.handle)
 
@@ -123,6 +131,7 @@
         self.up = False
         self.listener.close()
         self.leases = {}
+        self.at_work = []
         for writer in self.writers:
             writer.transport.abort()
         self.writers = set()
@@ -181,6 +190,15 @@
         self.seen.append((first, last, fence))
         return 200
 
+    async def release(self, order):
+        """No new work begins on the keys; ends with the work that runs."""
+        first, last = order["from"], order["target"]
+        self.cut(first, last)
+        running = [work for work in self.at_work
+                   if work.key is not None and first <= work.key <= last]
+        while any(work in self.at_work for work in running):
+            await asyncio.sleep(0.01)
+
     async def handle(self, request):
         born = self.born
         if not self.up:
@@ -193,11 +211,7 @@
             order = json.loads(await request.read_body())
             return format_answer(self.grant(order), {}, b"")
         if request.target == "/release":
-            order = json.loads(await request.read_body())
-            self.cut(order["from"], order["target"])
-            while self.running > 0 and self.up:
-                await asyncio.sleep(0.01)
-                break
+            await self.release(json.loads(await request.read_body()))
             return format_answer(200, {"X-Handover": "h"}, b"")
         wrong = self.wrong_answers if self.random.random() < 0.3 else None
         attempt = request.fields.get("x-attempt-id", "")
@@ -222,7 +236,7 @@
         fields = {"X-Attempt-Id": attempt} | self.announced.fields()
         if signed:
             fields["X-Server-Signature"] = "s"
-            fields["X-Server-Load"] = f"{self.running},0,{SLOTS},100"
+            fields["X-Server-Load"] = f"{len(self.at_work)},0,{SLOTS},100"
             self.oracle.given.setdefault(attempt, set()).add(status)
         return format_answer(status, fields, body)
 
@@ -254,14 +268,16 @@
             self.announced.note_pause(sender)
             not_run["Retry-After"] = str(self.announced.pause_s)
             return format_answer(503, not_run, b"")
-        if self.running >= 2 * SLOTS:
+        if len(self.at_work) >= 2 * SLOTS:
             return format_answer(503, not_run, b"")
         if wrong == "says-not-run":
             return format_answer(400, not_run, b"")
-        self.running += 1
+        work = Work(attempt, int(key) if self.service == "shelf" else None)
+        self.at_work.append(work)
         self.oracle.note_run(self, request, attempt)
         ended = await self.work(request, attempt, wrong, sender)
-        self.running -= 1
+        if work in self.at_work:
+            self.at_work.remove(work)
         if not ended or not self.up or born != self.born:
             return None
         if wrong == "rejects":
