soak: Check work, begun requests and fences of owners

The oracle of owners looked at leases alone, at the moment of a grant. Missed were two servers that begin requests on a key that both hold, or hold it for over 0.5 s; a key granted while another server is at work on it before that one's hold would have run out, also after its release; and a fence that is not above those with which other servers, or other lives of the server, had the key. All are checked now, with times and ids. Work ends with 500 when its lease runs out, and half of the servers measure leases by a clock that is 2 % slow. Grants of a host that had been stopped, within 0.3 s after it goes on, and those after an earlier grant that the soak's own process or its proxies took late, are not counted; how many is printed.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -1,6 +1,7 @@
 """A loopback proxy that delays, silences, cuts one way, or resets."""
 
 import asyncio
+import time
 
 from http_server import keep_little
 from sockets import owner_of
@@ -15,6 +16,8 @@
         self.target = target
         self.mode = "pass"
         self.delay_s = 0.0
+        # Until when what arrives may have been delayed.
+        self.delayed_until = 0.0
         self.writers = set()
         # Until when what passed it may have been harmed.
         self.disturbed_until = 0.0
@@ -28,6 +31,9 @@
                                             limit=8192)
         keep_little(server)
 
+    def delays(self):
+        return self.delay_s > 0 or time.monotonic() < self.delayed_until
+
     def reset_all(self):
         for writer in list(self.writers):
             writer.transport.abort()
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -1,4 +1,4 @@
-"""Stand-ins for backend servers, with the oracle of who owns what."""
+"""Stand-ins for backend servers, with the oracle of what they run."""
 
 import asyncio
 import json
@@ -6,11 +6,15 @@
 
 from announcements import Announcements
 from http_server import format_answer, serve
+from ownership import Lease, Ownership
+from ranges import Ranges
 
 SLOTS = 6
 # How long a request takes that does not say it.
 WORK_S = 0.02
 KEYS = 65536
+# The clocks of some servers, which measure their leases, run slow.
+SLOW_CLOCK = 1.02
 # An address is used again after this time.
 REUSE_S = 2.0
 WRONG_ANSWERS = ["early", "twice", "rejects", "spoils", "says-not-run"]
@@ -34,23 +38,12 @@
         self.violations = []
         self.began = time.monotonic()
         self.servers = []
+        self.hosts = []
+        self.ownership = Ownership(self)
 
-    def check_owner(self, server, first, last):
-        now = time.monotonic()
-        for other in self.servers:
-            if other is server or not other.up:
-                continue
-            for (low, high), lease in other.leases.items():
-                # Clocks of servers may run 2 % slow, not faster.
-                if low <= last and first <= high and lease[1] > now:
-                    self.violate(
-                        f"keys {first}-{last} granted to {server.id} while "
-                        f"{other.id} holds {low}-{high} for "
-                        f"{lease[1] - now:.3f} s")
-
-    def violate(self, text):
-        self.violations.append(
-            f"{time.monotonic() - self.began:.2f} s: {text}")
+    def violate(self, text, at=None):
+        at = time.monotonic() if at is None else at
+        self.violations.append(f"{at - self.began:.2f} s: {text}")
 
     def note_run(self, server, received, attempt):
         self.runs[attempt] = self.runs.get(attempt, 0) + 1
@@ -108,8 +101,9 @@
         # Spoils a part of the answers; one of WRONG_ANSWERS.
         self.wrong_answers = None
         self.writers = set()
-        # By range: fence and end of the lease.
-        self.leases = {}
+        self.leases = Ranges()
+        # The leases that it was given last, released or not.
+        self.promised = Ranges()
         self.seen = []
         self.listener = None
         # Passes the hosts' requests on.
@@ -121,7 +115,8 @@
         self.up = True
         self.born += 1
         self.seq = 0
-        self.leases = {}
+        self.leases = Ranges()
+        self.promised = Ranges()
         self.seen = []
         self.at_work = []
         self.announced = Announcements(self)
@@ -130,7 +125,7 @@
     async def crash(self):
         self.up = False
         self.listener.close()
-        self.leases = {}
+        self.leases = Ranges()
         self.at_work = []
         for writer in self.writers:
             writer.transport.abort()
@@ -159,32 +154,20 @@
             await asyncio.sleep(0.4)
 
     def holds(self, key):
-        now = time.monotonic()
-        return any(low <= key <= high and lease[1] > now
-                   for (low, high), lease in self.leases.items())
-
-    def cut(self, first, last):
-        """Takes the keys out of all leases."""
-        kept = {}
-        for (low, high), lease in self.leases.items():
-            if high < first or low > last:
-                kept[(low, high)] = lease
-                continue
-            if low < first:
-                kept[(low, first - 1)] = lease
-            if high > last:
-                kept[(last + 1, high)] = lease
-        self.leases = kept
+        lease = self.leases.at(key)
+        return lease is not None and lease.end > time.monotonic()
 
-    def grant(self, order):
+    def grant(self, order, sender):
         first, last, fence = order["from"], order["target"], order["fence"]
         if any(low <= last and first <= high and seen > fence
                for low, high, seen in self.seen):
             return 409
         hold_s = float(order["hold_time"].removesuffix("ms")) / 1000
-        self.oracle.check_owner(self, first, last)
-        self.cut(first, last)
-        self.leases[(first, last)] = (fence, time.monotonic() + hold_s)
+        hold_s *= SLOW_CLOCK if self.number % 2 else 1
+        lease = Lease(fence, time.monotonic(), hold_s, self.proxy.delays())
+        self.oracle.ownership.check_grant(self, first, last, lease, sender)
+        self.leases.assign(first, last, lease)
+        self.promised.assign(first, last, lease)
         self.seen = [s for s in self.seen
                      if not (first <= s[0] and s[1] <= last)]
         self.seen.append((first, last, fence))
@@ -193,9 +176,10 @@
     async def release(self, order):
         """No new work begins on the keys; ends with the work that runs."""
         first, last = order["from"], order["target"]
-        self.cut(first, last)
+        self.leases.cut(first, last)
         running = [work for work in self.at_work
                    if work.key is not None and first <= work.key <= last]
+        self.oracle.ownership.note_release(bool(running))
         while any(work in self.at_work for work in running):
             await asyncio.sleep(0.01)
 
@@ -207,9 +191,11 @@
         target = request.fields.get("x-target-instance")
         if target not in (None, self.id):
             return format_answer(421, {"X-Not-Executed": "1"}, b"")
+        sender = self.proxy.senders.get(
+            request.writer.get_extra_info("peername")[1])
         if request.target == "/grant":
             order = json.loads(await request.read_body())
-            return format_answer(self.grant(order), {}, b"")
+            return format_answer(self.grant(order, sender), {}, b"")
         if request.target == "/release":
             await self.release(json.loads(await request.read_body()))
             return format_answer(200, {"X-Handover": "h"}, b"")
@@ -217,8 +203,6 @@
         attempt = request.fields.get("x-attempt-id", "")
         if wrong != "early":
             self.oracle.check_body(self, attempt, await request.read_body())
-        sender = self.proxy.senders.get(
-            request.writer.get_extra_info("peername")[1])
         answer = await self.run(request, attempt, wrong, born, sender)
         if answer is not None:
             self.announced.note_answer(sender)
@@ -240,16 +224,25 @@
             self.oracle.given.setdefault(attempt, set()).add(status)
         return format_answer(status, fields, body)
 
-    async def work(self, request, attempt, wrong, sender):
+    def outlasts(self, work):
+        """Whether the lease that covers the work has run out. A release leaves
+        it as it was for work that runs."""
+        if work.key is None:
+            return False
+        lease = self.promised.at(work.key)
+        return lease is None or lease.end <= time.monotonic()
+
+    async def work(self, request, work, wrong, sender):
         """Returns whether the work came to its end: a server drops a request
-        whose connection closes."""
+        whose connection closes. Work ends with its lease."""
         work_s = float(request.fields.get("x-work-s", WORK_S))
-        known = self.oracle.requests.get(attempt)
+        known = self.oracle.requests.get(work.attempt)
         noted = known and self.oracle.leavers.note_work(known, self, sender,
                                                         work_s)
         end = time.monotonic() + (0 if wrong == "early" else work_s)
         closed = False
-        while (left_s := end - time.monotonic()) > 0 and not closed:
+        while (left_s := end - time.monotonic()) > 0 and not (
+                closed or self.outlasts(work)):
             await asyncio.sleep(min(left_s, WORK_S))
             closed = work_s > WORK_S and request.closed()
         if noted:
@@ -275,11 +268,15 @@
         work = Work(attempt, int(key) if self.service == "shelf" else None)
         self.at_work.append(work)
         self.oracle.note_run(self, request, attempt)
-        ended = await self.work(request, attempt, wrong, sender)
+        if work.key is not None:
+            self.oracle.ownership.note_begin(self, work.key, attempt)
+        ended = await self.work(request, work, wrong, sender)
         if work in self.at_work:
             self.at_work.remove(work)
         if not ended or not self.up or born != self.born:
             return None
+        if self.outlasts(work):
+            return self.answer(500, attempt)
         if wrong == "rejects":
             return self.answer(self.random.choice([302, 400, 403, 404, 409]),
                                attempt, self.random.random() < 0.3)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -121,6 +121,8 @@
         self.troubles = []
         # Those of them in which the process itself stood still or ended.
         self.process_troubles = []
+        # When its process last went on after it had been stopped.
+        self.thawed = 0.0
         # The oldest version that it may use, since when, and the number of
         # troubles of its process then.
         self.effect = (0, 0.0, 0)
@@ -131,6 +133,10 @@
             env={"MUSTARDFLOW_SETTINGS": str(self.settings),
                  "PATH": os.environ["PATH"]})
 
+    def go_on(self):
+        self.process.send_signal(signal.SIGCONT)
+        self.thawed = time.monotonic()
+
     async def end(self, how):
         self.process.send_signal(how)
         await self.process.wait()
@@ -161,6 +167,7 @@
         for proxy in self.proxies:
             proxy.hosts = self.hosts
         self.changes = Changes(self.random, self.store)
+        self.oracle.hosts = self.hosts
         self.oracle.changes = self.changes
         self.callers = Callers(self.random, self.hosts, self.changes,
                                self.oracle)
@@ -195,7 +202,7 @@
                 with trouble([host], True):
                     host.process.send_signal(signal.SIGSTOP)
                     await asyncio.sleep(length)
-                    host.process.send_signal(signal.SIGCONT)
+                    host.go_on()
         elif kind == "crash":
             if server.up:
                 await server.crash()
@@ -275,6 +282,7 @@
             proxy.delay_s = 0.1
             await asyncio.sleep(length)
             proxy.delay_s = 0.0
+            proxy.delayed_until = time.monotonic() + 0.2
         else:
             proxy.mode = kind
             await asyncio.sleep(length)
@@ -314,7 +322,8 @@
 
     async def play(self):
         await self.store.start(self.store_address)
-        background = [asyncio.create_task(self.watch_lag())]
+        background = [asyncio.create_task(self.watch_lag()),
+                      asyncio.create_task(self.oracle.ownership.watch())]
         for server in self.servers:
             await server.start()
             background.append(asyncio.create_task(server.keep_registered()))
@@ -359,6 +368,7 @@
         for task in background:
             task.cancel()
         self.say(self.leavers.check())
+        self.say(self.oracle.ownership.settle())
         for attempt in self.callers.refused:
             if attempt in self.oracle.runs:
                 self.oracle.violate(
