soak: Faults of orders: copies, lost answers, late grants

Servers answered each grant and release once, at once. Two in three servers return an order's id. The choices are drawn apart, so the recorded seeds play as before.

--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -6,6 +6,7 @@
 
 from announcements import Announcements
 from http_server import format_answer, serve
+from orders import OrderFaults
 from ownership import Lease, Ownership
 from ranges import Ranges
 
@@ -105,6 +106,11 @@
         # The leases that it was given last, released or not.
         self.promised = Ranges()
         self.seen = []
+        # "ready", "draining", or "gone" from the store's list.
+        self.state = "ready"
+        self.order_faults = OrderFaults(random)
+        # Some servers name the order that they answer.
+        self.echoes = number % 3 > 0
         self.listener = None
         # Passes the hosts' requests on.
         self.proxy = None
@@ -135,21 +141,24 @@
         """Ends for good; a server of `service` takes over the address."""
         await self.crash()
         await asyncio.sleep(length)
-        self.store.put("keyed.servers", self.id, None)
+        self.unlist()
         await asyncio.sleep(REUSE_S)
         self.service = service
         self.id = f"{service}-{self.number}-{self.born}"
         await self.start()
 
+    def unlist(self):
+        self.store.put("keyed.servers", self.id, None)
+
     async def keep_registered(self):
         while True:
-            if self.up and not self.store.down:
+            if self.up and not self.store.down and self.state != "gone":
                 self.seq += 1
                 self.store.put("keyed.servers", self.id, {
                     "address": "%s:%d" % self.entry_address, "born": self.born,
                     "info": {"service": self.service, "zone": "z1",
                              "version": "v1", "slots": SLOTS},
-                    "status": {"state": "ready", "seq": self.seq,
+                    "status": {"state": self.state, "seq": self.seq,
                                "warmup_left": "0ms"}})
             await asyncio.sleep(0.4)
 
@@ -157,20 +166,21 @@
         lease = self.leases.at(key)
         return lease is not None and lease.end > time.monotonic()
 
-    def grant(self, order, sender):
+    def grant(self, order, sender, arrived):
         first, last, fence = order["from"], order["target"], order["fence"]
         if any(low <= last and first <= high and seen > fence
                for low, high, seen in self.seen):
             return 409
         hold_s = float(order["hold_time"].removesuffix("ms")) / 1000
         hold_s *= SLOW_CLOCK if self.number % 2 else 1
-        lease = Lease(fence, time.monotonic(), hold_s, self.proxy.delays())
-        self.oracle.ownership.check_grant(self, first, last, lease, sender)
-        self.leases.assign(first, last, lease)
-        self.promised.assign(first, last, lease)
         self.seen = [s for s in self.seen
                      if not (first <= s[0] and s[1] <= last)]
         self.seen.append((first, last, fence))
+        lease = Lease(fence, arrived, hold_s, self.proxy.delays())
+        if lease.end > time.monotonic():
+            self.oracle.ownership.check_grant(self, first, last, lease, sender)
+            self.leases.assign(first, last, lease)
+            self.promised.assign(first, last, lease)
         return 200
 
     async def release(self, order):
@@ -183,6 +193,24 @@
         while any(work in self.at_work for work in running):
             await asyncio.sleep(0.01)
 
+    async def take_order(self, request, born, sender):
+        order = json.loads(await request.read_body())
+        fields = {}
+        if self.echoes and "x-attempt-id" in request.fields:
+            fields["X-Attempt-Id"] = request.fields["x-attempt-id"]
+
+        async def carry_out(arrived):
+            if not self.up or born != self.born:
+                return None
+            if request.target == "/grant":
+                return format_answer(self.grant(order, sender, arrived),
+                                     fields, b"")
+            await self.release(order)
+            return format_answer(200, fields | {"X-Handover": "h"}, b"")
+
+        return await self.order_faults.answer(request, carry_out,
+                                              request.target == "/grant")
+
     async def handle(self, request):
         born = self.born
         if not self.up:
@@ -193,12 +221,8 @@
             return format_answer(421, {"X-Not-Executed": "1"}, b"")
         sender = self.proxy.senders.get(
             request.writer.get_extra_info("peername")[1])
-        if request.target == "/grant":
-            order = json.loads(await request.read_body())
-            return format_answer(self.grant(order, sender), {}, b"")
-        if request.target == "/release":
-            await self.release(json.loads(await request.read_body()))
-            return format_answer(200, {"X-Handover": "h"}, b"")
+        if request.target in ("/grant", "/release"):
+            return await self.take_order(request, born, sender)
         wrong = self.wrong_answers if self.random.random() < 0.3 else None
         attempt = request.fields.get("x-attempt-id", "")
         if wrong != "early":
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -28,6 +28,7 @@
 from callers import Callers
 from changes import Changes, MOVED, OPTIONAL
 from leavers import LAG_S, LEAVERS, Leavers, mute_often
+from orders import disturb_orders
 from proxy import Proxy
 from servers import KEYS, WRONG_ANSWERS, Oracle, Server
 from store import Store
@@ -143,7 +144,7 @@
 
 
 class Soak:
-    def __init__(self, program, seed, folder, hosts, servers):
+    def __init__(self, program, seed, folder, hosts, servers, owner):
         self.random = random.Random(seed)
         self.oracle = Oracle()
         self.store = Store(random.Random(f"store {seed}"))
@@ -180,7 +181,13 @@
         # Servers' announcements, without any fault beside them in each fifth
         # seed.
         self.announcing = random.Random(f"announcements {seed}")
-        self.calm = seed % 5 == 0
+        self.calm = seed % 5 == 0 and not owner
+        # Faults that the keys' owners depend on, each with choices of its own:
+        # other seeds stay as they were.
+        self.owner_faults = [
+            (disturb, random.Random(f"{disturb.__name__} {seed}"))
+            for disturb in (disturb_orders,)
+        ] if owner else []
         self.ending = False
         self.longest_lag_s = 0.0
 
@@ -344,7 +351,9 @@
         changes = asyncio.create_task(self.change_often())
         background.append(asyncio.create_task(mute_often(
             self, self.leavers.random)))
-        announcing = asyncio.create_task(announce_often(self, self.announcing))
+        announcing = [asyncio.create_task(announce_often(self, self.announcing))]
+        announcing += [asyncio.create_task(disturb(self, choices))
+                       for disturb, choices in self.owner_faults]
         faults = []
         end = time.monotonic() + FAULT_S
         while time.monotonic() < end:
@@ -354,7 +363,7 @@
         await asyncio.gather(*faults)
         self.ending = True
         await changes
-        await announcing
+        await asyncio.gather(*announcing)
         await self.await_service("end")
         if self.calm:
             await check_served_elsewhere(self)
@@ -419,7 +428,8 @@
 def play(options, seed):
     folder = pathlib.Path(tempfile.mkdtemp(prefix="mustardflow-soak-"))
     print(f"seed {seed}", flush=True)
-    soak = Soak(options.program, seed, folder, options.hosts, options.servers)
+    soak = Soak(options.program, seed, folder, options.hosts, options.servers,
+                options.owner)
     violations = asyncio.run(soak.play()) + refused_forwards(folder)
     print(f"  answers by status: {soak.callers.counts}; the soak itself was "
           f"late by {soak.longest_lag_s:.2f} s at most")
@@ -435,6 +445,8 @@
     parser.add_argument("--program", default="build/apps/mustardflow-entry")
     parser.add_argument("--hosts", type=int, default=4)
     parser.add_argument("--servers", type=int, default=9)
+    parser.add_argument("--owner", action="store_true",
+                        help="with faults of orders")
     parser.add_argument("--seed", type=int, help="play this seed only")
     parser.add_argument("--seeds", type=int, default=1, help="how many")
     parser.add_argument("--minutes", type=float, help="fresh seeds for so long")
