orders: Do not hold a wait for other grants against the server

A grant that had waited over 300 ms for earlier grants to its server counted as not sent, that is, as a lost connection: the server then got no grant before a newer proof of the term, and could count as one that does not answer. The wait is this host's own decision.

Now it counts as withheld.

--- a/src/transport/order_client.cc
+++ b/src/transport/order_client.cc
@@ -158,7 +158,9 @@
   }
   const bool begins = co_await WaitForTurn(address);
   if (!begins) {
-    co_return OrderReply();
+    OrderReply withheld;
+    withheld.outcome = OrderOutcome::kWithheld;
+    co_return withheld;
   }
   const Turn turn(grants_, address);
   co_return co_await SendNow(address, order, std::move(may_write));
