leading: Prove the term without writing the whole table

Cause: each failed order makes its server wait for a newer proof of the term, and the leader got that proof by writing the table: all ranges, again and again with no change, as long as some order fails. A leader with 200 to 1,200 failed grants a second writes without a pause. Also, a table that orders waited for was held back for 300 ms after a table that nothing waited for.

Change: LedgerSchedule decides what to write. The table is written at once if orders wait for its content, and each 300 ms if it has changed. For a proof alone the head is written again, at most each 100 ms; it proves the same, as the store refuses it under a lower term.

No test runs LeaderDuty itself, and no play with hosts was run.

--- a/src/coordination/keyspace_coordinator.cc
+++ b/src/coordination/keyspace_coordinator.cc
@@ -1043,11 +1043,7 @@
   }
 }
 
-bool KeyspaceCoordinator::record_urgent() const {
-  // A slice leaves Phase::kRecording only once its record is confirmed.
-  if (last_awaited_change_ > confirmed_change_) {
-    return true;
-  }
+bool KeyspaceCoordinator::waits_for_proof() const {
   steps_ += servers_.size();
   return std::any_of(servers_.begin(), servers_.end(), [](const auto& entry) {
     return entry.second.needs_proof_after && !entry.second.unresponsive;
--- a/src/coordination/keyspace_coordinator.h
+++ b/src/coordination/keyspace_coordinator.h
@@ -175,9 +175,16 @@
   // change of them.
   state::ServiceRanges RecordedRanges() const;
   std::uint64_t recorded_change() const { return recorded_change_; }
-  // Whether orders wait for a write of the record: either for its content to be
-  // confirmed, or for the proof of leadership that a confirmed write gives.
-  bool record_urgent() const;
+  // Whether orders wait for the record to be confirmed.
+  bool waits_for_record() const {
+    // A slice leaves Phase::kRecording only once its record is confirmed.
+    return last_awaited_change_ > confirmed_change_;
+  }
+  // Whether grants wait for a proof of leadership, which any confirmed write of
+  // this term gives.
+  bool waits_for_proof() const;
+  // Whether orders wait for a write of either kind.
+  bool record_urgent() const { return waits_for_record() || waits_for_proof(); }
 
   // The ranges that hosts route by, and a counter that rises with each change
   // of them.
--- a/src/transport/leader_duty.cc
+++ b/src/transport/leader_duty.cc
@@ -51,9 +51,6 @@
 constexpr Duration kPublishIntervalPerHost = std::chrono::microseconds(400);
 constexpr Duration kTableFetchIntervalPerHost = std::chrono::microseconds(3000);
 constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(200);
-// Minimum time between two writes of the table, unless a grant waits for the
-// write. Changes in between are written together.
-constexpr Duration kTableWriteInterval = std::chrono::milliseconds(300);
 // From the start of a term until the first assignment of gates; all hosts have
 // sent a report by then.
 constexpr Duration kInitialGateDelay = std::chrono::milliseconds(900);
@@ -370,13 +367,8 @@
     co_return;
   }
   const Instant sent = Now();
-  coordination::LedgerHead head;
-  head.term = term;
-  head.claim = claim_;
-  head.renewal = renewal_count;
-  head.settled = sent >= predecessor_end_;
-  const AppendOutcome outcome = co_await Append(
-      SingleRecord(kHeadKey, protocol::EncodeLedgerHead(head, profile_.name)));
+  renewal_count_ = renewal_count;
+  const AppendOutcome outcome = co_await Append(HeadRecord(term, sent));
   if (term == election_.term()) {
     election_.HandleWrite(Now(), sent, ToWriteOutcome(outcome));
     if (outcome == AppendOutcome::kDone) {
@@ -415,15 +407,9 @@
   }
   const AppendOutcome outcome = co_await Append(
       SingleRecord(kTableKey, protocol::EncodeTable(RecordedTable())));
-  if (outcome != AppendOutcome::kDone) {
-    next_table_write_ = Now() + kTableWriteInterval;
+  if (!HandleWritten(term, sent, outcome)) {
     co_return;
   }
-  if (!leading() || term != election_.term()) {
-    co_return;
-  }
-  election_.HandleProof(sent);
-  HandleProof(sent);
   for (const auto& [service, change] : changes) {
     const auto found = keyspaces_.find(service);
     if (found != keyspaces_.end()) {
@@ -434,6 +420,40 @@
   TickKeyspaces(Now());
 }
 
+awaitable<void> LeaderDuty::WriteProof(std::int64_t term) {
+  const Instant sent = Now();
+  const AppendOutcome outcome = co_await Append(HeadRecord(term, sent));
+  if (HandleWritten(term, sent, outcome)) {
+    TickKeyspaces(Now());
+  }
+}
+
+bool LeaderDuty::HandleWritten(std::int64_t term,
+                               Instant sent,
+                               AppendOutcome outcome) {
+  if (outcome != AppendOutcome::kDone) {
+    ledger_schedule_.HandleFailure(Now());
+    return false;
+  }
+  if (!leading() || term != election_.term()) {
+    return false;
+  }
+  election_.HandleProof(sent);
+  HandleProof(sent);
+  return true;
+}
+
+std::vector<platform::KeyedRecord> LeaderDuty::HeadRecord(std::int64_t term,
+                                                          Instant now) const {
+  coordination::LedgerHead head;
+  head.term = term;
+  head.claim = claim_;
+  head.renewal = renewal_count_;
+  head.settled = now >= predecessor_end_;
+  return SingleRecord(kHeadKey,
+                      protocol::EncodeLedgerHead(head, profile_.name));
+}
+
 state::OwnershipTable LeaderDuty::RecordedTable() const {
   state::OwnershipTable recorded;
   recorded.term = election_.term();
@@ -483,7 +503,8 @@
   predecessor_end_ = proof_.PredecessorEnd(now, hooks_.host_count());
   pool_change_ = 0;
   next_server_list_ = now;
-  next_table_write_ = now;
+  ledger_schedule_ = coordination::LedgerSchedule();
+  renewal_count_ = 0;
   next_heartbeat_ = now;
   gate_assignment_ = coordination::GateAssignment();
   next_gate_assignment_ = now + kInitialGateDelay;
@@ -695,8 +716,6 @@
 void LeaderDuty::TickKeyspaces(Instant now) {
   AddKeyspaces(now);
   UpdateServerList(now);
-  bool urgent = false;
-  bool stale = false;
   const bool may_grant = MayGrant(now);
   for (auto& [service, keyspace] : keyspaces_) {
     if (may_grant) {
@@ -707,16 +726,9 @@
       }
     }
     LogExpiredLeases(now, service, *keyspace.coordinator);
-    urgent = urgent || keyspace.coordinator->record_urgent();
-    stale = stale ||
-            keyspace.coordinator->recorded_change() != keyspace.written_change;
   }
   Publish(now);
-  if (!writer_->pending && (urgent || stale) && now >= next_table_write_) {
-    next_table_write_ = now + (urgent ? Duration(0) : kTableWriteInterval);
-    writer_->pending = true;
-    asio::co_spawn(executor_, WriteTable(election_.term()), asio::detached);
-  }
+  WriteLedger(now);
   if (now >= next_probe_) {
     next_probe_ = now + kProbeInterval;
     for (auto& [service, keyspace] : keyspaces_) {
@@ -730,6 +742,31 @@
   }
 }
 
+void LeaderDuty::WriteLedger(Instant now) {
+  if (writer_->pending) {
+    return;
+  }
+  coordination::LedgerNeeds needs;
+  for (const auto& [service, keyspace] : keyspaces_) {
+    const coordination::KeyspaceCoordinator& coordinator =
+        *keyspace.coordinator;
+    needs.confirmation = needs.confirmation || coordinator.waits_for_record();
+    needs.proof = needs.proof || coordinator.waits_for_proof();
+    needs.update = needs.update ||
+                   coordinator.recorded_change() != keyspace.written_change;
+  }
+  const coordination::LedgerWrite write = ledger_schedule_.Next(now, needs);
+  if (write == coordination::LedgerWrite::kNone) {
+    return;
+  }
+  writer_->pending = true;
+  asio::co_spawn(executor_,
+                 write == coordination::LedgerWrite::kTable
+                     ? WriteTable(election_.term())
+                     : WriteProof(election_.term()),
+                 asio::detached);
+}
+
 void LeaderDuty::TickAfterOutcomes() {
   if (leading() && config_) {
     TickKeyspaces(Now());
--- a/src/transport/leader_duty.h
+++ b/src/transport/leader_duty.h
@@ -17,6 +17,7 @@
 #include "coordination/keyspace_coordinator.h"
 #include "coordination/lead_proof.h"
 #include "coordination/leader_election.h"
+#include "coordination/ledger_schedule.h"
 #include "coordination/published_limits.h"
 #include "coordination/reported_announcements.h"
 #include "coordination/reported_averages.h"
@@ -173,6 +174,8 @@
   void BeginLeading(state::Instant now);
   void EndLeading(std::string_view reason);
   void TickKeyspaces(state::Instant now);
+  // Starts the write to the ledger that is due, if any.
+  void WriteLedger(state::Instant now);
   // Runs once for all orders that have ended in a turn of the loop.
   void TickAfterOutcomes();
   void LogExpiredLeases(state::Instant now,
@@ -213,7 +216,16 @@
   awaitable<void> ReadLedger();
   awaitable<void> WriteClaim(coordination::ClaimTerm claim);
   awaitable<void> WriteRenewal(std::int64_t term, std::int64_t renewal_count);
+  // Writes the table, or the head alone, as a proof of the term.
   awaitable<void> WriteTable(std::int64_t term);
+  awaitable<void> WriteProof(std::int64_t term);
+  // Handles the confirmation of a write other than a renewal. Returns whether
+  // this host still leads in `term`.
+  bool HandleWritten(std::int64_t term,
+                     state::Instant sent,
+                     platform::AppendOutcome outcome);
+  std::vector<platform::KeyedRecord> HeadRecord(std::int64_t term,
+                                                state::Instant now) const;
   // The sequence number of the claim, which is the first write of a term.
   std::int64_t FirstSequence() const;
   // Appends to the ledger under the current term. Only one write of a term may
@@ -271,7 +283,9 @@
   state::Instant predecessor_end_{};
   // Null until this host first leads.
   std::shared_ptr<TermWriter> writer_;
-  state::Instant next_table_write_{};
+  coordination::LedgerSchedule ledger_schedule_;
+  // The number of the last renewal of the term.
+  std::int64_t renewal_count_ = 0;
   // The change count of the pool at the last UpdateServerList(); 0 forces the
   // next one.
   std::uint64_t pool_change_ = 0;
