--- a/tests/keys/keyspace_cases_test.cc
+++ b/tests/keys/keyspace_cases_test.cc
@@ -261,7 +261,10 @@
   KeyspaceCoordinator coordinator(now, 1, {range}, now);
   coordinator.SetServers(now, {{{"one", 1}, 6, true}, {{"two", 1}, 6, true}});
   coordinator.HandleRecordConfirmed(coordinator.recorded_change());
-  coordinator.Tick(now);
+  // A grant under way would keep all orders back.
+  for (const KeyOrder& order : coordinator.Tick(now)) {
+    coordinator.HandleOrderOutcome(now, order, OrderOutcome::kAccepted, "");
+  }
   coordinator.SetServers(now, {{{"two", 1}, 6, true}});
   now += seconds(4);
   coordinator.SetServers(now, {{{"one", 2}, 6, true}});
@@ -273,6 +276,10 @@
       coordinator.HandleOrderOutcome(now, order, OrderOutcome::kNotSent, "");
     }
   }
+  coordinator.HandleProof(now);
+  const std::vector<KeyOrder> orders = coordinator.Tick(now);
+  REQUIRE(orders.size() == 1);
+  CHECK(orders.front().kind == OrderKind::kGrant);
 }
 
 TEST_CASE("no key moves while the store confirms no write", "[O4]") {
