leader: A successor waits for the end of its predecessor's turn

A leader looks at its proof and writes its grants in one turn of its loop; what it writes leaves when the turn ends. A succeeded leader with a turn of over a second could so renew a lease after the end that its successor had computed, which allowed 0.3 s for orders under way, and the successor gave the keys to another server. The end that is known by time only is now 1.5 s later (kMaxTurnTime). A report of the predecessor's host leaves after its orders and needs no such wait. Keys of servers that a successor cannot reach wait 1.5 s longer after a change of leader.

--- a/src/coordination/lead_proof.cc
+++ b/src/coordination/lead_proof.cc
@@ -33,7 +33,8 @@
                             bool has_predecessor) {
   begin_time_ = now;
   last_store_proof_ = claimed;
-  predecessor_end_ = has_predecessor ? now + kLeadershipLease : now;
+  predecessor_end_ =
+      has_predecessor ? now + kLeadershipLease + kMaxTurnTime : now;
   last_heartbeat_number_ = 0;
   heartbeat_times_.clear();
   followers_.clear();
@@ -104,7 +105,8 @@
   if (now < predecessor_end_ && FollowedBy(now, (2 * hosts + 2) / 3)) {
     predecessor_end_ =
         std::min(predecessor_end_, std::max(begin_time_ + kStoreProofLifetime,
-                                            now + kFollowerProofLifetime));
+                                            now + kFollowerProofLifetime) +
+                                       kMaxTurnTime);
   }
   return predecessor_end_;
 }
--- a/src/coordination/lead_proof.h
+++ b/src/coordination/lead_proof.h
@@ -14,6 +14,11 @@
 
 namespace mustardflow::coordination {
 
+// The longest time from a leader's look at its proof until the orders that it
+// then writes leave its host. What is written in a turn of the leader's loop
+// may leave only when the turn ends.
+inline constexpr state::Duration kMaxTurnTime = std::chrono::milliseconds(1500);
+
 // The proof at one leader. A leader may send grants while the store has
 // recently confirmed a write of its term. Without such a write, it may do so
 // while a majority of the hosts follows it, but only until kLeadershipLease
@@ -46,11 +51,12 @@
   std::optional<state::Instant> FollowedSince(state::Instant now,
                                               std::size_t hosts) const;
 
-  // The latest moment at which the predecessor can have sent an order. Never
-  // later than what an earlier call returned.
+  // The latest moment at which an order of the predecessor can have left its
+  // host. Never later than what an earlier call returned.
   state::Instant PredecessorEnd(state::Instant now, std::size_t hosts);
-  // The predecessor's host follows this term, or has restarted. Call this only
-  // if no leader before the predecessor may still be active.
+  // The predecessor's host follows this term, or has restarted. Its report left
+  // after its orders, so kMaxTurnTime is not added. Call this only if no leader
+  // before the predecessor may still be active.
   void HandlePredecessorFollows(state::Instant now);
 
  private:
