keys: Servers of the simulation have running work

A server of the simulation begins requests on the keys that it holds, answers a release only when those on the released keys have ended, and keeps the release open for up to 2.6 s, as the leader does. The oracle fails if a key is granted while its last holder works on it and that one's lease would not have run out.

--- a/tests/keys/keyspace_simulation.cc
+++ b/tests/keys/keyspace_simulation.cc
@@ -22,6 +22,7 @@
 constexpr double kSlowestClock = 1.02;
 constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(200);
 constexpr Duration kReportInterval = std::chrono::milliseconds(400);
+constexpr Duration kReleaseTimeout = std::chrono::milliseconds(2600);
 constexpr Duration kRenewInterval = std::chrono::seconds(1);
 
 }  // namespace
@@ -75,9 +76,47 @@
       SendReport(i);
     }
   }
+  BeginWork();
   CheckOracle();
 }
 
+void KeyspaceSimulation::BeginWork() {
+  const auto pick = [this](int count) {
+    return static_cast<std::size_t>(
+        std::uniform_int_distribution<int>(0, count - 1)(random_));
+  };
+  Server& server = servers_[pick(kServers)];
+  const std::size_t key = pick(kWatchedKeys);
+  if (server.up && server.lease_end[key] > now_) {
+    server.work_end[key] =
+        std::max<Instant>(server.work_end[key], now_ + RandomDelay(10, 900));
+  }
+}
+
+Instant KeyspaceSimulation::WorkEnd(const KeyOrder& order) const {
+  const Server& server =
+      servers_[static_cast<std::size_t>(order.server.id.back() - '0')];
+  Instant end = now_;
+  for (int i = 0; i < kWatchedKeys; ++i) {
+    if (KeyAt(i) >= order.first && KeyAt(i) <= order.last) {
+      end = std::max(end, server.work_end[static_cast<std::size_t>(i)]);
+    }
+  }
+  return end;
+}
+
+void KeyspaceSimulation::CheckWork(int key, const Server& receiver) {
+  const auto key_index = static_cast<std::size_t>(key);
+  for (const Server& server : servers_) {
+    if (&server != &receiver && server.up &&
+        server.work_end[key_index] > now_ &&
+        server.full_lease_end[key_index] > now_) {
+      violation_ = "key " + std::to_string(KeyAt(key)) +
+                   " is granted while its last holder works on it";
+    }
+  }
+}
+
 void KeyspaceSimulation::RunLeader(std::size_t index) {
   Leader& leader = leaders_[index];
   if (leader.stopped) {
@@ -221,7 +260,10 @@
 void KeyspaceSimulation::SendOrder(std::size_t index, const KeyOrder& order) {
   const int target = order.server.id.back() - '0';
   const Instant sent = std::max(now_, leaders_[index].stalled_until);
-  const auto timeout_at = now_ + coordination::kOrderTimeout;
+  // A server answers a release when its requests on the keys have ended.
+  const bool waits_for_work = order.kind == OrderKind::kRelease;
+  const auto timeout_at =
+      now_ + (waits_for_work ? kReleaseTimeout : coordination::kOrderTimeout);
   const auto answer = [this, index, order](Instant when, OrderOutcome outcome) {
     Schedule(when, [this, index, order, outcome] {
       Leader& leader = leaders_[index];
@@ -270,21 +312,24 @@
     return;
   }
   const bool lose_answer = Chance(faults_.answer_lost);
-  const Instant answered = arrives + RandomDelay(1, 90);
+  const Duration answer_delay = RandomDelay(1, 90);
   // The leader resets the connection then, and does not read a later answer.
-  const bool timed_out = answered > timeout_at;
+  const bool timed_out = arrives > timeout_at;
   if (timed_out) {
     answer(timeout_at, OrderOutcome::kUnknown);
   }
   Schedule(arrives, [this, order, arrives, start_time_ms, lose_answer, answer,
-                     answered, timeout_at, timed_out] {
+                     answer_delay, timeout_at, timed_out, waits_for_work] {
     const bool accepted = Apply(order, arrives, start_time_ms);
     if (timed_out) {
       return;
     }
+    const Instant answered =
+        (waits_for_work ? WorkEnd(order) : now_) + answer_delay;
     const Server& reached =
         servers_[static_cast<std::size_t>(order.server.id.back() - '0')];
-    if (lose_answer || !reached.up || reached.start_time_ms != start_time_ms) {
+    if (lose_answer || answered > timeout_at || !reached.up ||
+        reached.start_time_ms != start_time_ms) {
       answer(std::max(timeout_at, now_), OrderOutcome::kUnknown);
     } else {
       answer(answered,
@@ -334,9 +379,12 @@
     const auto key_index = static_cast<std::size_t>(i);
     server.fence_seen[key_index] = order.fence;
     server.lease_end[key_index] = std::max(server.lease_end[key_index], end);
+    server.full_lease_end[key_index] =
+        std::max(server.full_lease_end[key_index], end);
     if (end <= now_) {
       continue;
     }
+    CheckWork(i, server);
     // A leader that has not read the new incarnation, or does not know of its
     // successor, cannot know that it needs a higher fence for the same server.
     const bool cannot_know =
@@ -402,6 +450,8 @@
   ++killed.epoch;
   killed.up = false;
   killed.lease_end = {};
+  killed.full_lease_end = {};
+  killed.work_end = {};
   killed.fence_seen = {};
 }
 
--- a/tests/keys/keyspace_simulation.h
+++ b/tests/keys/keyspace_simulation.h
@@ -1,6 +1,6 @@
 // A simulation of backend servers, a store, hosts and leaders. Its oracle
-// checks that each key has at most one holder and that the fences of its
-// holders rise.
+// checks that each key has at most one holder, that its last holder's work has
+// ended before another gets it, and that the fences of its holders rise.
 
 #ifndef MUSTARDFLOW_TESTS_KEYS_KEYSPACE_SIMULATION_H_
 #define MUSTARDFLOW_TESTS_KEYS_KEYSPACE_SIMULATION_H_
@@ -108,6 +108,10 @@
     // By watched key: the highest fence accepted, and the end of the lease.
     std::array<std::int64_t, kWatchedKeys> fence_seen{};
     std::array<state::Instant, kWatchedKeys> lease_end{};
+    // The same as if the key had not been released.
+    std::array<state::Instant, kWatchedKeys> full_lease_end{};
+    // By watched key: when the requests that the server runs end.
+    std::array<state::Instant, kWatchedKeys> work_end{};
   };
   // A leader, present or former.
   struct Leader {
@@ -153,6 +157,12 @@
              state::Instant arrived,
              std::int64_t start_time_ms);
   void UpdateServerList(Leader* leader);
+  // Begins a request on one key at one server, if that holds the key.
+  void BeginWork();
+  // When the server's requests on the keys of the order end; now if it has
+  // none.
+  state::Instant WorkEnd(const coordination::KeyOrder& order) const;
+  void CheckWork(int key, const Server& receiver);
   void CheckOracle();
   void Schedule(state::Instant when, std::function<void()> event);
   state::Duration RandomDelay(int min_ms, int max_ms);
