--- a/tests/keys/keyspace_cases_test.cc
+++ b/tests/keys/keyspace_cases_test.cc
@@ -5,6 +5,8 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "tests/keys/keyspace_simulation.h"
 
@@ -186,6 +188,83 @@
   }
 }
 
+// Guards against a grant under way that is forgotten when the server's new
+// incarnation is listed: it may reach that one.
+TEST_CASE("a range does not move while a grant to a former incarnation pends",
+          "[O1][O8]") {
+  Instant now(seconds(100));
+  state::OwnedRange range;
+  range.last = state::kShardKeyCount - 1;
+  range.holder = {"one", 1};
+  KeyspaceCoordinator coordinator(now, 2, {range}, now - seconds(20));
+  coordinator.SetServers(now, {{{"one", 1}, 6, true}});
+  REQUIRE(coordinator.Tick(now).size() == 1);
+  coordinator.SetServers(now, {{{"one", 2}, 6, false}, {{"two", 1}, 6, true}});
+  for (int i = 0; i < 100; ++i) {
+    now += milliseconds(20);
+    coordinator.HandleRecordConfirmed(coordinator.recorded_change());
+    coordinator.HandleProof(now);
+    for (const KeyOrder& order : coordinator.Tick(now)) {
+      CHECK(order.kind == OrderKind::kRelease);
+      coordinator.HandleOrderOutcome(now, order, OrderOutcome::kAccepted, "");
+    }
+  }
+}
+
+// Guards against a merge that forgets an unanswered grant of one of its ranges.
+TEST_CASE("merged ranges wait for an unanswered grant of either", "[O1]") {
+  Instant now(seconds(100));
+  constexpr std::int32_t kCut = 1000;
+  state::OwnedRange left;
+  left.last = kCut;
+  left.holder = {"one", 1};
+  state::OwnedRange right;
+  right.first = kCut + 1;
+  right.last = state::kShardKeyCount - 1;
+  right.holder = {"one", 1};
+  KeyspaceCoordinator coordinator(now, 2, {left, right}, now - seconds(20));
+  coordinator.SetServers(now, {{{"one", 1}, 6, true}});
+  const Instant start = now;
+  // The left range is accepted late, so that the ranges merge only after the
+  // grant that renews the right one has been given up.
+  std::vector<std::pair<Instant, KeyOrder>> unanswered;
+  bool merged = false;
+  while (!merged && now < start + seconds(2)) {
+    now += milliseconds(20);
+    coordinator.HandleRecordConfirmed(coordinator.recorded_change());
+    for (const KeyOrder& order : coordinator.Tick(now)) {
+      if (order.first == 0 || now > start + milliseconds(500)) {
+        unanswered.emplace_back(now, order);
+      } else {
+        coordinator.HandleOrderOutcome(now, order, OrderOutcome::kAccepted, "");
+      }
+    }
+    std::erase_if(unanswered, [&](const auto& sent) {
+      const bool is_left = sent.second.first == 0;
+      if (now - sent.first < milliseconds(is_left ? 580 : 300)) {
+        return false;
+      }
+      coordinator.HandleOrderOutcome(
+          now, sent.second,
+          is_left ? OrderOutcome::kAccepted : OrderOutcome::kUnknown, "");
+      return true;
+    });
+    merged = coordinator.RecordedRanges().size() == 1;
+  }
+  REQUIRE(merged);
+  REQUIRE(unanswered.empty());
+  coordinator.SetServers(now, {{{"two", 1}, 6, true}});
+  for (int i = 0; i < 500; ++i) {
+    now += milliseconds(20);
+    coordinator.HandleRecordConfirmed(coordinator.recorded_change());
+    coordinator.HandleProof(now);
+    for (const KeyOrder& order : coordinator.Tick(now)) {
+      CHECK(order.kind == OrderKind::kRelease);
+      coordinator.HandleOrderOutcome(now, order, OrderOutcome::kAccepted, "");
+    }
+  }
+}
+
 // A range moves away from a server and back while the release of the first move
 // is still unanswered. The answer says nothing about the second lease.
 TEST_CASE("the late answer to an earlier release does not end a later lease",
