--- a/tests/keys/keyspace_cases_test.cc
+++ b/tests/keys/keyspace_cases_test.cc
@@ -94,7 +94,9 @@
     }
   }
   REQUIRE_FALSE(keys_of_unreachable.empty());
+  // The other hosts follow the predecessor, which so goes on for ten seconds.
   simulation.TakeOver(false);
+  simulation.SetNewestLeaderHeard(false);
   simulation.DisconnectNewestLeader(0, true);
   for (int i = 0; i < 9; ++i) {
     simulation.Advance(seconds(1));
@@ -105,8 +107,9 @@
     }
   }
   CHECK(simulation.violation().empty());
-  // The predecessor stops ten seconds after the new leader has taken over.
-  simulation.Advance(seconds(5));
+  // The predecessor stops ten seconds after the new leader has taken over, and
+  // what it wrote last has left at the end of its turn.
+  simulation.Advance(seconds(5) + coordination::kMaxTurnTime);
   CHECK(simulation.violation().empty());
   CHECK(simulation.held() == KeyspaceSimulation::kWatchedKeys);
 }
@@ -192,6 +195,28 @@
   CHECK(simulation.held() == KeyspaceSimulation::kWatchedKeys);
 }
 
+// Guards against a key given to a second server because a succeeded leader
+// checked its proof within a long turn of its loop, at whose end its grant
+// left.
+TEST_CASE(
+    "a grant that leaves late in a succeeded leader's turn gives no lease",
+    "[O1][O3]") {
+  KeyspaceSimulation simulation(GENERATE(range(1, 21)));
+  simulation.Advance(milliseconds(2050));
+  // Only the predecessor reaches the first server, and no other.
+  for (int server = 1; server < KeyspaceSimulation::kServers; ++server) {
+    simulation.DisconnectNewestLeader(server, true);
+  }
+  simulation.TakeOver(false);
+  simulation.DisconnectNewestLeader(0, true);
+  simulation.SetDraining(0, true);
+  simulation.Advance(milliseconds(GENERATE(300, 700, 1000, 1200)));
+  simulation.StallFormerLeaders(milliseconds(1500));
+  simulation.Advance(seconds(7));
+  CHECK(simulation.violation() == "");
+  CHECK(simulation.held() == KeyspaceSimulation::kWatchedKeys);
+}
+
 // Found by the fuzzer: an unanswered grant of the successor shortened the time
 // during which the coordinator expected late grants of the predecessor. It then
 // took the lease as ended by a release, although the predecessor could still
@@ -204,11 +229,15 @@
   range.last = state::kShardKeyCount - 1;
   range.holder = {"old", 1};
   KeyspaceCoordinator coordinator(now, 2, {range}, predecessor_end);
+  const bool delivers = GENERATE(true, false);
   coordinator.SetServers(now, {{{"old", 1}, 6, true}, {{"new", 1}, 6, true}});
   while (now < predecessor_end) {
     now += milliseconds(50);
     coordinator.HandleRecordConfirmed(coordinator.recorded_change());
     coordinator.HandleProof(now);
+    if (delivers) {
+      coordinator.HandleDelivery(now, now);
+    }
     for (const KeyOrder& order : coordinator.Tick(now)) {
       CHECK((order.kind == OrderKind::kRelease || order.server.id == "old"));
       // Grants get no answer, releases do.
@@ -221,6 +250,83 @@
   }
 }
 
+// Guards against a grant under way that is forgotten when the server's new
+// incarnation is listed: it may reach that one.
+TEST_CASE("a range does not move while a grant to a former incarnation pends",
+          "[O1][O8]") {
+  Instant now(seconds(100));
+  state::OwnedRange range;
+  range.last = state::kShardKeyCount - 1;
+  range.holder = {"one", 1};
+  KeyspaceCoordinator coordinator(now, 2, {range}, now - seconds(20));
+  coordinator.SetServers(now, {{{"one", 1}, 6, true}});
+  REQUIRE(coordinator.Tick(now).size() == 1);
+  coordinator.SetServers(now, {{{"one", 2}, 6, false}, {{"two", 1}, 6, true}});
+  for (int i = 0; i < 100; ++i) {
+    now += milliseconds(20);
+    coordinator.HandleRecordConfirmed(coordinator.recorded_change());
+    coordinator.HandleProof(now);
+    for (const KeyOrder& order : coordinator.Tick(now)) {
+      CHECK(order.kind == OrderKind::kRelease);
+      coordinator.HandleOrderOutcome(now, order, OrderOutcome::kAccepted, "");
+    }
+  }
+}
+
+// Guards against a merge that forgets an unanswered grant of one of its ranges.
+TEST_CASE("merged ranges wait for an unanswered grant of either", "[O1]") {
+  Instant now(seconds(100));
+  constexpr std::int32_t kCut = 1000;
+  state::OwnedRange left;
+  left.last = kCut;
+  left.holder = {"one", 1};
+  state::OwnedRange right;
+  right.first = kCut + 1;
+  right.last = state::kShardKeyCount - 1;
+  right.holder = {"one", 1};
+  KeyspaceCoordinator coordinator(now, 2, {left, right}, now - seconds(20));
+  coordinator.SetServers(now, {{{"one", 1}, 6, true}});
+  const Instant start = now;
+  // The left range is accepted late, so that the ranges merge only after the
+  // grant that renews the right one has been given up.
+  std::vector<std::pair<Instant, KeyOrder>> unanswered;
+  bool merged = false;
+  while (!merged && now < start + seconds(2)) {
+    now += milliseconds(20);
+    coordinator.HandleRecordConfirmed(coordinator.recorded_change());
+    for (const KeyOrder& order : coordinator.Tick(now)) {
+      if (order.first == 0 || now > start + milliseconds(500)) {
+        unanswered.emplace_back(now, order);
+      } else {
+        coordinator.HandleOrderOutcome(now, order, OrderOutcome::kAccepted, "");
+      }
+    }
+    std::erase_if(unanswered, [&](const auto& sent) {
+      const bool is_left = sent.second.first == 0;
+      if (now - sent.first < milliseconds(is_left ? 580 : 300)) {
+        return false;
+      }
+      coordinator.HandleOrderOutcome(
+          now, sent.second,
+          is_left ? OrderOutcome::kAccepted : OrderOutcome::kUnknown, "");
+      return true;
+    });
+    merged = coordinator.RecordedRanges().size() == 1;
+  }
+  REQUIRE(merged);
+  REQUIRE(unanswered.empty());
+  coordinator.SetServers(now, {{{"two", 1}, 6, true}});
+  for (int i = 0; i < 500; ++i) {
+    now += milliseconds(20);
+    coordinator.HandleRecordConfirmed(coordinator.recorded_change());
+    coordinator.HandleProof(now);
+    for (const KeyOrder& order : coordinator.Tick(now)) {
+      CHECK(order.kind == OrderKind::kRelease);
+      coordinator.HandleOrderOutcome(now, order, OrderOutcome::kAccepted, "");
+    }
+  }
+}
+
 // A range moves away from a server and back while the release of the first move
 // is still unanswered. The answer says nothing about the second lease.
 TEST_CASE("the late answer to an earlier release does not end a later lease",
--- a/tests/keys/keyspace_simulation.cc
+++ b/tests/keys/keyspace_simulation.cc
@@ -20,8 +20,10 @@
 // The factor by which a lease is prolonged by the slowest server clock that the
 // platform's documentation allows.
 constexpr double kSlowestClock = 1.02;
-// How long a succeeded leader may continue; equals kLeadershipLease.
-constexpr Duration kFormerLeaderTime = std::chrono::seconds(10);
+constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(200);
+constexpr Duration kReportInterval = std::chrono::milliseconds(400);
+constexpr Duration kReleaseTimeout = std::chrono::milliseconds(2600);
+constexpr Duration kRenewInterval = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -69,34 +71,176 @@
   for (std::size_t i = 0; i < leaders_.size(); ++i) {
     RunLeader(i);
   }
+  for (std::size_t i = 0; i < kHosts; ++i) {
+    if (now_ >= hosts_[i].next_report) {
+      SendReport(i);
+    }
+  }
+  BeginWork();
   CheckOracle();
 }
 
+void KeyspaceSimulation::BeginWork() {
+  const auto pick = [this](int count) {
+    return static_cast<std::size_t>(
+        std::uniform_int_distribution<int>(0, count - 1)(random_));
+  };
+  Server& server = servers_[pick(kServers)];
+  const std::size_t key = pick(kWatchedKeys);
+  if (server.up && server.lease_end[key] > now_) {
+    server.work_end[key] =
+        std::max<Instant>(server.work_end[key], now_ + RandomDelay(10, 900));
+  }
+}
+
+Instant KeyspaceSimulation::WorkEnd(const KeyOrder& order) const {
+  const Server& server =
+      servers_[static_cast<std::size_t>(order.server.id.back() - '0')];
+  Instant end = now_;
+  for (int i = 0; i < kWatchedKeys; ++i) {
+    if (KeyAt(i) >= order.first && KeyAt(i) <= order.last) {
+      end = std::max(end, server.work_end[static_cast<std::size_t>(i)]);
+    }
+  }
+  return end;
+}
+
+void KeyspaceSimulation::CheckWork(int key, const Server& receiver) {
+  const auto key_index = static_cast<std::size_t>(key);
+  for (const Server& server : servers_) {
+    if (&server != &receiver && server.up &&
+        server.work_end[key_index] > now_ &&
+        server.full_lease_end[key_index] > now_) {
+      violation_ = "key " + std::to_string(KeyAt(key)) +
+                   " is granted while its last holder works on it";
+    }
+  }
+}
+
 void KeyspaceSimulation::RunLeader(std::size_t index) {
   Leader& leader = leaders_[index];
-  if (leader.active_until && now_ >= *leader.active_until) {
+  if (leader.stopped) {
     return;
   }
+  if (now_ >= leader.next_heartbeat) {
+    SendHeartbeat(index);
+  }
+  if (now_ >= leader.next_renewal) {
+    RenewTerm(index);
+  }
   UpdateServerList(&leader);
-  for (const KeyOrder& order : leader.coordinator->Tick(now_)) {
-    SendOrder(index, order);
+  leader.coordinator->HandlePredecessorEnd(
+      leader.proof.PredecessorEnd(now_, kHosts));
+  if (leader.proof.MayGrant(now_, kHosts)) {
+    for (const KeyOrder& order : leader.coordinator->Tick(now_)) {
+      SendOrder(index, order);
+    }
   }
   if (leader.coordinator->record_urgent() && !leader.writing) {
-    leader.writing = true;
-    const std::uint64_t change = leader.coordinator->recorded_change();
-    state::ServiceRanges ranges = leader.coordinator->RecordedRanges();
-    // The store refuses the writes of a succeeded leader.
-    Schedule(std::max(now_, leader.stalled_until) + RandomDelay(2, 20),
-             [this, index, change, sent = now_, ranges = std::move(ranges)] {
+    WriteRecord(index);
+  }
+}
+
+void KeyspaceSimulation::WriteRecord(std::size_t index) {
+  Leader& leader = leaders_[index];
+  leader.writing = true;
+  const std::uint64_t change = leader.coordinator->recorded_change();
+  state::ServiceRanges ranges = leader.coordinator->RecordedRanges();
+  // The store refuses the writes of a succeeded leader.
+  Schedule(std::max(now_, leader.stalled_until) + RandomDelay(2, 20),
+           [this, index, change, sent = now_, ranges = std::move(ranges)] {
+             const bool done = store_up_ && index + 1 == leaders_.size();
+             if (done) {
+               stored_ = ranges;
+             }
+             Receive(index, [this, index, change, sent, done] {
                Leader& writer = leaders_[index];
                writer.writing = false;
-               if (store_up_ && index + 1 == leaders_.size()) {
-                 stored_ = ranges;
+               if (done) {
                  writer.coordinator->HandleRecordConfirmed(change);
+                 writer.proof.RecordStoreConfirmation(sent);
                  writer.coordinator->HandleProof(sent);
                  writer.coordinator->HandleDelivery(now_, sent);
                }
              });
+           });
+}
+
+void KeyspaceSimulation::RenewTerm(std::size_t index) {
+  Leader& leader = leaders_[index];
+  leader.next_renewal = now_ + kRenewInterval;
+  Schedule(std::max(now_, leader.stalled_until) + RandomDelay(2, 20),
+           [this, index, sent = now_] {
+             if (!store_up_ || index + 1 != leaders_.size()) {
+               return;
+             }
+             Receive(index, [this, index, sent] {
+               Leader& writer = leaders_[index];
+               writer.proof.RecordStoreConfirmation(sent);
+               writer.coordinator->HandleProof(sent);
+               writer.coordinator->HandleDelivery(now_, sent);
+             });
+           });
+}
+
+bool KeyspaceSimulation::Leads(std::size_t host) const {
+  for (std::size_t i = host; i < leaders_.size(); i += kHosts) {
+    if (!leaders_[i].stopped) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void KeyspaceSimulation::SendHeartbeat(std::size_t index) {
+  Leader& leader = leaders_[index];
+  leader.next_heartbeat = now_ + kHeartbeatInterval;
+  const std::int64_t number = leader.proof.RecordSentHeartbeat(now_);
+  for (std::size_t i = 0; i < kHosts; ++i) {
+    if (i == index % kHosts || !leader.heard || Chance(message_loss_)) {
+      continue;
+    }
+    Schedule(std::max(now_, leader.stalled_until) + RandomDelay(1, 80),
+             [this, index, i, number] {
+               Host& host = hosts_[i];
+               if (Leads(i) || index < host.leader) {
+                 return;
+               }
+               host.heartbeat = index > host.leader
+                                    ? number
+                                    : std::max(host.heartbeat, number);
+               host.leader = index;
+             });
+  }
+}
+
+void KeyspaceSimulation::SendReport(std::size_t index) {
+  Host& host = hosts_[index];
+  host.next_report = now_ + kReportInterval;
+  if (Leads(index) || Chance(message_loss_)) {
+    return;
+  }
+  Schedule(now_ + RandomDelay(1, 80),
+           [this, index, leader = host.leader, number = host.heartbeat] {
+             Receive(leader, [this, index, leader, number] {
+               Leader& receiver = leaders_[leader];
+               if (const auto written = receiver.proof.RecordReport(
+                       std::to_string(index), number)) {
+                 receiver.coordinator->HandleDelivery(now_, *written);
+               }
+             });
+           });
+}
+
+void KeyspaceSimulation::Receive(std::size_t leader,
+                                 std::function<void()> message) {
+  if (leaders_[leader].stalled_until > now_ && Chance(50)) {
+    Schedule(leaders_[leader].stalled_until,
+             [this, leader, message = std::move(message)] {
+               Receive(leader, message);
+             });
+  } else if (!leaders_[leader].stopped) {
+    message();
   }
 }
 
@@ -116,14 +260,17 @@
 void KeyspaceSimulation::SendOrder(std::size_t index, const KeyOrder& order) {
   const int target = order.server.id.back() - '0';
   const Instant sent = std::max(now_, leaders_[index].stalled_until);
-  const auto timeout_at = now_ + coordination::kOrderTimeout;
+  // A server answers a release when its requests on the keys have ended.
+  const bool waits_for_work = order.kind == OrderKind::kRelease;
+  const auto timeout_at =
+      now_ + (waits_for_work ? kReleaseTimeout : coordination::kOrderTimeout);
   const auto answer = [this, index, order](Instant when, OrderOutcome outcome) {
     Schedule(when, [this, index, order, outcome] {
       Leader& leader = leaders_[index];
-      if (!leader.active_until || now_ < *leader.active_until) {
+      if (!leader.stopped) {
         leader.coordinator->HandleOrderOutcome(now_, order, outcome, "");
         if (leader.coordinator->superseded()) {
-          leader.active_until = now_;
+          leader.stopped = true;
           if (index + 1 == leaders_.size()) {
             violation_ = "the newest leader is refused";
           }
@@ -165,21 +312,24 @@
     return;
   }
   const bool lose_answer = Chance(faults_.answer_lost);
-  const Instant answered = arrives + RandomDelay(1, 90);
+  const Duration answer_delay = RandomDelay(1, 90);
   // The leader resets the connection then, and does not read a later answer.
-  const bool timed_out = answered > timeout_at;
+  const bool timed_out = arrives > timeout_at;
   if (timed_out) {
     answer(timeout_at, OrderOutcome::kUnknown);
   }
   Schedule(arrives, [this, order, arrives, start_time_ms, lose_answer, answer,
-                     answered, timeout_at, timed_out] {
+                     answer_delay, timeout_at, timed_out, waits_for_work] {
     const bool accepted = Apply(order, arrives, start_time_ms);
     if (timed_out) {
       return;
     }
+    const Instant answered =
+        (waits_for_work ? WorkEnd(order) : now_) + answer_delay;
     const Server& reached =
         servers_[static_cast<std::size_t>(order.server.id.back() - '0')];
-    if (lose_answer || !reached.up || reached.start_time_ms != start_time_ms) {
+    if (lose_answer || answered > timeout_at || !reached.up ||
+        reached.start_time_ms != start_time_ms) {
       answer(std::max(timeout_at, now_), OrderOutcome::kUnknown);
     } else {
       answer(answered,
@@ -229,9 +379,12 @@
     const auto key_index = static_cast<std::size_t>(i);
     server.fence_seen[key_index] = order.fence;
     server.lease_end[key_index] = std::max(server.lease_end[key_index], end);
+    server.full_lease_end[key_index] =
+        std::max(server.full_lease_end[key_index], end);
     if (end <= now_) {
       continue;
     }
+    CheckWork(i, server);
     // A leader that has not read the new incarnation, or does not know of its
     // successor, cannot know that it needs a higher fence for the same server.
     const bool cannot_know =
@@ -297,6 +450,8 @@
   ++killed.epoch;
   killed.up = false;
   killed.lease_end = {};
+  killed.full_lease_end = {};
+  killed.work_end = {};
   killed.fence_seen = {};
 }
 
@@ -320,26 +475,37 @@
 }
 
 void KeyspaceSimulation::StallNewestLeader(Duration time) {
-  leaders_.back().stalled_until = now_ + time;
+  Instant& stalled_until = leaders_.back().stalled_until;
+  stalled_until = std::max<Instant>(stalled_until, now_ + time);
 }
 
 void KeyspaceSimulation::SetCapacity(int server, double capacity) {
   servers_[static_cast<std::size_t>(server)].capacity = capacity;
 }
 
+void KeyspaceSimulation::StallFormerLeaders(Duration time) {
+  const Instant end =
+      now_ + std::min<Duration>(time, coordination::kMaxTurnTime);
+  for (std::size_t i = 0; i + 1 < leaders_.size(); ++i) {
+    leaders_[i].stalled_until = std::max(leaders_[i].stalled_until, end);
+  }
+}
+
 void KeyspaceSimulation::TakeOver(bool stop_former) {
-  const Instant former_end = stop_former ? now_ : now_ + kFormerLeaderTime;
-  for (Leader& leader : leaders_) {
-    if (!leader.active_until || *leader.active_until > former_end) {
-      leader.active_until = former_end;
-    }
+  if (!leaders_.empty()) {
+    Advance(leaders_.back().stalled_until - coordination::kMaxTurnTime - now_);
+  }
+  const std::size_t index = leaders_.size();
+  for (std::size_t i = 0; i < index; ++i) {
+    leaders_[i].stopped =
+        leaders_[i].stopped || stop_former || i % kHosts == index % kHosts;
   }
   Leader leader;
-  leader.term = static_cast<std::int64_t>(leaders_.size()) + 1;
-  // A successor does not know whether its predecessor has stopped, so it
-  // assumes the longest time.
+  leader.term = static_cast<std::int64_t>(index) + 1;
+  leader.next_renewal = now_ + kRenewInterval;
+  leader.proof.Begin(now_, now_, index > 0);
   leader.coordinator = std::make_unique<KeyspaceCoordinator>(
-      now_, leader.term, stored_, now_ + kFormerLeaderTime);
+      now_, leader.term, stored_, leader.proof.PredecessorEnd(now_, kHosts));
   leaders_.push_back(std::move(leader));
 }
 
