--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -223,3 +223,13 @@
                         requests.append(following)
             await self.ask(host, requests, kept)
             await asyncio.sleep(self.random.uniform(0, pause_s))
+
+    async def call_lasting(self, random, keys):
+        """Keyed requests that last, so that moves of their keys meet work."""
+        while not self.stopping:
+            host = random.choice(self.hosts)
+            key = random.choice([random.choice(keys), random.randrange(KEYS)])
+            await self.ask(host, [self.new(
+                host, "GET", "/lg/", key=key, deadline_s=DEADLINE_S,
+                work_s=random.uniform(0.1, 1.2))])
+            await asyncio.sleep(random.uniform(0, 0.1))
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -250,6 +250,14 @@
                 return
             await asyncio.sleep(0.2)
 
+    def lasting_callers(self):
+        """As many as keep a part of the keyed servers' slots busy."""
+        keys = [random.Random(i).randrange(KEYS) for i in range(8)]
+        keyed = sum(server.service == "shelf" for server in self.servers)
+        return [asyncio.create_task(self.callers.call_lasting(
+            random.Random(f"lasting {i} {choices.random()}"), keys))
+            for _, choices in self.owner_faults[:1] for i in range(2 * keyed)]
+
     async def play(self):
         await self.store.start(self.store_address)
         background = [asyncio.create_task(self.watch_lag()),
@@ -271,6 +279,7 @@
                        10, 2 * len(self.hosts))]
         callers += [asyncio.create_task(self.leavers.leave_often())
                     for _ in range(LEAVERS)]
+        callers += self.lasting_callers()
         changes = asyncio.create_task(self.change_often())
         background.append(asyncio.create_task(mute_often(
             self, self.leavers.random)))
