orders: Use a connection for one release unless ids are repeated

A connection that has answered a release without its id is now closed, so that such an answer can only belong to the release that was sent on it. The test fails without the change for servers that repeat no id.

--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -181,7 +181,8 @@
   if (options.is_own_reply && !options.is_own_reply(reply)) {
     co_return make_error_code(boost::system::errc::bad_message);
   }
-  *keep = parser.get().keep_alive() && buffer.size() == 0;
+  *keep = parser.get().keep_alive() && buffer.size() == 0 &&
+          (!options.may_keep || options.may_keep(reply));
   co_return reply;
 }
 
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -62,6 +62,9 @@
   // Returns whether a reply belongs to this request. If not, the request fails
   // and its connection is reset. If empty, each reply belongs to it.
   std::function<bool(const HttpReply&)> is_own_reply;
+  // Returns whether the connection may be used again after this reply, if
+  // nothing else forbids it. If empty, it may.
+  std::function<bool(const HttpReply&)> may_keep;
   // If not null, filled in while the request is sent.
   HttpSendTrace* trace = nullptr;
 };
--- a/src/transport/order_client.cc
+++ b/src/transport/order_client.cc
@@ -49,6 +49,11 @@
   return repeated == nullptr || *repeated == id;
 }
 
+// Returns whether the reply repeats the id of its order.
+bool RepeatsId(const HttpReply& reply) {
+  return FindField(reply, platform::kAttemptIdField) != nullptr;
+}
+
 // The outcome of an order without an answer.
 OrderOutcome FailureOutcome(const beast::error_code& error, bool sent) {
   if (!sent) {
@@ -177,6 +182,11 @@
   // On a new connection the order could reach a later incarnation of the
   // server, for which the grant is not meant.
   options.reconnect = false;
+  if (!grant) {
+    // A second answer to this release may arrive later. Without an id it would
+    // pass for the answer to the next release on the connection.
+    options.may_keep = RepeatsId;
+  }
   // These are built before the awaited call, because g++ 12 destroys the
   // temporaries of conditional arguments of an awaited call twice.
   const std::string path(grant ? platform::kGrantPath : platform::kReleasePath);
@@ -208,6 +218,7 @@
 awaitable<bool> OrderClient::Probe(state::Address address,
                                    state::ServerIncarnation server) {
   HttpSendOptions options = MakeOptions(server.id);
+  options.may_keep = RepeatsId;
   const std::string path(platform::kReleasePath);
   const std::string body = platform::ReleaseBody(0, 0, 0);
   const auto reply = co_await release_client_.Send(
--- a/src/transport/order_client.h
+++ b/src/transport/order_client.h
@@ -77,7 +77,8 @@
   std::uint64_t ticket_count_ = 0;
   HttpClient grant_client_;
   // Releases have connections of their own, since a server answers them only
-  // when its requests on the released keys have ended.
+  // when its requests on the released keys have ended. A connection is used for
+  // a second release only if the server repeats the ids of orders.
   HttpClient release_client_;
 };
 
--- a/tests/transport/order_client_test.cc
+++ b/tests/transport/order_client_test.cc
@@ -354,6 +354,22 @@
   CHECK(unknown <= 2);
 }
 
+// Guards against a release that ends a lease while work goes on, since a second
+// answer to an earlier release arrived after it had been sent.
+TEST_CASE("the answer to an earlier release ends no other lease", "[O1][O13]") {
+  const bool repeats_id = GENERATE(false, true);
+  OrderFixture fixture([repeats_id](tcp::socket& socket,
+                                    const Received& order) {
+    const std::string id = "X-Attempt-Id: " + order.attempt_id + "\r\n";
+    asio::write(socket, asio::buffer(Answer(200, "X-Handover: 5c0e\r\n" +
+                                                     (repeats_id ? id : ""))));
+  });
+  REQUIRE(fixture.Send(OrderKind::kRelease).outcome == OrderOutcome::kAccepted);
+  REQUIRE(fixture.Send(OrderKind::kRelease).outcome == OrderOutcome::kAccepted);
+  REQUIRE(fixture.received.size() == 2);
+  CHECK(fixture.received[1].connection == (repeats_id ? 0 : 1));
+}
+
 // Guards against an order that leaves and is reset at once, since a busy leader
 // learned of its new connection only after the timeout.
 TEST_CASE("an order whose timeout has passed is not written", "[O1]") {
