keys: Raise the fence after each lost connection

After an order that was not sent, since its connection was lost, the grant was repeated with its fence. The new test fails for orders that were not sent without the change.

--- a/src/coordination/keyspace_coordinator.cc
+++ b/src/coordination/keyspace_coordinator.cc
@@ -332,9 +332,11 @@
   if (slice->holder.server != order.server || slice->fence != order.fence) {
     return;
   }
-  if (outcome == OrderOutcome::kUnknown || outcome == OrderOutcome::kReset) {
+  if (outcome != OrderOutcome::kAccepted &&
+      outcome != OrderOutcome::kWithheld) {
     // Once a grant with a higher fence is accepted, the server refuses this
-    // one.
+    // one. And behind a lost connection there may be a new incarnation, which
+    // must not get the fence of the one before.
     slice->fence = NextFence();
   }
   if (outcome != OrderOutcome::kAccepted) {
--- a/tests/keys/keyspace_cases_test.cc
+++ b/tests/keys/keyspace_cases_test.cc
@@ -139,6 +139,32 @@
   CHECK(coordinator.UnresponsiveServers().empty());
 }
 
+// Guards against a grant that is repeated with its fence to an incarnation that
+// started behind a lost connection and is not listed yet.
+TEST_CASE("a grant after a lost connection has a higher fence", "[O8]") {
+  const OrderOutcome lost = GENERATE(
+      OrderOutcome::kNotSent, OrderOutcome::kUnknown, OrderOutcome::kReset);
+  Instant now(seconds(100));
+  KeyspaceCoordinator coordinator(now, 1, {}, now);
+  coordinator.SetServers(now, {{{"a", 1}, 1, true}});
+  std::vector<std::int64_t> fences;
+  for (const Instant end = now + seconds(4); now < end;) {
+    now += milliseconds(10);
+    for (const KeyOrder& order : coordinator.Tick(now)) {
+      fences.push_back(order.fence);
+      coordinator.HandleOrderOutcome(
+          now, order, fences.size() == 2 ? lost : OrderOutcome::kAccepted, "");
+    }
+    coordinator.HandleRecordConfirmed(coordinator.recorded_change());
+    coordinator.HandleProof(now);
+    coordinator.HandleDelivery(now, now);
+  }
+  REQUIRE(fences.size() >= 4);
+  CHECK(fences[1] == fences[0]);
+  CHECK(fences[2] > fences[1]);
+  CHECK(fences[3] == fences[2]);
+}
+
 // Guards against keys that wait for the end of a lease because the release was
 // sent to a former incarnation only.
 TEST_CASE("a release is sent again to a restarted server", "[O8]") {
