keys: Mend three lint findings in the cases of owners

clang-tidy asks for empty() instead of a comparison with "" and for braces instead of a cast. The checks are the same; the violation is still printed.

--- a/tests/keys/keyspace_cases_test.cc
+++ b/tests/keys/keyspace_cases_test.cc
@@ -217,7 +217,8 @@
   simulation.DisconnectNewestLeader(lost, true);
   simulation.SetDraining(lost, true);
   simulation.Advance(seconds(5));
-  CHECK(simulation.violation() == "");
+  INFO(simulation.violation());
+  CHECK(simulation.violation().empty());
   CHECK(simulation.held() == KeyspaceSimulation::kWatchedKeys);
 }
 
@@ -239,7 +240,8 @@
   simulation.Advance(milliseconds(GENERATE(300, 700, 1000, 1200)));
   simulation.StallFormerLeaders(milliseconds(1500));
   simulation.Advance(seconds(7));
-  CHECK(simulation.violation() == "");
+  INFO(simulation.violation());
+  CHECK(simulation.violation().empty());
   CHECK(simulation.held() == KeyspaceSimulation::kWatchedKeys);
 }
 
@@ -329,7 +331,8 @@
     }
     std::erase_if(unanswered, [&](const auto& sent) {
       const bool is_left = sent.second.first == 0;
-      if (now - sent.first < milliseconds(is_left ? 580 : 300)) {
+      const milliseconds answer_time{is_left ? 580 : 300};
+      if (now - sent.first < answer_time) {
         return false;
       }
       coordinator.HandleOrderOutcome(
