--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -2,6 +2,7 @@
 requesters and the record of a run. The store is the one of tests/soak."""
 
 import asyncio
+import ctypes
 import itertools
 import json
 import os
@@ -41,6 +42,12 @@
     """The case could not be played."""
 
 
+def end_with_parent():
+    """Called in a new process: it ends when the script ends."""
+    PR_SET_PDEATHSIG = 1
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 def own_ip(number):
     """A loopback address of this run's own."""
     run = os.getpid() % 60000
@@ -151,7 +158,7 @@
         self.process = await asyncio.create_subprocess_exec(
             str(ROOT / "target/apps/mustardflow-entry"), cwd=ROOT,
             stdin=asyncio.subprocess.DEVNULL, stdout=self.log, stderr=self.log,
-            env={"MUSTARDFLOW_SETTINGS": str(self.settings),
+            preexec_fn=end_with_parent, env={"MUSTARDFLOW_SETTINGS": str(self.settings),
                  "PATH": os.environ["PATH"]})
         self.world.record.write(f"{self.name} starts, process "
                                 f"{self.process.pid}")
