--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -209,8 +209,8 @@
         self.sharded = sharded
         self.address = (own_ip(100 + len(world.endpoints)), 0)
         self.address = (self.address[0], free_ports(self.address[0], 1)[0])
-        # Where the store's entry says that it is; another in front of a proxy.
-        self.listed = self.address
+        # Where requests are taken, as a Connection expects it.
+        self.frontend = self.address
         self.up = False
         self.born = 0
         self.life = 0
@@ -262,7 +262,7 @@
     def register(self):
         self.seq += 1
         self.world.store.put("keyed.servers", self.id, {
-            "address": "%s:%d" % self.listed, "born": self.born,
+            "address": "%s:%d" % self.address, "born": self.born,
             "info": {"service": self.service, "version": "v1",
                      "zone": "digbeth", "slots": SLOTS},
             "status": {"state": self.state, "seq": self.seq,
