coordination: Let late estimates age, and probe servers

The average of a service becomes unknown while no response arrives for more than two seconds. A server that is expected to be too late gets a probe from all hosts together each half second, if the host has no request there and sees a free slot; the response to a probe weighs more in both averages.

--- a/src/coordination/request_flow.cc
+++ b/src/coordination/request_flow.cc
@@ -350,7 +350,7 @@
   acceptance_rates_[request->terms.key ? choice.record.incarnation.id
                                        : request->terms.service]
       .RecordAccepted(now);
-  pool_.RecordSent(now, choice.record.incarnation);
+  pool_.RecordSent(now, choice.record.incarnation, choice.probe);
   request->attempts.push_back(attempt);
   actions->emplace_back(
       SendAttempt{request->id, attempt.id, choice.record, std::nullopt,
--- a/src/coordination/server_pool.cc
+++ b/src/coordination/server_pool.cc
@@ -23,9 +23,20 @@
 // service.
 constexpr double kServerLatencyWeight = 0.15;
 constexpr double kServiceLatencyWeight = 0.02;
+// The weight of the response to a probe in both averages, which have turned out
+// to be too high to be of use.
+constexpr double kProbeLatencyWeight = 0.25;
 // The time constant, in seconds, with which a server's average decays to its
 // service's average, so that a server that was slow is tried again.
 constexpr double kLatencyDecaySeconds = 10.0;
+// A service's average becomes unknown, with this time constant in seconds,
+// while no response arrives for longer than the gap, also in seconds. A
+// deployment must recover from a fault within 15 s.
+constexpr double kServiceLatencyDecaySeconds = 5.0;
+constexpr double kMaxUsualGapSeconds = 2.0;
+// All hosts together send one probe in this time to a server that is expected
+// to be too late.
+constexpr Duration kProbeInterval = std::chrono::milliseconds(500);
 // The weight of one response in a server's failure rate, and the time constant,
 // in seconds, with which the rate decays.
 constexpr double kFailureWeight = 0.25;
@@ -456,10 +467,25 @@
   return server != nullptr && server->refused_at_random;
 }
 
+double ServerPool::Freshness(Instant now, const ServiceAverage& average) {
+  const double age = Seconds(now - average.answered_at) - kMaxUsualGapSeconds;
+  return std::exp(-std::max(0.0, age) / kServiceLatencyDecaySeconds);
+}
+
+double ServerPool::ServiceLatency(Instant now,
+                                  const std::string& service) const {
+  const auto found = service_latency_.find(service);
+  if (found == service_latency_.end()) {
+    return kInitialLatencySeconds;
+  }
+  const double seconds = found->second.seconds;
+  return std::min(seconds,
+                  kInitialLatencySeconds + (seconds - kInitialLatencySeconds) *
+                                               Freshness(now, found->second));
+}
+
 double ServerPool::Latency(Instant now, const ServerState& server) const {
-  const auto found = service_latency_.find(server.record.service);
-  const double service_latency =
-      found == service_latency_.end() ? kInitialLatencySeconds : found->second;
+  const double service_latency = ServiceLatency(now, server.record.service);
   if (server.latency <= 0) {
     return IsCold(now, server) ? 2 * service_latency : service_latency;
   }
@@ -470,16 +496,16 @@
 
 double ServerPool::RelativeLatency(Instant now,
                                    const ServerState& server) const {
-  const auto found = service_latency_.find(server.record.service);
-  return found == service_latency_.end() ? 1
-                                         : Latency(now, server) / found->second;
+  return service_latency_.contains(server.record.service)
+             ? Latency(now, server) / ServiceLatency(now, server.record.service)
+             : 1;
 }
 
 std::optional<double> ServerPool::ExecutionSeconds(
     const std::string& service) const {
   const auto found = service_latency_.find(service);
   return found == service_latency_.end() ? std::nullopt
-                                         : std::optional(found->second);
+                                         : std::optional(found->second.seconds);
 }
 
 double ServerPool::WaitFactor(Instant now, const ServerState& server) const {
@@ -505,6 +531,17 @@
   return estimate;
 }
 
+bool ServerPool::MayProbe(Instant now, const ServerState& server) const {
+  if (!server.in_flight.empty() ||
+      EstimatedLoad(now, server) >= server.record.slots) {
+    return false;
+  }
+  const bool is_gate = IsGate(server.record.incarnation.id).value_or(false);
+  const auto senders = static_cast<Duration::rep>(is_gate ? 1 : hosts_);
+  return server.recent_sends.empty() ||
+         now - server.recent_sends.back() >= kProbeInterval * senders;
+}
+
 double ServerPool::Cost(Instant now,
                         const ServerState& server,
                         double estimate) const {
@@ -523,10 +560,11 @@
     return *limit;
   }
   const Duration expected = FromSeconds(Estimate(now, *server));
-  if (expected > max_expected) {
+  const bool late = expected > max_expected;
+  if (late && !MayProbe(now, *server)) {
     return NoServerReason::kLate;
   }
-  return ServerChoice{server->record, expected};
+  return ServerChoice{server->record, expected, late};
 }
 
 std::uint64_t ServerPool::HostRank(const std::string& server) const {
@@ -605,6 +643,8 @@
   const ServerState* best = nullptr;
   double best_cost = 0;
   double best_estimate = 0;
+  const ServerState* probed = nullptr;
+  double probed_estimate = 0;
   for (int i = 0; i < kServersCompared && !candidates.empty(); ++i) {
     const auto index = static_cast<std::size_t>(
         random_() * static_cast<double>(candidates.size()));
@@ -621,23 +661,34 @@
       best_cost = cost;
       best_estimate = estimate;
     }
+    if (FromSeconds(estimate) > request.max_expected &&
+        MayProbe(now, *server)) {
+      probed = server;
+      probed_estimate = estimate;
+    }
   }
   if (best == nullptr) {
     return reason;
   }
   if (FromSeconds(best_estimate) > request.max_expected) {
-    return NoServerReason::kLate;
+    if (probed == nullptr) {
+      return NoServerReason::kLate;
+    }
+    return ServerChoice{probed->record, FromSeconds(probed_estimate), true};
   }
   return ServerChoice{best->record, FromSeconds(best_estimate)};
 }
 
-void ServerPool::RecordSent(Instant now, const ServerIncarnation& incarnation) {
+void ServerPool::RecordSent(Instant now,
+                            const ServerIncarnation& incarnation,
+                            bool probe) {
   ServerState* server = Find(incarnation);
   if (server == nullptr) {
     return;
   }
   const double load = EstimatedLoad(now, *server);
-  server->in_flight.emplace(now, SentRequest{WaitFactor(now, *server), load});
+  server->in_flight.emplace(now,
+                            SentRequest{WaitFactor(now, *server), load, probe});
   if (const auto allowance = RateAllowanceFor(now, *server)) {
     server->rate_share.RecordSent(now, *allowance);
   }
@@ -674,12 +725,23 @@
                       (request.wait_factor * std::max(1.0, reported_slowness));
   if (answered ||
       (result == ServerResult::kCancelled && took > Latency(now, *server))) {
-    double& service_latency =
-        service_latency_.try_emplace(server->record.service, took)
+    ServiceAverage& average =
+        service_latency_
+            .try_emplace(server->record.service, ServiceAverage{took, now})
             .first->second;
-    service_latency += kServiceLatencyWeight * (took - service_latency);
+    const bool probed = answered && request.probe;
+    const double weight = probed ? kProbeLatencyWeight : kServiceLatencyWeight;
+    // What the average has lost by its age goes to the new response. A request
+    // without a response only tells that one would have taken longer.
+    const double kept = (1 - weight) * (answered ? Freshness(now, average) : 1);
+    average.seconds = took + kept * (average.seconds - took);
+    if (answered) {
+      average.answered_at = now;
+    }
     const double before = Latency(now, *server);
-    server->latency = before + kServerLatencyWeight * (took - before);
+    server->latency =
+        before +
+        (probed ? kProbeLatencyWeight : kServerLatencyWeight) * (took - before);
     server->latency_at = now;
   }
   const double failures = FailureRate(now, *server);
--- a/src/coordination/server_pool.h
+++ b/src/coordination/server_pool.h
@@ -55,6 +55,9 @@
   state::ServerRecord record;
   // The expected latency of the response.
   state::Duration expected{0};
+  // Whether the server was selected although it is expected to be too late, see
+  // ServerPool::MayProbe().
+  bool probe = false;
 };
 
 // Why no server was selected. If the reasons differ between servers, this is
@@ -139,7 +142,8 @@
   void Prune(state::Instant now);
 
   // Returns the server with this incarnation if it may receive a request now
-  // and its expected latency is at most `max_expected`. For kLeavingOwnerTime
+  // and its expected latency is at most `max_expected`, or if it is due for a
+  // probe, see MayProbe(). For kLeavingOwnerTime
   // after a server has announced its leaving, it still receives requests here,
   // unlike in Choose(): its keys are on the move.
   std::variant<ServerChoice, NoServerReason> Check(
@@ -149,13 +153,16 @@
 
   // Selects a server for the request: of a random sample of the permitted
   // servers, the one with the lowest expected latency. The comparison adds a
-  // penalty for servers in other zones.
+  // penalty for servers in other zones. If all of them are too late, a server
+  // of the sample that is due for a probe is selected.
   std::variant<ServerChoice, NoServerReason> Choose(
       state::Instant now,
       const ChoiceRequest& request) const;
 
+  // `probe`: as in the ServerChoice.
   void RecordSent(state::Instant now,
-                  const state::ServerIncarnation& incarnation);
+                  const state::ServerIncarnation& incarnation,
+                  bool probe = false);
   void RecordEnd(state::Instant now,
                  const state::ServerIncarnation& incarnation,
                  state::Instant sent,
@@ -195,6 +202,7 @@
     double wait_factor = 1;
     // Requests of all hosts at the server, without this one.
     double load = 0;
+    bool probe = false;
   };
 
   // What this host knows about one server.
@@ -279,6 +287,15 @@
   std::uint64_t announcements() const { return announcements_; }
 
  private:
+  // Moving average of the response times in seconds, and when the last response
+  // arrived.
+  struct ServiceAverage {
+    double seconds = 0;
+    state::Instant answered_at{};
+  };
+
+  // The part of the average that is still known: 1 while responses arrive.
+  static double Freshness(state::Instant now, const ServiceAverage& average);
   // Whether the owner of a key must get no new requests for it.
   bool IsOwnerOutOfService(state::Instant now, const ServerState& server) const;
   ServerState* Find(const state::ServerIncarnation& incarnation);
@@ -322,7 +339,15 @@
   double Cost(state::Instant now,
               const ServerState& server,
               double estimate) const;
-  // The average response time in seconds, without the wait for a slot.
+  // Whether a request may go to the server although its expected latency is too
+  // high. Only requests that are sent refresh the expected latency, so without
+  // probes a host that expects every response too late would refuse requests
+  // permanently.
+  bool MayProbe(state::Instant now, const ServerState& server) const;
+  // The service's average response time in seconds, without the wait for a
+  // slot. It ages towards the value that is assumed before the first response.
+  double ServiceLatency(state::Instant now, const std::string& service) const;
+  // The server's average response time in seconds, without the wait for a slot.
   double Latency(state::Instant now, const ServerState& server) const;
   // The lower bound of the server's window.
   double MinWindow(state::Instant now, const ServerState& server) const;
@@ -372,8 +397,8 @@
   const std::uint64_t choice_seed_;
   // By server id.
   std::map<std::string, ServerState> servers_;
-  // Moving average of the response times in seconds, by service name.
-  std::map<std::string, double> service_latency_;
+  // By service name.
+  std::map<std::string, ServiceAverage> service_latency_;
   std::uint64_t change_ = 1;
   std::uint64_t announcements_ = 0;
 };
--- a/tests/servers/server_pool_test.cc
+++ b/tests/servers/server_pool_test.cc
@@ -287,4 +287,114 @@
   CHECK(fixture.Choose());
 }
 
+namespace {
+
+// The slots of a server.
+constexpr int kSlots = 6;
+
+// Sends `count` requests, as many at a time as the server has slots, and ends
+// them 2.5 s later with the result.
+void RecordSlowRequests(PoolFixture* fixture,
+                        const ServerRecord& server,
+                        int count,
+                        ServerResult result) {
+  for (int done = 0; done < count; done += kSlots) {
+    std::deque<Instant> sent;
+    for (int i = 0; i < std::min(kSlots, count - done); ++i) {
+      fixture->now() += milliseconds(5);
+      fixture->pool().RecordSent(fixture->now(), server.incarnation);
+      sent.push_back(fixture->now());
+    }
+    fixture->now() += milliseconds(2500);
+    for (const Instant at : sent) {
+      fixture->pool().RecordEnd(fixture->now(), server.incarnation, at, result);
+    }
+  }
+}
+
+// Offers the server 100 requests a second for `time`, each answered after 0.1 s
+// if it is sent. Returns how many of the last second were sent.
+int OfferAndAnswer(PoolFixture* fixture,
+                   const ServerRecord& server,
+                   seconds time) {
+  std::deque<Instant> in_flight;
+  int sent = 0;
+  const Instant end = fixture->now() + time;
+  while (fixture->now() < end) {
+    fixture->now() += milliseconds(10);
+    const Instant now = fixture->now();
+    while (!in_flight.empty() && now - in_flight.front() >= milliseconds(100)) {
+      fixture->pool().RecordEnd(now, server.incarnation, in_flight.front(),
+                                ServerResult::kAnswered);
+      in_flight.pop_front();
+    }
+    const auto checked =
+        fixture->pool().Check(now, server.incarnation, milliseconds(560));
+    const auto* choice = std::get_if<ServerChoice>(&checked);
+    if (in_flight.size() < kSlots && choice != nullptr) {
+      fixture->pool().RecordSent(now, server.incarnation, choice->probe);
+      in_flight.push_back(now);
+      sent += now > end - seconds(1) ? 1 : 0;
+    }
+  }
+  for (const Instant at : in_flight) {
+    fixture->pool().RecordEnd(at + milliseconds(100), server.incarnation, at,
+                              ServerResult::kAnswered);
+  }
+  return sent;
+}
+
+}  // namespace
+
+// Guards against a host that refuses all requests for good after connections
+// went silent, or after it was suspended itself: only requests that it sent
+// could lower the latency that it expected. The requests that a server has at
+// that moment are those of all hosts.
+TEST_CASE("slow requests in flight at a fault refuse no later ones", "[L7]") {
+  const int hosts = GENERATE(1, 2, 4, 10);
+  const ServerResult result =
+      GENERATE(ServerResult::kCancelled, ServerResult::kAnswered);
+  CAPTURE(hosts, static_cast<int>(result));
+  PoolFixture fixture(static_cast<std::size_t>(hosts));
+  const ServerRecord server = fixture.Add("a");
+  OfferAndAnswer(&fixture, server, seconds(5));
+  RecordSlowRequests(&fixture, server, (15 + hosts - 1) / hosts, result);
+  CHECK(OfferAndAnswer(&fixture, server, seconds(12)) > 25);
+}
+
+TEST_CASE("a server that was slow for long gets requests again", "[L7]") {
+  const int hosts = GENERATE(1, 2, 4, 10);
+  const ServerResult result =
+      GENERATE(ServerResult::kCancelled, ServerResult::kAnswered);
+  CAPTURE(hosts, static_cast<int>(result));
+  PoolFixture fixture(static_cast<std::size_t>(hosts));
+  const ServerRecord server = fixture.Add("a");
+  OfferAndAnswer(&fixture, server, seconds(5));
+  RecordSlowRequests(&fixture, server, 180, result);
+  CHECK(OfferAndAnswer(&fixture, server, seconds(30)) > 25);
+}
+
+TEST_CASE("a server that is too late gets few probes from all hosts together",
+          "[L7]") {
+  constexpr std::size_t kHosts = 10;
+  PoolFixture fixture(kHosts);
+  const ServerRecord server = fixture.Add("a");
+  int sent = 0;
+  for (int i = 0; i < 6000; ++i) {
+    fixture.now() += milliseconds(10);
+    const auto choice = fixture.pool().Choose(
+        fixture.now(), {"desk", nullptr, milliseconds(50), false});
+    if (std::holds_alternative<ServerChoice>(choice)) {
+      ++sent;
+      const Instant at = fixture.now();
+      fixture.pool().RecordSent(at, server.incarnation);
+      fixture.now() += milliseconds(200);
+      fixture.pool().RecordEnd(fixture.now(), server.incarnation, at,
+                               ServerResult::kAnswered);
+    }
+  }
+  CHECK(sent >= 1);
+  CHECK(sent <= 20);
+}
+
 }  // namespace mustardflow::tests
