organisations: Keys in requests, names to servers

Deployments that sell to several organisations could not tell their requests apart. The configuration may now name them in `tenants`. A request on a route that is not public needs a key in X-Credential; without a known one it gets 401, or 503 if the host may lack a configuration. Servers get the name in X-Tenant, gates get it in a field of the hosts' own; keys go no further and appear in no log. The priority of the organisation precedes that of the route in the terms of the request. Organisations that cannot be read open no route.

--- a/src/coordination/request_flow.h
+++ b/src/coordination/request_flow.h
@@ -41,6 +41,8 @@
   std::optional<state::ShardKey> key;
   state::Duration target_latency{0};
   int max_attempts = 1;
+  // That of the organisation or else of the route; 0 is the most urgent.
+  int priority = 0;
   // Whether the body of the request or of its response is large, so that
   // another zone costs more.
   bool large = false;
--- a/src/platform/operator_config.cc
+++ b/src/platform/operator_config.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -28,6 +29,9 @@
 // Upper bounds of settings. A higher value is replaced by its bound.
 constexpr std::int64_t kMaxPriority = 1000;
 constexpr std::int64_t kMaxConnections = 1000000;
+constexpr double kMaxOrganisationRate = 1e9;
+// Names of organisations are header values and parts of datagrams.
+constexpr std::size_t kMaxOrganisationNameBytes = 128;
 
 // Treats an unknown kind as non-idempotent, so that its requests never run more
 // than once.
@@ -59,6 +63,13 @@
   return services;
 }
 
+std::optional<int> ReadPriority(const json::value& value) {
+  const auto priority = IntegerMember(value, "priority");
+  return priority ? std::optional(static_cast<int>(
+                        std::clamp<std::int64_t>(*priority, 0, kMaxPriority)))
+                  : std::nullopt;
+}
+
 // Returns nullopt if the host name or the prefix is missing. Other missing and
 // invalid settings keep their defaults.
 std::optional<state::Route> ReadRoute(const std::string& name,
@@ -85,8 +96,10 @@
   route.max_attempts = static_cast<int>(
       std::clamp<std::int64_t>(IntegerMember(value, "max_attempts").value_or(1),
                                1, state::kMaxAttempts));
-  route.priority = static_cast<int>(std::clamp<std::int64_t>(
-      IntegerMember(value, "priority").value_or(0), 0, kMaxPriority));
+  route.priority = ReadPriority(value).value_or(0);
+  const json::value* is_public = Member(value, "public");
+  route.is_public =
+      is_public != nullptr && is_public->is_bool() && is_public->get_bool();
   return route;
 }
 
@@ -131,6 +144,88 @@
   return limits;
 }
 
+// Whether `text` can be sent as the value of a header field and read back
+// unchanged.
+bool IsFieldValue(std::string_view text) {
+  return !text.empty() && text.front() != ' ' && text.back() != ' ' &&
+         std::all_of(text.begin(), text.end(), [](char character) {
+           return character >= ' ' && character <= '~';
+         });
+}
+
+// Adds the keys to the organisation. Returns false if one of them cannot be
+// read.
+bool ReadKeys(const json::value& value, std::vector<std::string>* keys) {
+  const json::value* list = Member(value, "api_keys");
+  if (list == nullptr) {
+    return true;
+  }
+  if (!list->is_array()) {
+    return false;
+  }
+  bool readable = true;
+  for (const json::value& key : list->get_array()) {
+    if (key.is_string() && IsFieldValue(key.get_string())) {
+      keys->emplace_back(key.get_string());
+    } else {
+      readable = false;
+    }
+  }
+  return readable;
+}
+
+// Returns nullopt if requests need no key. Sets `complete` to false if an
+// organisation or a key cannot be read, and omits it. Findings contain no keys.
+std::optional<state::Organisations> ReadOrganisations(
+    const json::value& config,
+    protocol::Findings* findings,
+    bool* complete) {
+  const json::value* value = Member(config, "tenants");
+  if (value == nullptr) {
+    return std::nullopt;
+  }
+  state::Organisations organisations;
+  if (!value->is_object()) {
+    // Requests must not be served without a key because of a mistake here.
+    findings->Add("/tenants", "is no object", "give an object by name");
+    *complete = false;
+    return organisations;
+  }
+  std::set<std::string> known_keys;
+  for (const auto& [name, entry] : value->get_object()) {
+    const std::string location = "/tenants/" + std::string(name);
+    if (!IsFieldValue(name) || name.size() > kMaxOrganisationNameBytes ||
+        !entry.is_object()) {
+      findings->Add(location, "cannot be read",
+                    "give an object, and a name of up to 128 printable "
+                    "characters");
+      *complete = false;
+      continue;
+    }
+    state::Organisation organisation;
+    organisation.name = std::string(name);
+    if (!ReadKeys(entry, &organisation.keys)) {
+      findings->Add(location + "/api_keys", "cannot be read",
+                    "give a list of printable strings");
+      *complete = false;
+    }
+    for (const std::string& key : organisation.keys) {
+      if (!known_keys.insert(key).second) {
+        findings->Add(location + "/api_keys", "has a key that occurs twice",
+                      "give each key once");
+      }
+    }
+    organisation.priority = ReadPriority(entry);
+    organisation.rate =
+        std::clamp(NumberMember(entry, "rate_per_s").value_or(0), 0.0,
+                   kMaxOrganisationRate);
+    organisation.burst = std::clamp(NumberMember(entry, "burst").value_or(0),
+                                    0.0, kMaxOrganisationRate);
+    organisations.emplace(organisation.name, std::move(organisation));
+  }
+  return organisations;
+}
+
 }  // namespace
 
 std::shared_ptr<const state::RoutingConfig> ParseOperatorConfig(
@@ -169,9 +264,10 @@
     }
   }
   const state::IngressLimits limits = ReadLimits(*config, findings, &complete);
+  auto organisations = ReadOrganisations(*config, findings, &complete);
   return std::make_shared<state::RoutingConfig>(
       *version, std::move(read_routes), std::move(read_services), limits,
-      complete);
+      complete, std::move(organisations));
 }
 
 }  // namespace mustardflow::platform
--- a/src/platform/server_protocol.h
+++ b/src/platform/server_protocol.h
@@ -36,6 +36,11 @@
 inline constexpr std::string_view kLeavingValue = "1";
 // The time until the server's warm-up ends, in milliseconds.
 inline constexpr std::string_view kWarmupField = "X-Warmup-Ms";
+// The key of the caller's organisation. Hosts take it and never pass it on, if
+// the configuration names organisations.
+inline constexpr std::string_view kCredentialField = "X-Credential";
+// The name of the organisation whose key the request has.
+inline constexpr std::string_view kOrganisationField = "X-Tenant";
 // The shard key of the request.
 inline constexpr std::string_view kShardKeyField = "X-Shard-Key";
 // Passes hand-off data from the previous holder of keys to the next holder.
--- a/src/state/routing_config.cc
+++ b/src/state/routing_config.cc
@@ -11,12 +11,14 @@
                              std::vector<Route> routes,
                              std::map<std::string, ServiceRules> services,
                              IngressLimits limits,
-                             bool complete)
+                             bool complete,
+                             std::optional<Organisations> organisations)
     : version_(version),
       routes_(std::move(routes)),
       services_(std::move(services)),
       limits_(limits),
-      complete_(complete) {
+      complete_(complete),
+      organisations_(std::move(organisations)) {
   for (std::size_t i = 0; i < routes_.size(); ++i) {
     by_hostname_[routes_[i].hostname].push_back(i);
   }
@@ -27,6 +29,13 @@
                        routes_[right].prefix.size();
               });
   }
+  if (organisations_) {
+    for (const auto& [name, organisation] : *organisations_) {
+      for (const std::string& key : organisation.keys) {
+        by_key_.emplace(key, &organisation);
+      }
+    }
+  }
 }
 
 const Route* RoutingConfig::FindRoute(std::string_view hostname,
@@ -43,4 +52,18 @@
   return nullptr;
 }
 
+const Organisation* RoutingConfig::FindKey(std::string_view key) const {
+  const auto found = by_key_.find(key);
+  return found == by_key_.end() ? nullptr : found->second;
+}
+
+const Organisation* RoutingConfig::FindOrganisation(
+    std::string_view name) const {
+  if (!organisations_) {
+    return nullptr;
+  }
+  const auto found = organisations_->find(name);
+  return found == organisations_->end() ? nullptr : &found->second;
+}
+
 }  // namespace mustardflow::state
--- a/src/state/routing_config.h
+++ b/src/state/routing_config.h
@@ -5,7 +5,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -55,6 +57,8 @@
   int max_attempts = 1;
   // 0 is the most urgent.
   int priority = 0;
+  // Whether requests need no organisation's key.
+  bool is_public = false;
   // One entry unless the traffic is split. Empty if no service could be read;
   // the requests of the route are then refused.
   std::vector<WeightedService> services;
@@ -72,6 +76,30 @@
   bool keyed = false;
 };
 
+// An organisation whose callers may send requests.
+struct Organisation {
+  std::string name;
+  // The keys by which its requests are recognised.
+  std::vector<std::string> keys;
+  // Takes precedence over the priority of the route.
+  std::optional<int> priority;
+  // The organisation may send this many requests per second over all hosts, and
+  // `burst` in addition. 0 means no limit.
+  double rate = 0;
+  double burst = 0;
+
+  bool limited() const { return rate > 0; }
+};
+
+// The priority of a request of `organisation`, which is null if it has none.
+inline int PriorityOf(const Route& route, const Organisation* organisation) {
+  return organisation != nullptr
+             ? organisation->priority.value_or(route.priority)
+             : route.priority;
+}
+
+using Organisations = std::map<std::string, Organisation, std::less<>>;
+
 // Limits on the connections and requests of callers.
 struct IngressLimits {
   // Maximum sizes of the header and of the body of a request.
@@ -91,7 +119,8 @@
                 std::vector<Route> routes,
                 std::map<std::string, ServiceRules> services,
                 IngressLimits limits,
-                bool complete = true);
+                bool complete = true,
+                std::optional<Organisations> organisations = {});
   RoutingConfig(const RoutingConfig&) = delete;
   RoutingConfig& operator=(const RoutingConfig&) = delete;
 
@@ -101,15 +130,24 @@
   const Route* FindRoute(std::string_view hostname,
                          std::string_view path) const;
 
+  // Returns the organisation with this key, or null if there is none.
+  const Organisation* FindKey(std::string_view key) const;
+  // Returns the organisation with this name, or null if there is none.
+  const Organisation* FindOrganisation(std::string_view name) const;
+
   std::int64_t version() const { return version_; }
   const std::vector<Route>& routes() const { return routes_; }
   const std::map<std::string, ServiceRules>& services() const {
     return services_;
   }
   const IngressLimits& limits() const { return limits_; }
-  // Whether all routes and the limits on sizes could be read. If not, it is not
-  // known whether the operators allow a request that matches no route or
-  // exceeds a limit.
+  // Nullopt if requests need no key.
+  const std::optional<Organisations>& organisations() const {
+    return organisations_;
+  }
+  // Whether all routes, keys and limits on sizes could be read. If not, it is
+  // not known whether the operators allow a request that matches no route, has
+  // an unknown key or exceeds a limit.
   bool complete() const { return complete_; }
 
  private:
@@ -118,9 +156,12 @@
   const std::map<std::string, ServiceRules> services_;
   const IngressLimits limits_;
   const bool complete_;
+  const std::optional<Organisations> organisations_;
   // Maps a host name to indexes into routes_, sorted by descending length of
   // the prefix.
   std::unordered_map<std::string, std::vector<std::size_t>> by_hostname_;
+  // Refers to keys and entries of organisations_.
+  std::unordered_map<std::string_view, const Organisation*> by_key_;
 };
 
 }  // namespace mustardflow::state
--- a/src/transport/header_fields.cc
+++ b/src/transport/header_fields.cc
@@ -31,14 +31,21 @@
   }
 }
 
+bool HasName(const http::fields::value_type& field, std::string_view name) {
+  return beast::iequals(field.name_string(),
+                        beast::string_view(name.data(), name.size()));
+}
+
 // Whether the relay sets this field of a request itself.
 bool IsSetByRelay(const http::fields::value_type& field) {
-  return beast::iequals(field.name_string(),
-                        beast::string_view(platform::kDeadlineField.data(),
-                                           platform::kDeadlineField.size())) ||
-         beast::iequals(field.name_string(),
-                        beast::string_view(platform::kServerIdField.data(),
-                                           platform::kServerIdField.size()));
+  return HasName(field, platform::kDeadlineField) ||
+         HasName(field, platform::kServerIdField);
+}
+
+// Whether the field holds the key or the name of an organisation.
+bool IsCredential(const http::fields::value_type& field) {
+  return HasName(field, platform::kCredentialField) ||
+         HasName(field, platform::kOrganisationField);
 }
 
 // Whether servers or callers depend on this field, so that it is forwarded even
@@ -102,9 +109,12 @@
   bytes->append("\r\n");
 }
 
-void AppendEndToEndFields(const http::fields& fields, std::string* bytes) {
+void AppendEndToEndFields(const http::fields& fields,
+                          bool drop_credentials,
+                          std::string* bytes) {
   for (const auto& field : fields) {
-    if (IsEndToEnd(fields, field) && !IsSetByRelay(field)) {
+    if (IsEndToEnd(fields, field) && !IsSetByRelay(field) &&
+        !(drop_credentials && IsCredential(field))) {
       AppendField({field.name_string().data(), field.name_string().size()},
                   {field.value().data(), field.value().size()}, bytes);
     }
--- a/src/transport/header_fields.h
+++ b/src/transport/header_fields.h
@@ -26,6 +26,10 @@
 // The maximum number of attempts at the request.
 inline constexpr std::string_view kForwardMaxAttemptsField =
     "X-Mustardflow-Attempts";
+// The name of the organisation whose key the request has; empty if its route
+// needs none. Present if the forwarding host's configuration has organisations.
+inline constexpr std::string_view kForwardOrganisationField =
+    "X-Mustardflow-Organisation";
 // The outcome of the request, as in the metrics' outcome label.
 inline constexpr std::string_view kOutcomeField = "X-Mustardflow-Outcome";
 // The server whose answer a gate passes on: its start time in milliseconds, a
@@ -49,8 +53,11 @@
 
 // Appends the request's end-to-end fields, which the next hop gets unchanged.
 // Leaves out hop-by-hop fields, Content-Length, Expect, the fields that only
-// hosts exchange, and the fields that the relay sets itself.
-void AppendEndToEndFields(const http::fields& fields, std::string* bytes);
+// hosts exchange, and the fields that the relay sets itself; with
+// `drop_credentials` also an organisation's key and name.
+void AppendEndToEndFields(const http::fields& fields,
+                          bool drop_credentials,
+                          std::string* bytes);
 
 // Copies the end-to-end fields of an answer. Leaves out hop-by-hop fields,
 // Content-Length, Expect and the fields that only hosts exchange.
--- a/src/transport/request_relay.cc
+++ b/src/transport/request_relay.cc
@@ -301,6 +301,9 @@
                    {404, "Not Found", {}, ""});
     return false;
   }
+  if (!CheckCredential(request)) {
+    return false;
+  }
   if (request->route->services.empty()) {
     RejectRequest(request, "refused", "route-unreadable",
                   RefusalAnswer(kNoConfigRetryAfter));
@@ -320,6 +323,30 @@
   return ChooseService(request);
 }
 
+bool RequestRelay::CheckCredential(const RequestPtr& request) {
+  request->terms.priority = state::PriorityOf(*request->route, nullptr);
+  if (!request->config->organisations()) {
+    return true;
+  }
+  request->drop_credentials = true;
+  if (request->route->is_public) {
+    return true;
+  }
+  const beast::string_view key =
+      SingleField(request->message, platform::kCredentialField);
+  const state::Organisation* organisation =
+      request->config->FindKey({key.data(), key.size()});
+  if (organisation == nullptr) {
+    RejectByConfig(request,
+                   key.empty() ? "no-credential" : "unknown-credential",
+                   request->route->name, {401, "Unauthorized", {}, ""});
+    return false;
+  }
+  request->organisation = organisation->name;
+  request->terms.priority = state::PriorityOf(*request->route, organisation);
+  return true;
+}
+
 bool RequestRelay::ChooseService(const RequestPtr& request) {
   coordination::RequestTerms& terms = request->terms;
   const auto key = KeyOf(*request);
@@ -407,6 +434,15 @@
   const CallerMessage& message = request->message;
   request->attempt_id = std::string(message[platform::kAttemptIdField]);
   request->config = view_.config;
+  const auto organisation =
+      message.find(ToBeastView(kForwardOrganisationField));
+  // The forwarding host may not know yet of a configuration with keys.
+  request->drop_credentials =
+      organisation != message.end() ||
+      (request->config && request->config->organisations());
+  if (organisation != message.end()) {
+    request->organisation = std::string(organisation->value());
+  }
   const auto deadline = MillisecondsOf(message, platform::kDeadlineField);
   const auto kind = IntegerOf(message, kForwardKindField);
   const auto target = MillisecondsOf(message, kForwardTargetLatencyField);
@@ -427,6 +463,12 @@
   terms.target_latency = *target;
   terms.max_attempts = static_cast<int>(*attempts);
   terms.end = terms.received + *deadline;
+  const state::Organisation* known =
+      request->config ? request->config->FindOrganisation(request->organisation)
+                      : nullptr;
+  if (known != nullptr) {
+    terms.priority = known->priority.value_or(terms.priority);
+  }
   return true;
 }
 
@@ -507,7 +549,7 @@
   bytes += ' ';
   AppendText(message.target(), &bytes);
   bytes += " HTTP/1.1\r\n";
-  AppendEndToEndFields(message.base(), &bytes);
+  AppendEndToEndFields(message.base(), request.drop_credentials, &bytes);
   if (!message.body().empty() ||
       message.find(http::field::content_length) != message.end() ||
       message.find(http::field::transfer_encoding) != message.end()) {
@@ -526,8 +568,14 @@
                 std::to_string(Milliseconds(terms.target_latency)), &bytes);
     AppendField(kForwardMaxAttemptsField, std::to_string(terms.max_attempts),
                 &bytes);
+    if (request.drop_credentials) {
+      AppendField(kForwardOrganisationField, request.organisation, &bytes);
+    }
   } else {
     AppendField(platform::kServerIdField, send.server.incarnation.id, &bytes);
+    if (!request.organisation.empty()) {
+      AppendField(platform::kOrganisationField, request.organisation, &bytes);
+    }
   }
   bytes += "\r\n";
   bytes += message.body();
--- a/src/transport/request_relay.h
+++ b/src/transport/request_relay.h
@@ -144,6 +144,11 @@
     // Null for requests of other hosts, and if no route matches.
     const state::Route* route = nullptr;
     coordination::RequestTerms terms;
+    // Whether a key and a name of an organisation that the sender gave are not
+    // passed on.
+    bool drop_credentials = false;
+    // The name of the organisation whose key the request has; empty if none.
+    std::string organisation;
     // The connection of each attempt under way.
     std::map<coordination::AttemptId, std::shared_ptr<ServerConnection>>
         connections;
@@ -170,6 +175,9 @@
   // Sets the route and the terms of the request. If that is impossible, rejects
   // the request and returns false.
   bool Classify(const RequestPtr& request);
+  // Sets the organisation of the request. If its route needs a key and the
+  // request has none that is known, rejects it and returns false.
+  bool CheckCredential(const RequestPtr& request);
   // Ends a request that the configuration does not allow: for good, or, if this
   // host cannot rule out a newer configuration, with a time to come back.
   void RejectByConfig(const RequestPtr& request,
--- a/tests/platform/operator_config_test.cc
+++ b/tests/platform/operator_config_test.cc
@@ -126,4 +126,65 @@
   }
 }
 
+// Guards against organisations whose keys or limits are not in force.
+TEST_CASE("organisations and public routes are parsed") {
+  protocol::Findings findings;
+  const auto config = platform::ParseOperatorConfig(
+      R"({"version": 1, "routes": {
+            "open": {"hostname": "a", "path_prefix": "/o/", "service": "s",
+                     "public": true},
+            "closed": {"hostname": "a", "path_prefix": "/c/", "service": "s",
+                       "priority": 2}},
+          "tenants": {
+            "one": {"api_keys": ["k1", "k2"], "priority": 1,
+                    "rate_per_s": 340, "burst": 34.5},
+            "two": {"api_keys": ["k3"], "rate_per_s": 0}}})",
+      &findings);
+  REQUIRE(config);
+  CHECK(findings.empty());
+  CHECK(config->complete());
+  const state::Route* open = config->FindRoute("a", "/o/x");
+  const state::Route* closed = config->FindRoute("a", "/c/x");
+  CHECK(open->is_public);
+  CHECK_FALSE(closed->is_public);
+  const state::Organisation* one = config->FindKey("k2");
+  const state::Organisation* two = config->FindKey("k3");
+  REQUIRE(one != nullptr);
+  REQUIRE(two != nullptr);
+  CHECK(one->name == "one");
+  CHECK(one->rate == 340);
+  CHECK(one->burst == 34.5);
+  CHECK(state::PriorityOf(*closed, one) == 1);
+  CHECK(state::PriorityOf(*closed, two) == 2);
+  CHECK_FALSE(two->limited());
+  CHECK(config->FindKey("") == nullptr);
+  CHECK(config->FindKey("k") == nullptr);
+}
+
+TEST_CASE("a configuration without organisations needs no keys") {
+  protocol::Findings findings;
+  const auto config = platform::ParseOperatorConfig(kConfig, &findings);
+  REQUIRE(config);
+  CHECK_FALSE(config->organisations());
+}
+
+// Guards against requests that are served without a key, or rejected for good,
+// because of a mistake in the configuration; and against keys in the log.
+TEST_CASE("organisations that cannot be read leave no route open") {
+  const std::string tenants = GENERATE(
+      R"("none")", R"(null)", R"({"one": 5})", R"({"": {}})",
+      R"({"a\r\nb": {"api_keys": ["secret"]}})",
+      R"({"one": {"api_keys": "secret"}})", R"({"one": {"api_keys": [7]}})",
+      R"({"one": {"api_keys": ["secret "]}})");
+  protocol::Findings findings;
+  const auto config = platform::ParseOperatorConfig(
+      R"({"version": 1, "routes": {}, "tenants": )" + tenants + "}", &findings);
+  REQUIRE(config);
+  CHECK(config->organisations());
+  CHECK_FALSE(config->complete());
+  REQUIRE(findings.list().size() == 1);
+  CHECK(findings.list().front().location.find("secret") == std::string::npos);
+  CHECK(findings.list().front().problem.find("secret") == std::string::npos);
+}
+
 }  // namespace mustardflow::tests
--- a/tests/transport/relay_fixture.h
+++ b/tests/transport/relay_fixture.h
@@ -13,6 +13,7 @@
 #include <stdexcept>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "coordination/server_pool.h"
@@ -91,6 +92,15 @@
   // Returns to the state before the first configuration.
   void RemoveConfig() { view_.config = nullptr; }
 
+  // Puts a configuration into force whose only route needs a key of one of the
+  // organisations, unless it is public.
+  void SetOrganisations(state::Organisations organisations,
+                        bool is_public = false) {
+    organisations_ = std::move(organisations);
+    is_public_ = is_public;
+    SetLimits(state::IngressLimits());
+  }
+
   // Makes the service keyed and all keys those of the server, whose requests go
   // through the gate of another host.
   void UseGate(state::RequestKind kind) {
@@ -226,13 +236,15 @@
     route.hostname = "a.example";
     route.prefix = "/desk/";
     route.kind = kind_;
+    route.is_public = is_public_;
     route.max_attempts = 3;
     route.timeout = std::chrono::seconds(20);
     route.target_latency = target_latency_;
     route.services = {{"desk", 1}};
     return std::make_shared<state::RoutingConfig>(
         ++config_version_, std::vector<state::Route>{route},
-        std::map<std::string, state::ServiceRules>{{"desk", rules}}, limits);
+        std::map<std::string, state::ServiceRules>{{"desk", rules}}, limits,
+        true, organisations_);
   }
 
   transport::asio::io_context context_;
@@ -249,6 +261,8 @@
   transport::CallerListener hosts_;
   state::RequestKind kind_;
   bool keyed_ = false;
+  std::optional<state::Organisations> organisations_;
+  bool is_public_ = false;
   state::Duration target_latency_ = std::chrono::seconds(20);
   std::int64_t config_version_ = 0;
   bool ended_ = false;
