admission: Work estimates by kind, priority and route in request terms

Cause: a server pool knew one latency per service, so a request of 57 ms was expected to be as late as the mean over all kinds. The priority of a route was not read anywhere.

Change: where the settings' list `contracts` has `pressure` (HostProfile::admission_by_priority), the expected latency is the wait for a slot plus the own work of the request's kind, scaled by the server's relative time and its reported slowness (admission/work_estimate, coordination/kind_latency). Priority and route are in RequestTerms; where the part is on, they go to gates in X-Mustardflow-Priority and X-Mustardflow-Route. A missing header means that they are not known.

--- /dev/null
+++ b/src/admission/shortage_policy.cc
@@ -0,0 +1,143 @@
+// Compares expected waits with the targets of the kinds that compete.
+
+#include "admission/shortage_policy.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace mustardflow::admission {
+
+using state::Duration;
+using state::Instant;
+
+namespace {
+
+// The time constant of the counts, in seconds. It is shorter than bursts, which
+// last for some seconds.
+constexpr double kDecaySeconds = 2.0;
+// A kind that was not seen for this time does not compete for capacity.
+constexpr Duration kRecent = std::chrono::seconds(2);
+constexpr Duration kRetention = std::chrono::seconds(20);
+// Executions are planned with this multiple of their mean, since about half of
+// them take longer than the mean.
+constexpr double kPlannedWorkFactor = 1.3;
+// A request waits at the host for at most this fraction of its target: holding
+// and then refusing it costs the caller more than a refusal at once.
+constexpr double kMaxWaitFraction = 0.5;
+// A late answer is of use if the deadline is less than this multiple of the
+// target.
+constexpr int kLateUseFactor = 2;
+
+Duration Scale(Duration span, double factor) {
+  return Duration(
+      static_cast<Duration::rep>(static_cast<double>(span.count()) * factor));
+}
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+}  // namespace
+
+double ShortagePolicy::DecayFactor(Instant now, const KindCounts& kind) {
+  return std::exp(-Seconds(now - kind.at) / kDecaySeconds);
+}
+
+ShortagePolicy::KindCounts& ShortagePolicy::Decayed(
+    Instant now,
+    const RequestFigures& request) {
+  KindCounts& kind = kinds_[request.route];
+  const double factor = DecayFactor(now, kind);
+  kind.arrived *= factor;
+  kind.sent *= factor;
+  kind.at = now;
+  return kind;
+}
+
+void ShortagePolicy::RecordArrival(Instant now, const RequestFigures& request) {
+  std::erase_if(kinds_, [now](const auto& entry) {
+    return now - entry.second.seen > kRetention;
+  });
+  KindCounts& kind = Decayed(now, request);
+  kind.arrived += 1;
+  kind.priority = request.priority;
+  kind.target = request.target;
+  kind.work = request.work;
+  kind.seen = now;
+}
+
+void ShortagePolicy::RecordSent(Instant now, const RequestFigures& request) {
+  Decayed(now, request).sent += 1;
+}
+
+int ShortagePolicy::Rank(Instant /*now*/, const RequestFigures& request) const {
+  return request.priority;
+}
+
+Instant ShortagePolicy::LatestStart(const RequestFigures& request,
+                                    Duration own) {
+  return request.received + request.target - Scale(own, kPlannedWorkFactor);
+}
+
+Instant ShortagePolicy::WaitEnd(const RequestFigures& request, Duration own) {
+  return std::min(LatestStart(request, own),
+                  request.received + Scale(request.target, kMaxWaitFraction));
+}
+
+Decision ShortagePolicy::Decide(Instant now,
+                                const RequestFigures& request,
+                                int rank,
+                                const ServerOutlook& outlook) const {
+  if (outlook.free_slot) {
+    return now + outlook.own <= request.end ? Decision::kSend
+                                            : Decision::kRefuse;
+  }
+  const bool in_target =
+      now + outlook.wait <= LatestStart(request, outlook.own);
+  const bool late_is_useful =
+      request.end - request.received < kLateUseFactor * request.target &&
+      now + outlook.wait + outlook.own <= request.end;
+  if (outlook.has_room && (in_target || late_is_useful) &&
+      outlook.wait_behind <= LongestWaitBefore(now, rank)) {
+    return Decision::kSend;
+  }
+  return now < WaitEnd(request, outlook.own) ? Decision::kWait
+                                             : Decision::kRefuse;
+}
+
+Duration ShortagePolicy::LongestWaitBefore(Instant now, int rank) const {
+  Duration longest = Duration::max();
+  for (const auto& [route, kind] : kinds_) {
+    if (kind.priority < rank && now - kind.seen <= kRecent) {
+      longest = std::min(longest,
+                         kind.target - Scale(kind.work, kPlannedWorkFactor));
+    }
+  }
+  return longest;
+}
+
+double ShortagePolicy::SentWorkRate(Instant now) const {
+  double work = 0;
+  for (const auto& [route, kind] : kinds_) {
+    work += kind.sent * DecayFactor(now, kind) * Seconds(kind.work);
+  }
+  return work / kDecaySeconds;
+}
+
+double ShortagePolicy::ArrivedWorkRate(Instant now, int rank) const {
+  double work = 0;
+  for (const auto& [route, kind] : kinds_) {
+    if (kind.priority <= rank) {
+      work += kind.arrived * DecayFactor(now, kind) * Seconds(kind.work);
+    }
+  }
+  return work / kDecaySeconds;
+}
+
+bool ShortagePolicy::IsIdle(Instant now) const {
+  return std::all_of(kinds_.begin(), kinds_.end(), [now](const auto& entry) {
+    return now - entry.second.seen > kRetention;
+  });
+}
+
+}  // namespace mustardflow::admission
--- /dev/null
+++ b/src/coordination/request_admission.cc
@@ -0,0 +1,201 @@
+// Orders waiting requests and forecasts when they reach a server.
+
+#include "coordination/request_admission.h"
+
+#include <algorithm>
+#include <chrono>
+#include <limits>
+#include <utility>
+
+namespace mustardflow::coordination {
+
+using admission::Decision;
+using admission::RequestFigures;
+using admission::ServerOutlook;
+using admission::ShortagePolicy;
+using admission::WaitingRequest;
+using state::Duration;
+using state::Instant;
+
+namespace {
+
+// The most requests that wait in one queue. A server with three slots runs
+// fewer requests within half of a common target latency.
+constexpr std::size_t kMaxQueueSize = 64;
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+Duration FromSeconds(double seconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(std::min(seconds, 1000.0)));
+}
+
+}  // namespace
+
+std::optional<RequestAdmission::Id> RequestAdmission::Enter(
+    Instant now,
+    Id id,
+    const std::string& name,
+    const RequestFigures& figures,
+    bool is_new) {
+  Leave(id);
+  Queue& queue =
+      queues_
+          .try_emplace(
+              name, Queue{{}, admission::WaitingQueue(kMaxQueueSize), {}, {}})
+          .first->second;
+  if (is_new) {
+    queue.policy.RecordArrival(now, figures);
+  }
+  const WaitingRequest entry{
+      queue.policy.Rank(now, figures),
+      ShortagePolicy::LatestStart(figures, figures.work), figures.work, id};
+  waiting_[id] = {name, figures, entry};
+  queue.entered.push_back(id);
+  ready_.insert(name);
+  const auto removed = queue.waiting.Add(entry);
+  if (!removed) {
+    return std::nullopt;
+  }
+  waiting_.erase(removed->id);
+  return removed->id;
+}
+
+void RequestAdmission::Leave(Id id) {
+  const auto found = waiting_.find(id);
+  if (found == waiting_.end()) {
+    return;
+  }
+  queues_.at(found->second.queue).waiting.Remove(found->second.entry);
+  waiting_.erase(found);
+}
+
+void RequestAdmission::LeaveToServer(Instant now, Id id) {
+  const auto found = waiting_.find(id);
+  if (found != waiting_.end()) {
+    queues_.at(found->second.queue)
+        .policy.RecordSent(now, found->second.figures);
+    Leave(id);
+  }
+}
+
+void RequestAdmission::MarkReady(const std::string& name) {
+  if (queues_.contains(name)) {
+    ready_.insert(name);
+  }
+}
+
+void RequestAdmission::MarkAllReady() {
+  for (const auto& [name, queue] : queues_) {
+    if (!queue.waiting.requests().empty()) {
+      ready_.insert(name);
+    }
+  }
+}
+
+std::optional<std::string> RequestAdmission::TakeReady() {
+  return ready_.empty() ? std::nullopt
+                        : std::optional(
+                              ready_.extract(ready_.begin()).value());
+}
+
+std::optional<RequestAdmission::Id> RequestAdmission::First(
+    const std::string& name) const {
+  const auto queue = queues_.find(name);
+  const auto first = queue == queues_.end() ? std::nullopt
+                                            : queue->second.waiting.First();
+  return first ? std::optional(first->id) : std::nullopt;
+}
+
+Decision RequestAdmission::Decide(Instant now,
+                                  Id id,
+                                  const ServerOutlook* outlook) {
+  const Waiting& request = waiting_.at(id);
+  Queue& queue = queues_.at(request.queue);
+  if (outlook == nullptr) {
+    queue.outlook.reset();
+    return now < ShortagePolicy::WaitEnd(request.figures, request.figures.work)
+               ? Decision::kWait
+               : Decision::kRefuse;
+  }
+  queue.outlook = *outlook;
+  return queue.policy.Decide(now, request.figures, request.entry.rank,
+                             *outlook);
+}
+
+std::optional<Duration> RequestAdmission::TimeToServer(
+    Instant now,
+    const Queue& queue,
+    const Waiting& request) const {
+  const double ahead = Seconds(queue.waiting.WorkBefore(request.entry));
+  if (queue.outlook && !queue.outlook->has_room) {
+    // All requests of this server pass through this host.
+    return queue.outlook->wait +
+           FromSeconds(ahead * queue.outlook->relative_time /
+                       queue.outlook->slots);
+  }
+  const double rate = queue.policy.SentWorkRate(now);
+  return rate > 0 ? std::optional(FromSeconds(ahead / rate)) : std::nullopt;
+}
+
+std::vector<RequestAdmission::Id> RequestAdmission::TakeHopeless(
+    Instant now,
+    const std::string& name) {
+  std::vector<Id> hopeless;
+  const auto queue = queues_.find(name);
+  if (queue == queues_.end()) {
+    return hopeless;
+  }
+  for (const Id id : std::exchange(queue->second.entered, {})) {
+    const auto request = waiting_.find(id);
+    if (request == waiting_.end() || request->second.queue != name) {
+      continue;
+    }
+    const auto time = TimeToServer(now, queue->second, request->second);
+    const RequestFigures& figures = request->second.figures;
+    if (time && now + *time > ShortagePolicy::WaitEnd(figures, figures.work)) {
+      hopeless.push_back(id);
+    }
+  }
+  return hopeless;
+}
+
+std::vector<RequestAdmission::Id> RequestAdmission::Expired(Instant now) const {
+  std::vector<Id> expired;
+  for (const auto& [id, request] : waiting_) {
+    const RequestFigures& figures = request.figures;
+    if (now >= ShortagePolicy::WaitEnd(figures, figures.work)) {
+      expired.push_back(id);
+    }
+  }
+  return expired;
+}
+
+std::vector<RequestAdmission::Id> RequestAdmission::AllWaiting() const {
+  std::vector<Id> ids;
+  for (const auto& [id, request] : waiting_) {
+    ids.push_back(id);
+  }
+  return ids;
+}
+
+Duration RequestAdmission::LongestWait(Instant now,
+                                       const std::string& name) const {
+  const auto queue = queues_.find(name);
+  // All kinds rank before the largest rank.
+  return queue == queues_.end()
+             ? Duration::max()
+             : queue->second.policy.LongestWaitBefore(
+                   now, std::numeric_limits<int>::max());
+}
+
+void RequestAdmission::Prune(Instant now) {
+  std::erase_if(queues_, [now](const auto& entry) {
+    return entry.second.waiting.requests().empty() &&
+           entry.second.policy.IsIdle(now);
+  });
+}
+
+}  // namespace mustardflow::coordination
--- a/src/coordination/request_flow.cc
+++ b/src/coordination/request_flow.cc
@@ -280,11 +280,11 @@
       return;
     }
     by = range->holder.id;
-    choice = pool_.Check(now, range->holder, max_expected);
+    choice = pool_.Check(now, range->holder, max_expected, terms.route);
   } else if (const ServiceState& service = services_[terms.service];
              service.window.HasRoom(service.in_flight)) {
-    choice = pool_.Choose(
-        now, {terms.service, &request->tried, max_expected, terms.large});
+    choice = pool_.Choose(now, {terms.service, &request->tried, max_expected,
+                                terms.large, terms.route});
   }
   if (const auto* found = std::get_if<ServerChoice>(&choice)) {
     request->waiting_since.reset();
@@ -350,7 +350,7 @@
   acceptance_rates_[request->terms.key ? choice.record.incarnation.id
                                        : request->terms.service]
       .RecordAccepted(now);
-  pool_.RecordSent(now, choice.record.incarnation);
+  pool_.RecordSent(now, choice.record.incarnation, request->terms.route);
   request->attempts.push_back(attempt);
   actions->emplace_back(
       SendAttempt{request->id, attempt.id, choice.record, std::nullopt,
@@ -660,9 +660,9 @@
     return;
   }
   request->tried.insert(first.server.id);
-  const auto choice =
-      pool_.Choose(now, {terms.service, &request->tried,
-                         MaxExpectedLatency(now, *request), terms.large});
+  const auto choice = pool_.Choose(
+      now, {terms.service, &request->tried, MaxExpectedLatency(now, *request),
+            terms.large, terms.route});
   const auto* found = std::get_if<ServerChoice>(&choice);
   if (found == nullptr || !WithdrawRetry(*request)) {
     return;
--- a/src/coordination/request_flow.h
+++ b/src/coordination/request_flow.h
@@ -41,6 +41,10 @@
   std::optional<state::ShardKey> key;
   state::Duration target_latency{0};
   int max_attempts = 1;
+  // 0 is the most urgent; nullopt if the priority is not known.
+  std::optional<int> priority;
+  // The name of the route; empty if it is not known.
+  std::string route;
   // Whether the body of the request or of its response is large, so that
   // another zone costs more.
   bool large = false;
--- a/src/coordination/server_pool.cc
+++ b/src/coordination/server_pool.cc
@@ -210,6 +210,9 @@
     return server.gone && server.in_flight.empty() &&
            now - server.gone_since > kGoneRetention;
   });
+  if (kind_latency_) {
+    kind_latency_->Prune(now);
+  }
 }
 
 void ServerPool::SetGated(Instant now,
@@ -487,20 +490,74 @@
   return 1 + std::max(0.0, EstimatedLoad(now, server) + 1 - slots) / slots;
 }
 
-double ServerPool::Estimate(Instant now, const ServerState& server) const {
+double ServerPool::Slowness(Instant now, const ServerState& server) {
+  const double report_age = Seconds(now - server.reported_at);
+  return 1 +
+         (server.slowness - 1) * std::exp(-report_age / kSlownessDecaySeconds);
+}
+
+ServerOccupancy ServerPool::OccupancyOf(Instant now,
+                                        const ServerState& server) const {
+  double own_work = 0;
+  for (const auto& [sent, request] : server.in_flight) {
+    own_work += request.kind.work;
+  }
+  return {server.record.service,
+          server.record.incarnation.id,
+          server.record.slots,
+          EstimatedLoad(now, server),
+          static_cast<double>(server.in_flight.size()),
+          own_work,
+          Slowness(now, server)};
+}
+
+void ServerPool::RecordKindEnd(Instant now,
+                               ServerState* server,
+                               const SentRequest& request,
+                               Instant sent,
+                               ServerResult result) {
+  if (!kind_latency_) {
+    return;
+  }
+  const std::string& id = server->record.incarnation.id;
+  if (result == ServerResult::kAnswered) {
+    kind_latency_->RecordAnswer(
+        now, server->record.service, id, request.kind, sent,
+        server->reported_at == now ? server->slowness : 1);
+  }
+  // At a server that only this host sends to, the freed slot goes to the oldest
+  // request that waits there.
+  if (hosts_ == 1 || IsGate(id).value_or(false)) {
+    const auto next = std::find_if(
+        server->in_flight.begin(), server->in_flight.end(),
+        [](const auto& entry) { return !entry.second.kind.started; });
+    if (next != server->in_flight.end()) {
+      next->second.kind.started = now;
+    }
+  }
+}
+
+double ServerPool::Estimate(Instant now,
+                            const ServerState& server,
+                            const std::string& route) const {
   const double load = EstimatedLoad(now, server);
   const double latency = Latency(now, server);
-  const double report_age = Seconds(now - server.reported_at);
-  const double slowness =
-      1 + (server.slowness - 1) * std::exp(-report_age / kSlownessDecaySeconds);
-  double estimate = latency * slowness * WaitFactor(now, server);
-  // Spreads requests before slots run short.
-  estimate *= 1 + kLoadPenalty * load / server.record.slots;
+  double estimate = 0;
+  if (kind_latency_) {
+    const ServerOccupancy occupancy = OccupancyOf(now, server);
+    estimate = kind_latency_->WaitSeconds(now, occupancy) +
+               kind_latency_->OwnSeconds(now, occupancy, route);
+  } else {
+    estimate = latency * Slowness(now, server) * WaitFactor(now, server);
+    // Spreads requests before slots run short.
+    estimate *= 1 + kLoadPenalty * load / server.record.slots;
+  }
   if (!server.in_flight.empty()) {
     // A request that takes far longer than usual indicates a stall.
     const auto& [oldest, request] = *server.in_flight.begin();
-    estimate += std::max(0.0, Seconds(now - oldest) -
-                                  kStallFactor * latency * request.wait_factor);
+    const double usual = kind_latency_ ? request.kind.wait + request.kind.work
+                                       : latency * request.wait_factor;
+    estimate += std::max(0.0, Seconds(now - oldest) - kStallFactor * usual);
   }
   return estimate;
 }
@@ -508,13 +565,19 @@
 double ServerPool::Cost(Instant now,
                         const ServerState& server,
                         double estimate) const {
+  if (kind_latency_) {
+    // Spreads requests before slots run short.
+    estimate *=
+        1 + kLoadPenalty * EstimatedLoad(now, server) / server.record.slots;
+  }
   return estimate / std::max(0.05, 1 - FailureRate(now, server));
 }
 
 std::variant<ServerChoice, NoServerReason> ServerPool::Check(
     Instant now,
     const ServerIncarnation& incarnation,
-    Duration max_expected) const {
+    Duration max_expected,
+    const std::string& route) const {
   const ServerState* server = Find(incarnation);
   if (server == nullptr || IsOwnerOutOfService(now, *server)) {
     return NoServerReason::kNoServer;
@@ -522,7 +585,7 @@
   if (const auto limit = FindLimit(now, *server)) {
     return *limit;
   }
-  const Duration expected = FromSeconds(Estimate(now, *server));
+  const Duration expected = FromSeconds(Estimate(now, *server, route));
   if (expected > max_expected) {
     return NoServerReason::kLate;
   }
@@ -611,7 +674,7 @@
     const ServerState* server = candidates[index];
     candidates[index] = candidates.back();
     candidates.pop_back();
-    const double estimate = Estimate(now, *server);
+    const double estimate = Estimate(now, *server, request.route);
     const double zone_cost = server->record.zone == zone_ ? 0
                              : request.large ? kOtherZoneLargeCostSeconds
                                              : kOtherZoneCostSeconds;
@@ -631,13 +694,19 @@
   return ServerChoice{best->record, FromSeconds(best_estimate)};
 }
 
-void ServerPool::RecordSent(Instant now, const ServerIncarnation& incarnation) {
+void ServerPool::RecordSent(Instant now,
+                            const ServerIncarnation& incarnation,
+                            const std::string& route) {
   ServerState* server = Find(incarnation);
   if (server == nullptr) {
     return;
   }
   const double load = EstimatedLoad(now, *server);
-  server->in_flight.emplace(now, SentRequest{WaitFactor(now, *server), load});
+  SentRequest sent{WaitFactor(now, *server), load, {}};
+  if (kind_latency_) {
+    sent.kind = kind_latency_->Expect(now, OccupancyOf(now, *server), route);
+  }
+  server->in_flight.emplace(now, std::move(sent));
   if (const auto allowance = RateAllowanceFor(now, *server)) {
     server->rate_share.RecordSent(now, *allowance);
   }
@@ -666,6 +735,7 @@
   if (entry != server->in_flight.end()) {
     request = entry->second;
     server->in_flight.erase(entry);
+    RecordKindEnd(now, server, request, sent, result);
   }
   const bool answered = result == ServerResult::kAnswered;
   const double reported_slowness =
--- a/src/coordination/server_pool.h
+++ b/src/coordination/server_pool.h
@@ -17,6 +17,7 @@
 
 #include "coordination/announced_state.h"
 #include "coordination/decaying_maximum.h"
+#include "coordination/kind_latency.h"
 #include "coordination/rate_share.h"
 #include "state/host_profile.h"
 #include "state/ownership_table.h"
@@ -99,6 +100,8 @@
   // Whether the body of the request or of its response is large, which raises
   // the cost of other zones.
   bool large = false;
+  // The route of the request.
+  std::string route;
 };
 
 // Estimates the latency and the load of each server from the responses that
@@ -121,6 +124,8 @@
   void SetGated(state::Instant now, const std::map<std::string, bool>& gated);
   // Sets the limits of servers that the leader publishes.
   void SetPublishedLimits(state::Instant now, state::ServerLimits limits);
+  // From now on, expected latencies depend on the route of the request.
+  void EstimateByKind() { kind_latency_.emplace(); }
   // Sets how many hosts share the connection limits and the request rates of
   // cold servers.
   void SetHostCount(std::size_t hosts) { hosts_ = hosts; }
@@ -145,7 +150,8 @@
   std::variant<ServerChoice, NoServerReason> Check(
       state::Instant now,
       const state::ServerIncarnation& incarnation,
-      state::Duration max_expected) const;
+      state::Duration max_expected,
+      const std::string& route = {}) const;
 
   // Selects a server for the request: of a random sample of the permitted
   // servers, the one with the lowest expected latency. The comparison adds a
@@ -155,7 +161,8 @@
       const ChoiceRequest& request) const;
 
   void RecordSent(state::Instant now,
-                  const state::ServerIncarnation& incarnation);
+                  const state::ServerIncarnation& incarnation,
+                  const std::string& route = {});
   void RecordEnd(state::Instant now,
                  const state::ServerIncarnation& incarnation,
                  state::Instant sent,
@@ -195,6 +202,8 @@
     double wait_factor = 1;
     // Requests of all hosts at the server, without this one.
     double load = 0;
+    // Set only if latencies are estimated by kind.
+    KindExpectation kind;
   };
 
   // What this host knows about one server.
@@ -316,7 +325,21 @@
                        const ServerState& server,
                        double load) const;
   // Expected latency in seconds of a request that is sent at `now`.
-  double Estimate(state::Instant now, const ServerState& server) const;
+  double Estimate(state::Instant now,
+                  const ServerState& server,
+                  const std::string& route) const;
+  // The slowness that the server reported, which loses weight with time.
+  static double Slowness(state::Instant now, const ServerState& server);
+  // The server as KindLatency sees it.
+  ServerOccupancy OccupancyOf(state::Instant now,
+                              const ServerState& server) const;
+  // Records the end of a request of a kind. Called after the request was
+  // removed from `server->in_flight`.
+  void RecordKindEnd(state::Instant now,
+                     ServerState* server,
+                     const SentRequest& request,
+                     state::Instant sent,
+                     ServerResult result);
   // The estimate with a penalty for failed attempts, by which servers are
   // compared. It does not tell how late a response will be.
   double Cost(state::Instant now,
@@ -374,6 +397,8 @@
   std::map<std::string, ServerState> servers_;
   // Moving average of the response times in seconds, by service name.
   std::map<std::string, double> service_latency_;
+  // Set if latencies are estimated by kind.
+  std::optional<KindLatency> kind_latency_;
   std::uint64_t change_ = 1;
   std::uint64_t announcements_ = 0;
 };
--- a/src/platform/settings_file.cc
+++ b/src/platform/settings_file.cc
@@ -2,6 +2,7 @@
 
 #include "platform/settings_file.h"
 
+#include <algorithm>
 #include <string>
 
 #include "platform/store_protocol.h"
@@ -108,6 +109,19 @@
   }
 }
 
+// Whether the list `contracts` has the entry `name`.
+bool HasContract(const json::value& settings, std::string_view name) {
+  const json::value* list = Member(settings, "contracts");
+  if (list == nullptr || !list->is_array()) {
+    return false;
+  }
+  const json::array& entries = list->get_array();
+  return std::any_of(entries.begin(), entries.end(),
+                     [name](const json::value& entry) {
+                       return entry.is_string() && entry.get_string() == name;
+                     });
+}
+
 }  // namespace
 
 std::optional<state::HostProfile> ParseSettingsFile(
@@ -148,6 +162,7 @@
   profile.bootstrap =
       bootstrap != nullptr && bootstrap->is_bool() && bootstrap->get_bool();
   ReadBounds(*settings, &profile.bounds);
+  profile.admission_by_priority = HasContract(*settings, "pressure");
   return findings->empty() ? std::optional(profile) : std::nullopt;
 }
 
--- a/src/state/host_profile.h
+++ b/src/state/host_profile.h
@@ -58,6 +58,9 @@
   double link_mbps = 1000;
   // Whether the whole system starts for the first time.
   bool bootstrap = false;
+  // Whether requests are admitted by the priority, target latency and work of
+  // their kind when capacity is short.
+  bool admission_by_priority = false;
   ServiceBounds bounds;
 };
 
--- a/src/transport/header_fields.h
+++ b/src/transport/header_fields.h
@@ -26,6 +26,11 @@
 // The maximum number of attempts at the request.
 inline constexpr std::string_view kForwardMaxAttemptsField =
     "X-Mustardflow-Attempts";
+// The priority of the request and the name of its route. Sent only where
+// requests are admitted by priority.
+inline constexpr std::string_view kForwardPriorityField =
+    "X-Mustardflow-Priority";
+inline constexpr std::string_view kForwardRouteField = "X-Mustardflow-Route";
 // The outcome of the request, as in the metrics' outcome label.
 inline constexpr std::string_view kOutcomeField = "X-Mustardflow-Outcome";
 // The server whose answer a gate passes on: its start time in milliseconds, a
--- a/src/transport/request_relay.cc
+++ b/src/transport/request_relay.cc
@@ -45,6 +45,18 @@
 constexpr auto kMaxRequestKind =
     static_cast<int>(state::RequestKind::kDownload);
 
+// The highest priority number that a forwarded request may state.
+constexpr std::int64_t kMaxPriority = 1000;
+
+// Whether the text can be sent as a header field: visible ASCII characters, and
+// spaces inside. Operators name routes freely.
+bool IsFieldValue(std::string_view text) {
+  return !text.empty() && text.front() != ' ' && text.back() != ' ' &&
+         std::all_of(text.begin(), text.end(), [](char character) {
+           return character >= ' ' && character <= '~';
+         });
+}
+
 std::optional<std::int64_t> ParseInteger(std::string_view text) {
   std::int64_t value = 0;
   const auto parsed =
@@ -249,7 +261,11 @@
       answer_bytes_(profile.memory_bytes / kAnswerMemoryDivisor),
       server_connections_(context, answer_bytes_),
       gate_connections_(context, answer_bytes_),
-      flow_(view, pool, profile.bounds, std::move(random)) {}
+      flow_(view, pool, profile.bounds, std::move(random)) {
+  if (profile.admission_by_priority) {
+    pool_.EstimateByKind();
+  }
+}
 
 RequestRelay::RequestId RequestRelay::Start(CallerMessage message,
                                             RequestSource source,
@@ -316,6 +332,8 @@
                 message.body().size() > kLargeBodyBytes;
   terms.target_latency = request->route->target_latency;
   terms.max_attempts = request->route->max_attempts;
+  terms.priority = request->route->priority;
+  terms.route = request->route->name;
   terms.end = terms.received + allowed;
   return ChooseService(request);
 }
@@ -426,6 +444,11 @@
   terms.kind = static_cast<state::RequestKind>(*kind);
   terms.target_latency = *target;
   terms.max_attempts = static_cast<int>(*attempts);
+  const auto priority = IntegerOf(message, kForwardPriorityField);
+  if (priority && *priority >= 0 && *priority <= kMaxPriority) {
+    terms.priority = static_cast<int>(*priority);
+  }
+  terms.route = std::string(message[ToBeastView(kForwardRouteField)]);
   terms.end = terms.received + *deadline;
   return true;
 }
@@ -526,6 +549,15 @@
                 std::to_string(Milliseconds(terms.target_latency)), &bytes);
     AppendField(kForwardMaxAttemptsField, std::to_string(terms.max_attempts),
                 &bytes);
+    if (profile_.admission_by_priority) {
+      if (terms.priority) {
+        AppendField(kForwardPriorityField, std::to_string(*terms.priority),
+                    &bytes);
+      }
+      if (IsFieldValue(terms.route)) {
+        AppendField(kForwardRouteField, terms.route, &bytes);
+      }
+    }
   } else {
     AppendField(platform::kServerIdField, send.server.incarnation.id, &bytes);
   }
--- /dev/null
+++ b/tests/load/kinds_compete_test.cc
@@ -0,0 +1,68 @@
+// Kinds of requests with different priorities compete for too little capacity.
+
+#include <catch2/catch.hpp>
+#include <cstdio>
+#include <string>
+
+#include "tests/load/kinds_simulation.h"
+
+namespace mustardflow::tests {
+
+namespace {
+
+struct KindsComparison {
+  KindResults without;
+  KindResults with;
+};
+
+// Prints a table row for each kind: the shares of requests that were answered
+// in their targets, answered late and refused, and the number of requests that
+// were refused twice.
+void Print(const std::string& pattern,
+           const char* part,
+           const KindResults& results) {
+  for (std::size_t kind = 0; kind < kKindCount; ++kind) {
+    const KindResult& r = results[kind];
+    std::printf("| %s | %s | %s | %.2f | %.2f | %.2f | %d |\n",
+                pattern.c_str(), part, KindName(kind), r.Fraction(r.in_target),
+                r.Fraction(r.late), r.Fraction(r.refused), r.refused_twice);
+  }
+}
+
+KindsComparison CompareKinds(const std::string& pattern, KindsOptions options) {
+  KindsComparison comparison;
+  comparison.without = KindsSimulation(options).Run();
+  options.by_priority = true;
+  comparison.with = KindsSimulation(options).Run();
+  Print(pattern, "off", comparison.without);
+  Print(pattern, "on", comparison.with);
+  return comparison;
+}
+
+}  // namespace
+
+TEST_CASE("kinds compete: below capacity", "[L7]") {
+  CompareKinds("calm", {});
+}
+
+TEST_CASE("kinds compete: a burst of the least urgent kind", "[L7]") {
+  KindsOptions options;
+  options.burst_kind = 3;
+  options.burst_factor = 2.4;
+  CompareKinds("burst of archive-browse", options);
+}
+
+TEST_CASE("kinds compete: a burst of the most urgent kind", "[L7]") {
+  KindsOptions options;
+  options.burst_kind = 0;
+  options.burst_factor = 2.4;
+  CompareKinds("burst of batch-verdict", options);
+}
+
+TEST_CASE("kinds compete: hot keys", "[L7]") {
+  KindsOptions options;
+  options.hot_keys = 60;
+  CompareKinds("60 hot keys", options);
+}
+
+}  // namespace mustardflow::tests
--- a/tests/platform/settings_file_test.cc
+++ b/tests/platform/settings_file_test.cc
@@ -42,6 +42,20 @@
   CHECK(profile->bounds.config_apply == std::chrono::milliseconds(2500));
 }
 
+// Deployments without the entry must be served as before.
+TEST_CASE("admission by priority is on only if the contracts ask for it") {
+  const auto is_on = [](const std::string& contracts) {
+    protocol::Findings findings;
+    std::string text = kSettings;
+    text.replace(text.find("\"something_new\": [1, 2, 3]"), 26, contracts);
+    return platform::ParseSettingsFile(text, &findings)->admission_by_priority;
+  };
+  CHECK(is_on(R"("contracts": ["other", 7, "pressure"])"));
+  CHECK_FALSE(is_on(R"("contracts": ["other"])"));
+  CHECK_FALSE(is_on(R"("contracts": "pressure")"));
+  CHECK_FALSE(is_on(R"("something_new": 1)"));
+}
+
 TEST_CASE("all missing and invalid settings are reported together") {
   protocol::Findings findings;
   CHECK_FALSE(platform::ParseSettingsFile(
--- a/tests/transport/untrusted_answers_test.cc
+++ b/tests/transport/untrusted_answers_test.cc
@@ -106,6 +106,22 @@
   CHECK(host.ReceiveUntil(caller, "body").starts_with("HTTP/1.1 200"));
 }
 
+// The gate decides by priority and kind, which only the forwarding host knows.
+// Where admission by priority is off, gates get the same bytes as before.
+TEST_CASE("the gate learns priority and route where they decide", "[R4]") {
+  const bool by_priority = GENERATE(false, true);
+  RelayFixture host;
+  host.profile().admission_by_priority = by_priority;
+  host.UseGate(RequestKind::kIdempotent);
+  tcp::socket caller = host.ConnectCaller();
+  Send(caller, kRequest);
+  tcp::socket gate = host.AcceptAtGate();
+  const std::string received = host.ReceiveUntil(gate, "hi");
+  const std::size_t expected = by_priority ? 1 : 0;
+  CHECK(Count(received, "X-Mustardflow-Priority: 0\r\n") == expected);
+  CHECK(Count(received, "X-Mustardflow-Route: desk\r\n") == expected);
+}
+
 // Without the outcome it is no gate that answers, and a gate may say "answered"
 // only of what the server has signed. Otherwise the server may have run the
 // request, and nobody vouches for the status.
