--- a/src/coordination/request_flow.h
+++ b/src/coordination/request_flow.h
@@ -42,7 +42,10 @@
   state::Duration target_latency{0};
   int max_attempts = 1;
   // That of the organisation or else of the route; 0 is the most urgent.
-  int priority = 0;
+  // Nullopt if it is not known.
+  std::optional<int> priority;
+  // The name of the route; empty if it is not known.
+  std::string route;
   // Whether the body of the request or of its response is large, so that
   // another zone costs more.
   bool large = false;
--- a/src/transport/header_fields.h
+++ b/src/transport/header_fields.h
@@ -30,6 +30,11 @@
 // needs none. Present if the forwarding host's configuration has organisations.
 inline constexpr std::string_view kForwardOrganisationField =
     "X-Mustardflow-Organisation";
+// The priority of the request and the name of its route. Sent only where
+// requests are admitted by priority.
+inline constexpr std::string_view kForwardPriorityField =
+    "X-Mustardflow-Priority";
+inline constexpr std::string_view kForwardRouteField = "X-Mustardflow-Route";
 // The outcome of the request, as in the metrics' outcome label.
 inline constexpr std::string_view kOutcomeField = "X-Mustardflow-Outcome";
 // The server whose answer a gate passes on: its start time in milliseconds, a
--- a/tests/servers/server_pool_test.cc
+++ b/tests/servers/server_pool_test.cc
@@ -332,7 +332,7 @@
         fixture->pool().Check(now, server.incarnation, milliseconds(560));
     const auto* choice = std::get_if<ServerChoice>(&checked);
     if (in_flight.size() < kSlots && choice != nullptr) {
-      fixture->pool().RecordSent(now, server.incarnation, choice->probe);
+      fixture->pool().RecordSent(now, server.incarnation, "", choice->probe);
       in_flight.push_back(now);
       sent += now > end - seconds(1) ? 1 : 0;
     }
