--- a/src/coordination/keyspace_coordinator.cc
+++ b/src/coordination/keyspace_coordinator.cc
@@ -20,11 +20,6 @@
 
 namespace {
 
-// The longest time from the arrival of a grant until its lease ends by the
-// leader's clock. A server's clock may run 2 % slow; 60 ms allow for the
-// transmission of the answer to the leader.
-constexpr Duration kMaxLeaseDuration =
-    kKeyLease + kKeyLease / 50 + std::chrono::milliseconds(60);
 // Allows for four renewals in one lease, so that three of them may be lost.
 constexpr Duration kRenewInterval = std::chrono::milliseconds(600);
 // Counted from the last accepted grant. An accepted lease that is not renewed
--- a/src/coordination/keyspace_coordinator.h
+++ b/src/coordination/keyspace_coordinator.h
@@ -38,6 +38,12 @@
 // has to take less, or leases expire meanwhile.
 inline constexpr state::Duration kKeyLease = std::chrono::milliseconds(2500);
 
+// The longest time from the arrival of a grant until its lease ends by the
+// leader's clock. A server's clock may run 2 % slow; 60 ms allow for the
+// transmission of the answer to the leader.
+inline constexpr state::Duration kMaxLeaseDuration =
+    kKeyLease + kKeyLease / 50 + std::chrono::milliseconds(60);
+
 // An order without an answer times out after this duration, which allows for
 // several round trips. The connection is then reset, so that the order cannot
 // arrive later than kMaxTransitTime after the reset has left.
--- a/src/coordination/lead_proof.cc
+++ b/src/coordination/lead_proof.cc
@@ -33,6 +33,7 @@
                             bool has_predecessor) {
   begin_time_ = now;
   last_store_proof_ = claimed;
+  store_proof_ended_ = false;
   predecessor_end_ =
       has_predecessor ? now + kLeadershipLease + kMaxTurnTime : now;
   last_heartbeat_number_ = 0;
@@ -91,7 +92,7 @@
   if (now - last_store_proof_ > kLeadershipLease) {
     return false;
   }
-  if (now - last_store_proof_ <= kStoreProofLifetime) {
+  if (!store_proof_ended_ && now - last_store_proof_ <= kStoreProofLifetime) {
     return true;
   }
   const auto followed = FollowedSince(now, hosts);
--- a/src/coordination/lead_proof.h
+++ b/src/coordination/lead_proof.h
@@ -42,6 +42,11 @@
   // The store has confirmed a write of this term that was sent at `sent`.
   void RecordStoreConfirmation(state::Instant sent);
 
+  // The store is in a later era than this term, so that it may have lost the
+  // term and one that came after it. Only followers prove the leadership from
+  // now on.
+  void HandleNewEra() { store_proof_ended_ = true; }
+
   // Whether this leader may send orders. `hosts` is the number of hosts,
   // including this one.
   bool MayGrant(state::Instant now, std::size_t hosts) const;
@@ -69,6 +74,7 @@
   state::Instant begin_time_{};
   // When the last confirmed write of this term was sent.
   state::Instant last_store_proof_{};
+  bool store_proof_ended_ = false;
   state::Instant predecessor_end_{};
   std::int64_t last_heartbeat_number_ = 0;
   // By number: when the recent heartbeats were sent.
--- a/src/coordination/leader_election.cc
+++ b/src/coordination/leader_election.cc
@@ -73,8 +73,10 @@
 
 bool LeaderElection::stepping_down(Instant now) const {
   const bool hands_over = hand_over_term_ == term_ && now < hand_over_until_;
-  return leading() && (step_down_requested_ || hands_over ||
-                       now - last_proof_ > kStoreOutageTimeout);
+  // In a new era of the store, this host will claim a term itself.
+  const bool store_lost =
+      !outdated() && now - last_proof_ > kStoreOutageTimeout;
+  return leading() && (step_down_requested_ || hands_over || store_lost);
 }
 
 void LeaderElection::HandOver(Instant now) {
@@ -119,7 +121,9 @@
 
 void LeaderElection::HandleHeartbeat(Instant now,
                                      std::int64_t term,
-                                     bool stepping_down) {
+                                     bool stepping_down,
+                                     std::int64_t era) {
+  RecordWonTerm(term, era);
   if (term < term_ || (leading() && term == term_)) {
     return;
   }
@@ -127,7 +131,7 @@
     stop_reason_ = "another host leads with a higher term";
   }
   const bool was_stepping_down = leader_stepping_down_ && term == term_;
-  term_ = term;
+  SetTerm(term, era);
   leader_stepping_down_ = stepping_down;
   last_heartbeat_ = now;
   // The first heartbeat of a leader that steps down starts the wait for a
@@ -143,27 +147,74 @@
 
 void LeaderElection::HandleQueryReply(Instant now,
                                       std::int64_t term,
-                                      std::optional<Duration> heartbeat_age) {
+                                      std::optional<Duration> heartbeat_age,
+                                      std::int64_t era) {
   host_replied_ = true;
+  RecordWonTerm(term, era);
   if (phase_ != Phase::kQuerying || term < term_ || !heartbeat_age ||
       *heartbeat_age > kMaxHeartbeatAge) {
     return;
   }
-  term_ = term;
+  SetTerm(term, era);
   Follow(now - *heartbeat_age);
 }
 
+void LeaderElection::SetTerm(std::int64_t term, std::int64_t era) {
+  term_ = term;
+  term_era_ = era;
+  RecordWonTerm(term, era);
+}
+
+void LeaderElection::RecordWonTerm(std::int64_t term, std::int64_t era) {
+  won_terms_ = std::max(won_terms_, term - kTermsPerEra * era);
+}
+
+std::int64_t LeaderElection::NextTerm(const LedgerHead& head) const {
+  const std::int64_t next = std::max(term_, head.term) + 1;
+  // Without eras the store loses no term, and the ledger tells the highest.
+  return head.store_era == 0
+             ? next
+             : std::max(next, won_terms_ + kTermsPerEra * head.store_era + 1);
+}
+
+bool LeaderElection::HearsLeaderBefore(Instant now, std::int64_t era) const {
+  return term_era_ < era && last_heartbeat_ &&
+         now - *last_heartbeat_ <= kMaxHeartbeatAge;
+}
+
+void LeaderElection::HandleEra(Instant now, std::int64_t era) {
+  if (era <= era_) {
+    return;
+  }
+  era_ = era;
+  if (leading()) {
+    claim_again_at_ = now + kEraSettleTime;
+  } else if (phase_ == Phase::kReading || phase_ == Phase::kClaiming) {
+    StartReading(now);
+  }
+}
+
+void LeaderElection::StartReading(Instant now) {
+  phase_ = Phase::kReading;
+  phase_since_ = now;
+  ledger_read_sent_ = false;
+  claim_base_.reset();
+}
+
 void LeaderElection::HandleLedger(Instant now,
                                   const std::optional<LedgerHead>& head) {
   if (phase_ != Phase::kReading) {
     return;
   }
-  if (!head) {
+  if (!head || head->store_era < era_) {
     FollowAndRetry(now);
     return;
   }
-  if (head->term == claimed_term_ && head->claim == claim_ &&
-      claimed_term_ > led_term_) {
+  RecordWonTerm(head->term, head->era);
+  // A claim that an earlier era has confirmed may be lost again or won by
+  // another host as well.
+  if (head->era == head->store_era && head->term == claimed_term_ &&
+      head->claim == claim_ && claimed_term_ > led_term_) {
     // An earlier claim of this host has taken effect although its answer was
     // lost.
     Lead(phase_since_, now);
@@ -174,7 +225,8 @@
 }
 
 void LeaderElection::DecideClaim(Instant now, const LedgerHead& head) {
-  if (head.end != seen_end_) {
+  if (head.end != seen_end_ || head.store_era != seen_era_) {
+    seen_era_ = head.store_era;
     seen_end_ = head.end;
     seen_end_at_ = now;
   }
@@ -182,13 +234,17 @@
   const bool term_advanced = knows_term && head.term > term_;
   const bool ledger_idle = now - seen_end_at_ >= kLedgerIdleTimeout;
   if (head.term > term_) {
-    term_ = head.term;
+    SetTerm(head.term, head.era);
     leader_stepping_down_ = false;
   }
   // A host that reaches no other host needs no proof that it has stopped
   // itself.
   const bool may_be_led =
       head.term > 0 && !(head.term == led_term_ && head.claim == claim_);
+  if (HearsLeaderBefore(now, head.store_era)) {
+    FollowAndRetry(now);
+    return;
+  }
   if (term_advanced || (!host_replied_ && may_be_led && !ledger_idle)) {
     Follow(now);
     return;
@@ -206,6 +262,10 @@
     renewal_pending_ = false;
     switch (outcome) {
       case WriteOutcome::kDone:
+        if (outdated()) {
+          // The store may have confirmed a write that it has then lost.
+          break;
+        }
         last_proof_ = std::max(last_proof_, sent);
         next_renewal_ = now + kRenewInterval;
         break;
@@ -230,9 +290,7 @@
     Lead(sent, now + kRenewInterval);
   } else if (outcome == WriteOutcome::kUnknown) {
     // Reads the ledger to see whether the claim has taken effect.
-    phase_ = Phase::kReading;
-    phase_since_ = now;
-    ledger_read_sent_ = false;
+    StartReading(now);
   } else {
     FollowAndRetry(now);
   }
@@ -240,8 +298,9 @@
 
 void LeaderElection::Lead(Instant last_proof, Instant next_renewal) {
   phase_ = Phase::kLeading;
-  term_ = claimed_term_;
+  SetTerm(claimed_term_, era_);
   led_term_ = term_;
+  claim_again_at_.reset();
   claim_base_.reset();
   last_proof_ = last_proof;
   next_renewal_ = next_renewal;
@@ -251,9 +310,10 @@
   begin_pending_ = true;
 }
 
-void LeaderElection::HandleTerm(std::int64_t term) {
-  if (!leading()) {
-    term_ = std::max(term_, term);
+void LeaderElection::HandleTerm(std::int64_t term, std::int64_t era) {
+  RecordWonTerm(term, era);
+  if (!leading() && term > term_) {
+    SetTerm(term, era);
   }
 }
 
@@ -264,7 +324,7 @@
 }
 
 void LeaderElection::HandleProof(Instant sent) {
-  if (leading()) {
+  if (leading() && !outdated()) {
     last_proof_ = std::max(last_proof_, sent);
     // Each confirmed write serves as a renewal.
     next_renewal_ = std::max<Instant>(next_renewal_, sent + kRenewInterval);
@@ -274,7 +334,7 @@
 std::vector<ElectionAction> LeaderElection::Tick(Instant now) {
   std::vector<ElectionAction> actions;
   if (stop_reason_) {
-    actions.emplace_back(StopLeading{*stop_reason_});
+    actions.emplace_back(StopLeading{*stop_reason_, false});
     stop_reason_.reset();
     if (leading()) {
       Follow(now);
@@ -295,9 +355,7 @@
       break;
     case Phase::kQuerying:
       if (now - phase_since_ >= kQueryTimeout) {
-        phase_ = Phase::kReading;
-        phase_since_ = now;
-        ledger_read_sent_ = false;
+        StartReading(now);
       }
       break;
     case Phase::kReading:
@@ -311,12 +369,11 @@
     case Phase::kClaiming:
       if (claim_base_ && !claim_sent_) {
         claim_sent_ = true;
-        claimed_term_ = std::max(term_, claim_base_->term) + 1;
-        actions.emplace_back(ClaimTerm{claimed_term_, claim_base_->end});
+        claimed_term_ = NextTerm(*claim_base_);
+        actions.emplace_back(
+            ClaimTerm{claimed_term_, claim_base_->end, claim_base_->store_era});
       } else if (now - phase_since_ > kStoreAnswerTimeout) {
-        phase_ = Phase::kReading;
-        phase_since_ = now;
-        ledger_read_sent_ = false;
+        StartReading(now);
       }
       break;
     case Phase::kLeading:
@@ -330,10 +387,19 @@
                                  std::vector<ElectionAction>* actions) {
   if (now - last_proof_ > kLeadershipLease) {
     actions->emplace_back(StopLeading{
-        "no write confirmed by the store within the leadership lease"});
+        "no write confirmed by the store within the leadership lease", false});
     Follow(now);
     return;
   }
+  if (outdated()) {
+    if (now >= claim_again_at_ && !step_down_requested_) {
+      actions->emplace_back(StopLeading{"the store is in a new era", true});
+      // Other hosts follow this one, so none of them has to be asked.
+      host_replied_ = true;
+      StartReading(now);
+    }
+    return;
+  }
   if (!renewal_pending_ && now >= next_renewal_) {
     renewal_pending_ = true;
     actions->emplace_back(RenewTerm{++renewal_count_});
--- a/src/coordination/leader_election.h
+++ b/src/coordination/leader_election.h
@@ -26,6 +26,14 @@
 // it starts to count down the leases of a server that it cannot reach.
 inline constexpr state::Duration kLeadershipLease = std::chrono::seconds(10);
 
+// A leader that sees a new era of the store waits this long until it claims a
+// term of that era. A leader that had replaced it, and whose claim the store
+// has lost, can grant for 1.5 s after its last confirmed write; its orders
+// leave within kMaxTurnTime and arrive within 0.3 s. After that each server
+// renews its lease within 0.9 s, and refuses if it has obeyed that leader.
+inline constexpr state::Duration kEraSettleTime =
+    std::chrono::milliseconds(4200);
+
 // The record of the present term in the store.
 struct LedgerHead {
   std::int64_t term = 0;
@@ -39,8 +47,22 @@
   // Whether it was certain at that renewal that all earlier leaders had
   // stopped.
   bool settled = false;
+  // The era of the store in which the term was won, and the era in which this
+  // record was read and to which `end` belongs. If they differ, the store may
+  // have lost terms that were won later.
+  std::int64_t era = 0;
+  std::int64_t store_era = 0;
+  // Whether the leader did not know, at that renewal, who might hold keys:
+  // the store had lost records, and leases of before were not over.
+  bool recovering = false;
 };
 
+// In a new era of the store, terms start this far above the highest known one,
+// so that none is won that the store has lost: a host takes 0.12 s at least
+// from the loss of its leader to a claim, so that leaders that replace one
+// another without a pause win this many terms in eight minutes.
+inline constexpr std::int64_t kTermsPerEra = 4096;
+
 enum class WriteOutcome {
   kDone,
   // The store refused the write because another host has a higher term.
@@ -61,6 +83,8 @@
 struct ClaimTerm {
   std::int64_t term = 0;
   std::int64_t ledger_end = 0;
+  // The era of the store to which `ledger_end` belongs.
+  std::int64_t era = 0;
 };
 // Append a renewal.
 struct RenewTerm {
@@ -73,6 +97,9 @@
 // This host must not send grants any more.
 struct StopLeading {
   std::string_view reason;
+  // Whether this host claims a term in the store's new era at once. If it could
+  // send grants until now, it knows the owners of all keys.
+  bool enters_era = false;
 };
 
 using ElectionAction = std::variant<QueryHosts,
@@ -107,17 +134,26 @@
   void Join(state::Instant now);
 
   // A heartbeat of a leader has arrived. A leader that is `stepping_down` asks
-  // to be succeeded.
+  // to be succeeded. `era`: in which era of the store the term was won.
   void HandleHeartbeat(state::Instant now,
                        std::int64_t term,
-                       bool stepping_down);
+                       bool stepping_down,
+                       std::int64_t era = 0);
 
   // Another host has replied to QueryHosts: `heartbeat_age` is the time since
   // it last received a heartbeat of the leader of `term`; nothing if it has
-  // lost contact with the leader.
+  // lost contact with the leader. `era`: in which era the term was won.
   void HandleQueryReply(state::Instant now,
                         std::int64_t term,
-                        std::optional<state::Duration> heartbeat_age);
+                        std::optional<state::Duration> heartbeat_age,
+                        std::int64_t era = 0);
+
+  // The store is known to be in `era`. Called before the result of any read or
+  // write that names the era. What was read or written in an earlier era has no
+  // effect afterwards. A leader of an earlier era renews what it has granted as
+  // long as it has proof by reports of hosts. After kEraSettleTime it claims a
+  // term of the new era.
+  void HandleEra(state::Instant now, std::int64_t era);
 
   // The result of ReadLedger; nothing if the store did not answer.
   void HandleLedger(state::Instant now, const std::optional<LedgerHead>& head);
@@ -128,8 +164,9 @@
                    state::Instant sent,
                    WriteOutcome outcome);
 
-  // The store holds this term, so all lower terms have ended.
-  void HandleTerm(std::int64_t term);
+  // The store holds this term, which was won in `era`, so all lower terms have
+  // ended.
+  void HandleTerm(std::int64_t term, std::int64_t era = 0);
 
   // The results of other writes under this term: the write was fenced, or the
   // store confirmed the write sent at `sent`.
@@ -150,6 +187,11 @@
   // in a term.
   void HandOver(state::Instant now);
   std::int64_t term() const { return term_; }
+  // The era of the store in which term() was won.
+  std::int64_t term_era() const { return term_era_; }
+  // Whether this host leads a term of an earlier era than the store's. It then
+  // writes nothing to the store.
+  bool outdated() const { return leading() && term_era_ < era_; }
   // While leading: when the last write that the store confirmed was sent.
   state::Instant last_proof() const { return last_proof_; }
   // When the last heartbeat of the leader arrived at this host.
@@ -186,6 +228,17 @@
   // leader.
   void DecideClaim(state::Instant now, const LedgerHead& head);
   void TickLeading(state::Instant now, std::vector<ElectionAction>* actions);
+  // Reads the ledger next.
+  void StartReading(state::Instant now);
+  // Sets the highest known term.
+  void SetTerm(std::int64_t term, std::int64_t era);
+  // Records that a term was won, so that this host claims a higher one.
+  void RecordWonTerm(std::int64_t term, std::int64_t era);
+  // The term that follows all known ones in the era of `head`.
+  std::int64_t NextTerm(const LedgerHead& head) const;
+  // Whether a leader can be heard whose term was won before the era `era`. It
+  // knows the owners of all keys, so it should claim first.
+  bool HearsLeaderBefore(state::Instant now, std::int64_t era) const;
   // How long this host goes without contact with the leader before it queries
   // the other hosts.
   state::Duration LeaderTimeout() const { return BaseTimeout() + OwnDelay(); }
@@ -198,8 +251,18 @@
   // Whether term_ was read from the store since the start.
   bool joined_ = false;
   Phase phase_ = Phase::kFollowing;
-  // The highest known term.
+  // The highest known term of a leader that this host follows, and the era of
+  // the store in which it was won.
   std::int64_t term_ = 0;
+  std::int64_t term_era_ = 0;
+  // The highest known era of the store.
+  std::int64_t era_ = 0;
+  // The highest term that any host has named or the store has shown, less
+  // kTermsPerEra for each era before the one in which it was won.
+  std::int64_t won_terms_ = 0;
+  // While leading in an earlier era than era_: when this host claims a term
+  // again.
+  std::optional<state::Instant> claim_again_at_;
   // When a heartbeat of the leader last arrived at this host or at one that
   // replied to a query. Without a heartbeat, such as after the start or a
   // failed claim, it is set so that the leader timeout ends when the next query
@@ -228,6 +291,7 @@
   // of appends are used once.
   std::int64_t led_term_ = 0;
   // The end of the ledger as last seen, and when this host first saw it there.
+  std::int64_t seen_era_ = 0;
   std::int64_t seen_end_ = -1;
   state::Instant seen_end_at_;
   // While leading: when the last write that the store confirmed was sent.
--- a/src/coordination/missing_entries.cc
+++ b/src/coordination/missing_entries.cc
@@ -18,12 +18,21 @@
 // after the cut.
 constexpr Duration kGracePeriod = std::chrono::milliseconds(2200);
 
+// The grace period after the store has lost entries. Requests to a server that
+// is really gone fail at once meanwhile and go to others.
+constexpr Duration kLostEntriesGracePeriod = std::chrono::seconds(5);
+
 }  // namespace
 
 void MissingEntries::HandleFailedRead(Instant /*now*/) {
   failing_ = true;
 }
 
+void MissingEntries::HandleLostEntries(Instant now) {
+  failing_ = false;
+  recovered_at_ = now + kLostEntriesGracePeriod - kGracePeriod;
+}
+
 void MissingEntries::HandleRead(Instant now) {
   if (failing_) {
     failing_ = false;
--- a/src/coordination/missing_entries.h
+++ b/src/coordination/missing_entries.h
@@ -22,6 +22,9 @@
   // A read of the entries has failed, or has succeeded.
   void HandleFailedRead(state::Instant now);
   void HandleRead(state::Instant now);
+  // The store has lost recent entries. The grace period is longer then, since
+  // servers first have to notice it.
+  void HandleLostEntries(state::Instant now);
 
   // The entry of server `id` is missing, or is present.
   void HandleMissing(state::Instant now, const std::string& id);
--- a/src/platform/store_protocol.cc
+++ b/src/platform/store_protocol.cc
@@ -7,7 +7,10 @@
 #include <boost/endian/conversion.hpp>
 #include <boost/json.hpp>
 #include <cctype>
+#include <charconv>
 #include <exception>
+#include <limits>
+#include <system_error>
 
 #include "platform/wire_values.h"
 
@@ -99,6 +102,18 @@
 
 }  // namespace
 
+std::optional<std::int64_t> ParseEra(std::string_view text) {
+  // Terms and fences of higher eras would not fit into 64 bits.
+  constexpr std::int64_t kMaxEra = std::numeric_limits<std::int32_t>::max();
+  std::int64_t era = 0;
+  const auto parsed =
+      std::from_chars(text.data(), text.data() + text.size(), era);
+  const bool valid = parsed.ec == std::errc() &&
+                     parsed.ptr == text.data() + text.size() && era >= 0 &&
+                     era <= kMaxEra;
+  return valid ? std::optional(era) : std::nullopt;
+}
+
 StoreCall AppendCall(std::string_view topic,
                      const std::vector<KeyedRecord>& records,
                      const ProducerToken& token,
--- a/src/platform/store_protocol.h
+++ b/src/platform/store_protocol.h
@@ -37,6 +37,14 @@
   std::int64_t offset = 0;
 };
 
+// The header of the store's answers that carries its era. The era rises by one
+// each time the store has come back from a copy and has lost recent records.
+inline constexpr std::string_view kEraHeader = "Store-Era";
+
+// Parses the value of kEraHeader. Returns nullopt if it is not an integer that
+// an era can have.
+std::optional<std::int64_t> ParseEra(std::string_view text);
+
 // Topics with one partition that retain the newest record of each key. The
 // operators write kOperatorTopic, the backend servers kServerTopic, and the
 // entry hosts the other topics.
--- a/src/protocol/host_messages.cc
+++ b/src/protocol/host_messages.cc
@@ -24,6 +24,18 @@
   return *address;
 }
 
+// Eras are left out where the store has none, and by hosts of earlier versions.
+void WriteEra(std::string_view name, std::int64_t era, json::object* object) {
+  if (era > 0) {
+    object->emplace(name, era);
+  }
+}
+
+std::int64_t ReadEra(const json::value& value, std::string_view name) {
+  const json::value* era = value.as_object().if_contains(name);
+  return era == nullptr ? 0 : era->to_number<std::int64_t>();
+}
+
 // Strengths are compared and added, so they must be finite.
 double ReadStrength(const json::value& value) {
   const double strength = value.to_number<double>();
@@ -271,6 +283,8 @@
         {"yielding", heartbeat.stepping_down},
         {"hosts", heartbeat.hosts},
         {"number", heartbeat.number}};
+    WriteEra("era", heartbeat.era, &object);
+    WriteEra("read_era", heartbeat.progress.era, &object);
     if (!heartbeat.relay_to.empty()) {
       object["relay_to"] = EncodeAddresses(heartbeat.relay_to);
     }
@@ -289,6 +303,7 @@
   json::object operator()(const LeaderQueryReply& reply) const {
     json::object object{
         {"kind", "opinion"}, {"host", reply.host}, {"term", reply.term}};
+    WriteEra("era", reply.era, &object);
     if (reply.heard) {
       object["heard_us"] = reply.heard->count();
     }
@@ -304,18 +319,21 @@
           json::object{{"requests", load_report.requests},
                        {"samples", json::value_from(load_report.samples)}};
     }
-    return {{"kind", "report"},
-            {"host", report.host},
-            {"term", report.term},
-            {"beat", report.heartbeat_number},
-            {"load", std::move(load)},
-            {"zone", report.zone},
-            {"strength", report.strength},
-            {"forward", report.forward_address},
-            {"stopping", report.stopping},
-            {"slowness", json::value_from(report.relative_latency)},
-            {"execution_s", json::value_from(report.execution_seconds)},
-            {"announced", EncodeAnnouncements(report.announcements)}};
+    json::object object{
+        {"kind", "report"},
+        {"host", report.host},
+        {"term", report.term},
+        {"beat", report.heartbeat_number},
+        {"load", std::move(load)},
+        {"zone", report.zone},
+        {"strength", report.strength},
+        {"forward", report.forward_address},
+        {"stopping", report.stopping},
+        {"slowness", json::value_from(report.relative_latency)},
+        {"execution_s", json::value_from(report.execution_seconds)},
+        {"announced", EncodeAnnouncements(report.announcements)}};
+    WriteEra("era", report.era, &object);
+    return object;
   }
 };
 
@@ -332,6 +350,8 @@
       heartbeat.relay_to = ReadAddresses(*relay_to);
     }
     heartbeat.term = object.at("term").to_number<std::int64_t>();
+    heartbeat.era = ReadEra(object, "era");
+    heartbeat.progress.era = ReadEra(object, "read_era");
     heartbeat.revision = object.at("revision").to_number<std::int64_t>();
     heartbeat.progress.operators =
         object.at("operators").to_number<std::int64_t>();
@@ -361,6 +381,7 @@
     LeaderQueryReply reply;
     reply.host = std::move(host);
     reply.term = object.at("term").to_number<std::int64_t>();
+    reply.era = ReadEra(object, "era");
     if (const json::value* heard = object.if_contains("heard_us")) {
       reply.heard = state::Duration(heard->to_number<std::int64_t>());
     }
@@ -375,6 +396,7 @@
   HostReport report;
   report.host = std::move(host);
   report.term = object.at("term").to_number<std::int64_t>();
+  report.era = ReadEra(object, "era");
   report.heartbeat_number = object.at("beat").to_number<std::int64_t>();
   report.zone = std::string(object.at("zone").as_string());
   report.strength = ReadStrength(object.at("strength"));
@@ -535,15 +557,17 @@
 }
 
 std::string EncodeOperatorRecords(const OperatorRecords& operators) {
-  return json::serialize(
-      json::object{{"next", operators.next},
-                   {"records", json::value_from(operators.records)}});
+  json::object object{{"next", operators.next},
+                      {"records", json::value_from(operators.records)}};
+  WriteEra("era", operators.era, &object);
+  return json::serialize(object);
 }
 
 std::optional<OperatorRecords> DecodeOperatorRecords(std::string_view text) {
   try {
     const json::value value = json::parse(text);
     OperatorRecords operators;
+    operators.era = ReadEra(value, "era");
     operators.next = value.at("next").to_number<std::int64_t>();
     for (const auto& [key, record] : value.at("records").as_object()) {
       operators.records.emplace(std::string(key),
@@ -583,9 +607,11 @@
 std::string EncodeEntryUpdates(const std::vector<EntryUpdate>& updates) {
   json::array list;
   for (const EntryUpdate& update : updates) {
-    list.push_back(json::object{{"base", update.base},
-                                {"end", update.end},
-                                {"entries", EncodeEntries(update.entries)}});
+    json::object object{{"base", update.base},
+                        {"end", update.end},
+                        {"entries", EncodeEntries(update.entries)}};
+    WriteEra("era", update.era, &object);
+    list.push_back(std::move(object));
   }
   return json::serialize(json::object{{"updates", std::move(list)}});
 }
@@ -598,7 +624,8 @@
     for (const json::value& update : value.at("updates").as_array()) {
       updates.push_back({update.at("base").to_number<std::int64_t>(),
                          update.at("end").to_number<std::int64_t>(),
-                         ReadEntries(update.at("entries"))});
+                         ReadEntries(update.at("entries")),
+                         ReadEra(update, "era")});
     }
     return updates;
   } catch (const std::exception&) {
@@ -633,11 +660,16 @@
 
 std::string EncodeLedgerHead(const coordination::LedgerHead& head,
                              const std::string& host) {
-  return json::serialize(json::object{{"term", head.term},
-                                      {"claim", head.claim},
-                                      {"beat", head.renewal},
-                                      {"settled", head.settled},
-                                      {"host", host}});
+  json::object object{{"term", head.term},
+                      {"claim", head.claim},
+                      {"beat", head.renewal},
+                      {"settled", head.settled},
+                      {"host", host}};
+  WriteEra("era", head.era, &object);
+  if (head.recovering) {
+    object["recovering"] = true;
+  }
+  return json::serialize(object);
 }
 
 std::optional<coordination::LedgerHead> DecodeLedgerHead(std::string_view text,
@@ -649,6 +681,9 @@
     head.claim = std::string(value.at("claim").as_string());
     head.renewal = value.at("beat").to_number<std::int64_t>();
     head.settled = value.at("settled").as_bool();
+    head.era = ReadEra(value, "era");
+    const json::value* recovering = value.as_object().if_contains("recovering");
+    head.recovering = recovering != nullptr && recovering->as_bool();
     *host = std::string(value.at("host").as_string());
     return head;
   } catch (const std::exception&) {
--- a/src/protocol/host_messages.h
+++ b/src/protocol/host_messages.h
@@ -33,6 +33,8 @@
   // topic, and of the operators' topic; kUnknownAge if it never did.
   state::Duration age{0};
   state::Duration operators_age{0};
+  // The era of the store to which the offsets belong.
+  std::int64_t era = 0;
 };
 
 // The age of knowledge that nobody vouches for. No host accepts it.
@@ -81,6 +83,8 @@
   // The hosts to which the receiver passes the message on.
   std::vector<state::Address> relay_to;
   std::int64_t term = 0;
+  // The era of the store in which the term was won.
+  std::int64_t era = 0;
   // Revision of the ownership table, with `update` applied.
   std::int64_t revision = 0;
   ReadProgress progress;
@@ -110,8 +114,10 @@
 struct LeaderQueryReply {
   // Name of the sender.
   std::string host;
-  // The term that the sender follows.
+  // The term that the sender follows, or the highest one that it knows, and the
+  // era of the store in which it was won.
   std::int64_t term = 0;
+  std::int64_t era = 0;
   // Time since the sender last received a heartbeat of the leader; 0 if the
   // sender leads. Nullopt if it has no contact with a leader, or if the leader
   // steps down.
@@ -127,6 +133,8 @@
   // The term that the host follows, and the number of the latest heartbeat that
   // it received in this term; 0 if none.
   std::int64_t term = 0;
+  // The highest era of the store that the host knows.
+  std::int64_t era = 0;
   std::int64_t heartbeat_number = 0;
   // Load by service.
   std::map<std::string, coordination::LoadReport> load;
@@ -167,6 +175,8 @@
   // Offset after the last record that was read.
   std::int64_t next = 0;
   std::map<std::string, std::string> records;
+  // The era of the store to which `next` belongs.
+  std::int64_t era = 0;
 };
 
 std::string EncodeOperatorRecords(const OperatorRecords& operators);
@@ -180,6 +190,8 @@
   std::int64_t base = 0;
   std::int64_t end = 0;
   std::vector<ServerEntryChange> entries;
+  // The era of the store to which the offsets belong.
+  std::int64_t era = 0;
 };
 
 std::string EncodeEntryUpdates(const std::vector<EntryUpdate>& updates);
--- a/src/transport/entry_host.cc
+++ b/src/transport/entry_host.cc
@@ -32,6 +32,8 @@
 // The host count in use is the maximum over this time.
 constexpr Duration kHostCountWindow = std::chrono::seconds(20);
 constexpr Duration kRegisterRetryDelay = std::chrono::milliseconds(250);
+// In a new era of the store, all hosts register again, spread over this time.
+constexpr Duration kRegisterAgainSpread = std::chrono::seconds(2);
 // When the whole system starts for the first time, a host reads the registered
 // hosts this long after its own start; all others have registered by then.
 constexpr Duration kFirstRegistrationTime = std::chrono::milliseconds(450);
@@ -210,16 +212,9 @@
 
 awaitable<void> EntryHost::Register() {
   const std::string topic(platform::kHostTopic);
-  const std::string address =
-      protocol::FormatAddress({profile_.ip, profile_.peer_port});
-  const std::vector<platform::KeyedRecord> records(
-      1, platform::KeyedRecord{
-             profile_.name,
-             protocol::EncodeHostRecord(
-                 {address, profile_.zone, state::LeaderCapacity(profile_)}),
-             0});
   const Instant started = Now();
   bool written = false;
+  std::int64_t written_era = 0;
   bool read = false;
   // A host that restarts must not follow an older term than before the restart.
   // Otherwise its reports would count as proof for a leader that has already
@@ -229,10 +224,8 @@
     // The registration is written before the others are read. If two hosts
     // start together, at least one of them then sees the other and queries it.
     if (!written) {
-      const platform::ProducerToken token{claim_, 1, 1};
-      const auto outcome =
-          co_await store_.Append(topic, records, token, std::nullopt);
-      written = outcome == platform::AppendOutcome::kDone;
+      written = co_await WriteRegistration();
+      written_era = store_.era();
     }
     if (!knows_term) {
       knows_term = co_await ReadLedger();
@@ -257,6 +250,36 @@
       co_await timer.async_wait(kNoThrow);
     }
   }
+  registered_era_ = written_era;
+}
+
+awaitable<bool> EntryHost::WriteRegistration() {
+  const std::string address =
+      protocol::FormatAddress({profile_.ip, profile_.peer_port});
+  const std::vector<platform::KeyedRecord> records(
+      1, platform::KeyedRecord{
+             profile_.name,
+             protocol::EncodeHostRecord(
+                 {address, profile_.zone, state::LeaderCapacity(profile_)}),
+             0});
+  // A retry under the same number has an effect only if the store lacks the
+  // record.
+  const platform::ProducerToken token{claim_, 1, 1};
+  const auto outcome = co_await store_.Append(std::string(platform::kHostTopic),
+                                              records, token, std::nullopt);
+  co_return outcome == platform::AppendOutcome::kDone;
+}
+
+awaitable<void> EntryHost::RegisterAgain() {
+  const std::int64_t era = store_.era();
+  asio::steady_timer timer(context_);
+  timer.expires_after(std::chrono::duration_cast<Duration>(
+      kRegisterAgainSpread * RandomFraction(random_)));
+  co_await timer.async_wait(kNoThrow);
+  while (registered_era_ == era && !co_await WriteRegistration()) {
+    timer.expires_after(kRegisterRetryDelay);
+    co_await timer.async_wait(kNoThrow);
+  }
 }
 
 void EntryHost::RecordRegisteredHosts(const TopicPage& page) {
@@ -317,6 +340,10 @@
     leader_.Tick(now);
   }
   watch_.Tick(now, leader_.leading());
+  if (registered_era_ && *registered_era_ < store_.era()) {
+    registered_era_ = store_.era();
+    asio::co_spawn(context_.get_executor(), RegisterAgain(), asio::detached);
+  }
   view_.config_confirmed_at = watch_.ConfigConfirmedAt();
   relay_.Tick(now);
   const bool announced = reported_announcements_ != pool_.announcements();
@@ -374,6 +401,7 @@
   protocol::HostReport report;
   report.host = profile_.name;
   report.term = leader_.term();
+  report.era = store_.era();
   report.heartbeat_number =
       last_heartbeat_.first == report.term ? last_heartbeat_.second : 0;
   report.load = relay_.TakeLoad();
@@ -420,6 +448,7 @@
     }
     void operator()(const protocol::HostReport& report) const {
       const Instant now = Now();
+      host->store_.HandleEra(report.era);
       host->peers_.RecordHeard(now, report.host, from);
       host->peers_.RecordProperties(report.host, report.zone, report.strength);
       host->leader_.HandleReport(now, report);
@@ -446,6 +475,7 @@
 void EntryHost::HandleQueryReply(const state::Address& from,
                                  const protocol::LeaderQueryReply& reply) {
   const Instant now = Now();
+  store_.HandleEra(reply.era);
   peers_.RecordHeard(now, reply.host, from);
   leader_.HandleQueryReply(now, reply);
   // The leader may not know this host yet.
@@ -458,6 +488,7 @@
 void EntryHost::HandleHeartbeat(const state::Address& from,
                                 const protocol::LeaderHeartbeat& heartbeat) {
   const Instant now = Now();
+  store_.HandleEra(std::max(heartbeat.era, heartbeat.progress.era));
   peers_.RecordHeard(now, heartbeat.host, heartbeat.address);
   leader_.HandleHeartbeat(now, heartbeat);
   if (heartbeat.term < leader_.term() || leader_.leading()) {
@@ -501,7 +532,7 @@
     }
     std::string host;
     if (const auto head = protocol::DecodeLedgerHead(*record.value, &host)) {
-      leader_.HandleTerm(head->term);
+      leader_.HandleTerm(head->term, head->era);
     } else if (auto table = protocol::DecodeTable(*record.value)) {
       state::MarkServingRanges(&*table);
       if (follower_.HandleTable(std::move(*table))) {
--- a/src/transport/entry_host.h
+++ b/src/transport/entry_host.h
@@ -70,6 +70,11 @@
   // Registers this host in the store and reads the registrations of the others.
   // Retries until all calls have succeeded.
   awaitable<void> Register();
+  // Registers this host again in a new era of the store, which may have lost
+  // its record.
+  awaitable<void> RegisterAgain();
+  // Writes this host's record. Returns whether the store has confirmed it.
+  awaitable<bool> WriteRegistration();
   void RecordRegisteredHosts(const TopicPage& page);
   // Asks a sample of the other hosts which leader they follow.
   void QueryHosts();
@@ -163,6 +168,9 @@
   // Whether this host knows the current term and the registered hosts; it takes
   // part in the election only then.
   bool registered_ = false;
+  // The era of the store in which this host has registered or is about to;
+  // nothing before its first registration is complete.
+  std::optional<std::int64_t> registered_era_;
   // The address of the leader that this host follows.
   std::optional<state::Address> leader_address_;
   std::optional<state::Instant> stopping_since_;
--- a/src/transport/leader_duty.cc
+++ b/src/transport/leader_duty.cc
@@ -127,12 +127,13 @@
 
 void LeaderDuty::HandleHeartbeat(Instant now,
                                  const protocol::LeaderHeartbeat& heartbeat) {
-  election_.HandleHeartbeat(now, heartbeat.term, heartbeat.stepping_down);
+  election_.HandleHeartbeat(now, heartbeat.term, heartbeat.stepping_down,
+                            heartbeat.era);
 }
 
 void LeaderDuty::HandleQueryReply(Instant now,
                                   const protocol::LeaderQueryReply& reply) {
-  election_.HandleQueryReply(now, reply.term, reply.heard);
+  election_.HandleQueryReply(now, reply.term, reply.heard, reply.era);
 }
 
 void LeaderDuty::HandleReport(Instant now, const protocol::HostReport& report) {
@@ -179,6 +180,7 @@
   protocol::LeaderQueryReply reply;
   reply.host = profile_.name;
   reply.term = election_.term();
+  reply.era = election_.term_era();
   if (leading() && !election_.stepping_down(now)) {
     reply.heard = Duration(0);
   } else if (const auto heard = election_.last_heartbeat();
@@ -200,6 +202,7 @@
 }
 
 void LeaderDuty::Tick(Instant now) {
+  UpdateEra();
   for (const coordination::ElectionAction& action : election_.Tick(now)) {
     Perform(now, action);
   }
@@ -211,7 +214,7 @@
   if (leading() && config_) {
     HandOverIfWeak(now);
     UpdatePredecessorEnd(now);
-    if (election_.stepping_down(now)) {
+    if (election_.stepping_down(now) || election_.outdated()) {
       ExtendLeadershipByReports(now);
     }
     TickKeyspaces(now);
@@ -219,7 +222,9 @@
 }
 
 void LeaderDuty::HandOverIfWeak(Instant now) {
-  if (hand_over_checked_ || now - leading_since_ < kHandOverDelay) {
+  // A successor would have to wait for leases as long as this leader.
+  if (hand_over_checked_ || Recovering(now) ||
+      now - leading_since_ < kHandOverDelay) {
     return;
   }
   hand_over_checked_ = true;
@@ -253,7 +258,7 @@
       duty->BeginLeading(now);
     }
     void operator()(const coordination::StopLeading& stop) const {
-      duty->EndLeading(stop.reason);
+      duty->EndLeading(now, stop);
     }
   };
   std::visit(Visitor{this, now}, action);
@@ -262,6 +267,7 @@
 awaitable<void> LeaderDuty::ReadLedger() {
   const auto page =
       co_await store_.ReadNewest(std::string(platform::kOwnershipTopic));
+  UpdateEra();
   if (!page) {
     election_.HandleLedger(Now(), std::nullopt);
     co_return;
@@ -279,11 +285,8 @@
     }
   }
   head.end = page->next;
-  if (head.claim != claim_) {
-    ledger_host_ = host;
-    ledger_settled_ = head.settled;
-  }
-  ledger_table_ = std::move(table);
+  head.store_era = page->era;
+  AdoptLedger(head, host, std::move(table));
   if (!leading() && ledger_table_.NewerThan(table_)) {
     state::OwnershipTable routed = ledger_table_;
     state::MarkServingRanges(&routed);
@@ -292,6 +295,49 @@
   election_.HandleLedger(Now(), head);
 }
 
+void LeaderDuty::UpdateEra() {
+  election_.HandleEra(Now(), store_.era());
+  if (election_.outdated()) {
+    proof_.HandleNewEra();
+  }
+}
+
+void LeaderDuty::AdoptLedger(const coordination::LedgerHead& head,
+                             const std::string& host,
+                             state::OwnershipTable table) {
+  if (head.era == head.store_era ||
+      (known_owners_ && known_owners_->era != head.store_era)) {
+    known_owners_.reset();
+  }
+  if (known_owners_) {
+    ledger_host_ = profile_.name;
+    ledger_settled_ = known_owners_->settled;
+    ledger_outdated_ = false;
+    ledger_table_ = known_owners_->table;
+    return;
+  }
+  // Before the first start, the store's first era has an empty ledger.
+  const bool first_start =
+      head.end == 0 && (profile_.bootstrap || head.store_era <= 1);
+  ledger_outdated_ =
+      head.recovering || (head.era < head.store_era && !first_start);
+  if (head.claim != claim_) {
+    ledger_host_ = host;
+    ledger_settled_ = head.settled;
+  }
+  if (ledger_outdated_) {
+    // The predecessor may be a host that the ledger does not name.
+    ledger_settled_ = false;
+  }
+  ledger_table_ = std::move(table);
+}
+
+bool LeaderDuty::Recovering(Instant now) const {
+  return began_outdated_ && now < predecessor_end_ +
+                                      coordination::kMaxTransitTime +
+                                      coordination::kMaxLeaseDuration;
+}
+
 std::int64_t LeaderDuty::FirstSequence() const {
   return static_cast<std::int64_t>(std::hash<std::string>()(claim_) %
                                    kFirstSequenceLimit);
@@ -302,16 +348,26 @@
   coordination::LedgerHead head;
   head.term = claim.term;
   head.claim = claim_;
+  head.era = claim.era;
+  head.recovering = ledger_outdated_;
+  auto records =
+      SingleRecord(kHeadKey, protocol::EncodeLedgerHead(head, profile_.name));
+  if (known_owners_) {
+    // A successor must not take the table that the store has put back.
+    records.push_back({std::string(kTableKey),
+                       protocol::EncodeTable(known_owners_->table), 0});
+  }
   const platform::ProducerToken token{kProducerName, claim.term,
                                       FirstSequence()};
-  const AppendOutcome outcome = co_await store_.Append(
-      std::string(platform::kOwnershipTopic),
-      SingleRecord(kHeadKey, protocol::EncodeLedgerHead(head, profile_.name)),
-      token, claim.ledger_end);
+  const AppendOutcome outcome =
+      co_await store_.Append(std::string(platform::kOwnershipTopic),
+                             std::move(records), token, claim.ledger_end);
   log_.Write(LogPart::kLeader, "claimed",
              {{"term", claim.term},
               {"at", claim.ledger_end},
+              {"era", claim.era},
               {"outcome", static_cast<std::int64_t>(outcome)}});
+  UpdateEra();
   election_.HandleWrite(Now(), sent, ToWriteOutcome(outcome));
 }
 
@@ -347,6 +403,11 @@
   const AppendOutcome outcome =
       co_await store_.Append(std::string(platform::kOwnershipTopic),
                              std::move(records), token, std::nullopt);
+  UpdateEra();
+  if (store_.era() != writer->era) {
+    // The store may have lost the record, or the term as a whole.
+    co_return AppendOutcome::kUnknown;
+  }
   if (outcome == AppendOutcome::kDone) {
     ++writer->next_sequence;
     writer->unresolved.reset();
@@ -431,7 +492,7 @@
     ledger_schedule_.HandleFailure(Now());
     return false;
   }
-  if (!leading() || term != election_.term()) {
+  if (!leading() || term != election_.term() || election_.outdated()) {
     return false;
   }
   election_.HandleProof(sent);
@@ -446,6 +507,8 @@
   head.claim = claim_;
   head.renewal = renewal_count_;
   head.settled = now >= predecessor_end_;
+  head.era = election_.term_era();
+  head.recovering = Recovering(now);
   return SingleRecord(kHeadKey,
                       protocol::EncodeLedgerHead(head, profile_.name));
 }
@@ -487,12 +550,16 @@
   hand_over_checked_ = false;
   writer_ = std::make_shared<TermWriter>();
   writer_->term = election_.term();
+  writer_->era = election_.term_era();
+  began_outdated_ = ledger_outdated_;
+  known_owners_.reset();
   writer_->next_sequence = FirstSequence() + 1;
   keyspaces_.clear();
   // The previous leader may be suspended, and so not know yet that its term has
   // ended.
   delivered_ = Instant();
-  proof_.Begin(now, election_.last_proof(), !ledger_host_.empty());
+  proof_.Begin(now, election_.last_proof(),
+               began_outdated_ || !ledger_host_.empty());
   if (ledger_host_ == profile_.name && ledger_settled_) {
     proof_.HandlePredecessorFollows(now);
   }
@@ -508,6 +575,8 @@
   table_.term = election_.term();
   log_.Write(LogPart::kLeader, "leading",
              {{"term", election_.term()},
+              {"era", election_.term_era()},
+              {"outdated", began_outdated_},
               {"predecessor", ledger_host_},
               {"ledger_revision", ledger_table_.revision}});
   if (config_) {
@@ -516,9 +585,17 @@
   SendHeartbeat(now);
 }
 
-void LeaderDuty::EndLeading(std::string_view reason) {
+void LeaderDuty::EndLeading(Instant now,
+                            const coordination::StopLeading& stop) {
+  known_owners_.reset();
+  if (stop.enters_era && MayGrant(now)) {
+    known_owners_ =
+        KnownOwners{store_.era(), RecordedTable(), now >= predecessor_end_};
+  }
   log_.Write(LogPart::kLeader, "stopped-leading",
-             {{"term", table_.term}, {"reason", reason}});
+             {{"term", table_.term},
+              {"reason", stop.reason},
+              {"knows_owners", known_owners_.has_value()}});
   keyspaces_.clear();
 }
 
@@ -680,7 +757,8 @@
 }
 
 bool LeaderDuty::MayGrant(Instant now) {
-  const bool may_grant_now = proof_.MayGrant(now, hooks_.host_count());
+  const bool may_grant_now =
+      !Recovering(now) && proof_.MayGrant(now, hooks_.host_count());
   if (may_grant_now != may_grant_) {
     may_grant_ = may_grant_now;
     log_.Write(
@@ -739,7 +817,7 @@
 }
 
 void LeaderDuty::WriteLedger(Instant now) {
-  if (writer_->pending) {
+  if (writer_->pending || election_.outdated()) {
     return;
   }
   coordination::LedgerNeeds needs;
@@ -827,6 +905,7 @@
   heartbeat.host = profile_.name;
   heartbeat.address = {profile_.ip, profile_.peer_port};
   heartbeat.term = election_.term();
+  heartbeat.era = election_.term_era();
   heartbeat.revision = table_.revision;
   heartbeat.progress = hooks_.progress();
   heartbeat.stepping_down = election_.stepping_down(now);
--- a/src/transport/leader_duty.h
+++ b/src/transport/leader_duty.h
@@ -84,8 +84,11 @@
   // This host knows the other hosts and takes part in the election from now on.
   void Join(state::Instant now) { election_.Join(now); }
 
-  // Handles a term that was read from the store. All lower terms have ended.
-  void HandleTerm(std::int64_t term) { election_.HandleTerm(term); }
+  // Handles a term that was read from the store, and the era in which it was
+  // won. All lower terms have ended.
+  void HandleTerm(std::int64_t term, std::int64_t era) {
+    election_.HandleTerm(term, era);
+  }
 
   void SetConfig(std::shared_ptr<const state::RoutingConfig> config);
 
@@ -137,6 +140,9 @@
   // before any other write.
   struct TermWriter {
     std::int64_t term = 0;
+    // The era of the store in which the term was won. A confirmation of a later
+    // era proves nothing.
+    std::int64_t era = 0;
     std::int64_t next_sequence = 0;
     // Whether a write is in progress.
     bool pending = false;
@@ -144,7 +150,26 @@
     std::optional<std::vector<platform::KeyedRecord>> unresolved;
   };
 
+  // What this host knew of the owners of keys when it stopped leading in order
+  // to claim a term in a new era of the store. It replaces the ledger, which
+  // the store has put back, as long as nobody else has won a term in this era.
+  struct KnownOwners {
+    std::int64_t era = 0;
+    state::OwnershipTable table;
+    // Whether no leader before this host could send orders any more.
+    bool settled = false;
+  };
+
   void Perform(state::Instant now, const coordination::ElectionAction& action);
+  // Tells the election and the proof which era the store is in.
+  void UpdateEra();
+  // Takes the ledger that was read, or what this host knows if that is newer.
+  void AdoptLedger(const coordination::LedgerHead& head,
+                   const std::string& host,
+                   state::OwnershipTable table);
+  // Whether this host must not grant, because the store may have lost who holds
+  // keys, and not all leases of before have ended.
+  bool Recovering(state::Instant now) const;
   // Handles the store's confirmation of a write of this term that was sent at
   // `sent`: this host led at that moment.
   void HandleProof(state::Instant sent);
@@ -172,7 +197,7 @@
   // Asks for a successor, once in a term, if a far stronger host could lead.
   void HandOverIfWeak(state::Instant now);
   void BeginLeading(state::Instant now);
-  void EndLeading(std::string_view reason);
+  void EndLeading(state::Instant now, const coordination::StopLeading& stop);
   void TickKeyspaces(state::Instant now);
   // Starts the write to the ledger that is due, if any.
   void WriteLedger(state::Instant now);
@@ -272,6 +297,10 @@
   // no leader before that host could send orders any more at its last renewal.
   std::string ledger_host_;
   bool ledger_settled_ = false;
+  // Whether the store may have lost who holds keys, so that the ledger tells
+  // nothing about leases that were granted before.
+  bool ledger_outdated_ = false;
+  std::optional<KnownOwners> known_owners_;
 
   // The members below belong to the term that this host leads or last led.
   state::Instant leading_since_{};
@@ -286,6 +315,8 @@
   // The latest time at which the previous leader can have sent an order. During
   // a term it only moves to earlier times.
   state::Instant predecessor_end_{};
+  // Whether this leader began with an outdated ledger.
+  bool began_outdated_ = false;
   // Null until this host first leads.
   std::shared_ptr<TermWriter> writer_;
   coordination::LedgerSchedule ledger_schedule_;
--- a/src/transport/peer_sync.cc
+++ b/src/transport/peer_sync.cc
@@ -111,12 +111,21 @@
              "&revision=" + std::to_string(table_.revision);
     case Topic::kOperators:
       return std::string(kOperatorsPath) +
-             "?after=" + std::to_string(watch_.operators().next);
+             "?after=" + std::to_string(watch_.operators().next) + EraQuery();
     case Topic::kServers:
       break;
   }
   return std::string(kServersPath) +
-         "?from=" + std::to_string(watch_.MissingEntriesFrom(now).value_or(0));
+         "?from=" + std::to_string(watch_.MissingEntriesFrom(now).value_or(0)) +
+         EraQuery();
+}
+
+std::string PeerSync::EraQuery() const {
+  return watch_.era() == 0 ? "" : "&era=" + std::to_string(watch_.era());
+}
+
+bool PeerSync::IsOfOwnEra(const HttpRequest& request) const {
+  return IntegerParameter(request, "era").value_or(0) == watch_.era();
 }
 
 void PeerSync::Tick(Instant now) {
@@ -240,11 +249,18 @@
 HttpReply PeerSync::AnswerOperators(const HttpRequest& request) {
   const std::int64_t after = IntegerParameter(request, "after").value_or(-1);
   const protocol::OperatorRecords& operators = watch_.operators();
-  if (operators.next <= after) {
+  // A host of an earlier era has to read everything anew.
+  const bool is_newer =
+      IsOfOwnEra(request)
+          ? operators.next > after
+          : operators.next > 0 &&
+                IntegerParameter(request, "era").value_or(0) < watch_.era();
+  if (!is_newer) {
     return NothingNew();
   }
-  if (encoded_next_ != operators.next) {
-    encoded_next_ = operators.next;
+  const std::pair position(operators.era, operators.next);
+  if (encoded_position_ != position) {
+    encoded_position_ = position;
     encoded_operators_ = protocol::EncodeOperatorRecords(operators);
   }
   if (!operators_rate_.Take(Now(), encoded_operators_.size())) {
@@ -279,8 +295,9 @@
 
 HttpReply PeerSync::AnswerServers(const HttpRequest& request) const {
   const auto from = IntegerParameter(request, "from");
-  const auto updates = from ? watch_.EntryUpdatesSince(*from)
-                            : std::vector<protocol::EntryUpdate>();
+  const auto updates = from && IsOfOwnEra(request)
+                           ? watch_.EntryUpdatesSince(*from)
+                           : std::vector<protocol::EntryUpdate>();
   return updates.empty() ? NothingNew()
                          : BodyReply(protocol::EncodeEntryUpdates(updates));
 }
--- a/src/transport/peer_sync.h
+++ b/src/transport/peer_sync.h
@@ -71,6 +71,10 @@
   bool IsNeeded(state::Instant now, Topic topic) const;
   // The path and query that ask for what this host lacks.
   std::string Target(state::Instant now, Topic topic) const;
+  // The part of a query that names the era of this host's offsets, if any.
+  std::string EraQuery() const;
+  // Whether the offsets in a request of another host are of this host's era.
+  bool IsOfOwnEra(const HttpRequest& request) const;
   awaitable<void> Fetch(Topic topic, state::Address source, std::string target);
   // Applies a reply. Returns whether it brought something new.
   bool Apply(Topic topic, const std::string& body);
@@ -100,9 +104,10 @@
   // encoded only if another host fetches it.
   std::string encoded_table_;
   std::pair<std::int64_t, std::int64_t> encoded_revision_{-1, -1};
-  // The same of the operators' records, and the offset after them.
+  // The same of the operators' records, and their era and the offset after
+  // them.
   std::string encoded_operators_;
-  std::int64_t encoded_next_ = -1;
+  std::pair<std::int64_t, std::int64_t> encoded_position_{-1, -1};
   coordination::ByteRate operators_rate_;
 };
 
--- a/src/transport/store_client.cc
+++ b/src/transport/store_client.cc
@@ -2,6 +2,7 @@
 
 #include "transport/store_client.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "transport/clocks.h"
@@ -48,24 +49,51 @@
                 {"status",
                  reply ? static_cast<std::int64_t>(reply.value().status) : 0}});
   }
-  if (!reply) {
+  if (!reply || !RecordEra(reply.value())) {
     co_return std::nullopt;
   }
   co_return std::move(reply).value();
 }
 
+bool StoreClient::RecordEra(const HttpReply& reply) {
+  const auto field = std::find_if(
+      reply.fields.begin(), reply.fields.end(), [](const auto& entry) {
+        return beast::iequals(entry.first,
+                              beast::string_view(platform::kEraHeader.data(),
+                                                 platform::kEraHeader.size()));
+      });
+  const auto era = field == reply.fields.end()
+                       ? std::nullopt
+                       : platform::ParseEra(field->second);
+  if (!era) {
+    return true;
+  }
+  HandleEra(*era);
+  return *era == era_;
+}
+
+void StoreClient::HandleEra(std::int64_t era) {
+  if (era <= era_) {
+    return;
+  }
+  log_.Write(LogPart::kStore, "store-era", {{"era", era}, {"before", era_}});
+  era_ = era;
+}
+
 awaitable<std::optional<TopicPage>> StoreClient::ReadNewest(std::string topic) {
   TopicPage page;
   page.covers_all_keys = true;
   page.as_of = Now();
+  std::optional<std::int64_t> era;
   std::string after;
   bool first = true;
   for (bool has_more = true; has_more;) {
     const auto reply =
         co_await Send(platform::NewestCall(topic, after), kCallTimeout);
-    if (!reply || reply->status != 200) {
+    if (!reply || reply->status != 200 || era.value_or(era_) != era_) {
       co_return std::nullopt;
     }
+    era = era_;
     auto newest = platform::ParseNewestReply(reply->body);
     if (!newest) {
       co_return std::nullopt;
@@ -82,16 +110,19 @@
       page.records.push_back(std::move(record));
     }
   }
+  page.era = era_;
   co_return page;
 }
 
 awaitable<std::optional<TopicPage>> StoreClient::ReadFrom(std::string topic,
-                                                          std::int64_t from,
+                                                          TopicPosition from,
                                                           Duration wait) {
   const state::Instant sent = Now();
-  const auto reply =
-      co_await Send(platform::ReadCall(topic, from, wait), wait + kCallTimeout);
-  if (!reply) {
+  const auto reply = co_await Send(platform::ReadCall(topic, from.offset, wait),
+                                   wait + kCallTimeout);
+  // In another era the offset has another meaning, and a record may be missing
+  // because the store has lost it, not because it has dropped it.
+  if (!reply || from.era != era_) {
     co_return std::nullopt;
   }
   if (reply->status == platform::kReadGoneStatus) {
@@ -100,12 +131,14 @@
   if (reply->status != 200) {
     co_return std::nullopt;
   }
-  auto read = platform::ParseReadReply(reply->body, from);
+  auto read = platform::ParseReadReply(reply->body, from.offset);
   if (!read) {
     co_return std::nullopt;
   }
   TopicPage page;
-  page.next = read->records.empty() ? from : read->records.back().offset + 1;
+  page.era = era_;
+  page.next =
+      read->records.empty() ? from.offset : read->records.back().offset + 1;
   // An answer that ends before `from` is older than what is known here.
   page.reaches_end = page.next == read->end;
   // The store answers without records only after the wait.
--- a/src/transport/store_client.h
+++ b/src/transport/store_client.h
@@ -30,25 +30,45 @@
   // not, further records follow.
   bool reaches_end = true;
   state::Instant as_of{};
+  // The era of the store to which the offsets belong.
+  std::int64_t era = 0;
+};
+
+// A place in a topic. Offsets of different eras cannot be compared.
+struct TopicPosition {
+  std::int64_t era = 0;
+  std::int64_t offset = 0;
 };
 
 // One client serves all components of a host. A call counts as failed if there
 // is no reply, or one with status 429 or 5xx. Failed calls are not retried
 // here; the component that made the call decides when to retry.
+//
+// The client keeps the highest era of the store that it knows of. A reply of a
+// lower era was sent before the store lost records, so it proves nothing about
+// what the store holds: a read then fails, and an append has an unknown
+// outcome.
 class StoreClient {
  public:
   StoreClient(asio::any_io_executor executor,
               state::Address address,
               EventLog& log);
 
-  // Reads the newest record of each key. Returns nothing if a call fails.
+  // The highest known era of the store; 0 as long as no answer names an era.
+  std::int64_t era() const { return era_; }
+  // Another host has learned of this era.
+  void HandleEra(std::int64_t era);
+
+  // Reads the newest record of each key. Returns nothing if a call fails, or if
+  // the era changes meanwhile.
   awaitable<std::optional<TopicPage>> ReadNewest(std::string topic);
 
-  // Reads the records from offset `from`; waits up to `wait` if there are none
-  // yet. If the store has already dropped some of these records, reads the
-  // newest record of each key instead. Returns nothing if a call fails.
+  // Reads the records from `from` on; waits up to `wait` if there are none yet.
+  // If the store has already dropped some of these records, reads the newest
+  // record of each key instead. Returns nothing if a call fails, or if the
+  // store is in a later era than `from`; era() then tells that era.
   awaitable<std::optional<TopicPage>> ReadFrom(std::string topic,
-                                               std::int64_t from,
+                                               TopicPosition from,
                                                state::Duration wait);
 
   // Appends the records. If `expected_end` is set, the store appends them only
@@ -69,9 +89,13 @@
 
  private:
   // Sends a call and logs when calls begin to fail and when they succeed again.
-  // Returns nothing if there was no reply within `timeout`.
+  // Returns nothing if there was no reply within `timeout`, or if it is of an
+  // earlier era than era().
   awaitable<std::optional<HttpReply>> Send(platform::StoreCall call,
                                            state::Duration timeout);
+  // Handles the era that the reply names. Returns whether the reply is of the
+  // highest known era; one that names none is.
+  bool RecordEra(const HttpReply& reply);
 
   HttpClient client_;
   const state::Address address_;
@@ -80,6 +104,7 @@
   // succeeded.
   std::optional<state::Instant> failing_since_;
   std::uint64_t calls_ = 0;
+  std::int64_t era_ = 0;
 };
 
 }  // namespace mustardflow::transport
--- a/src/transport/store_watch.cc
+++ b/src/transport/store_watch.cc
@@ -51,6 +51,9 @@
 // store.
 constexpr Duration kMaxReliance = std::chrono::milliseconds(1500);
 constexpr Duration kProgressValidity = std::chrono::milliseconds(1100);
+// How long a host keeps records of operators that the store has lost, other
+// than the configuration. Operators write them again within some seconds.
+constexpr Duration kKeepTime = std::chrono::seconds(10);
 
 awaitable<void> Sleep(asio::any_io_executor executor, Duration duration) {
   asio::steady_timer timer(executor, duration);
@@ -77,9 +80,43 @@
   asio::co_spawn(executor_, FollowServers(), asio::detached);
 }
 
+void StoreWatch::HandleEra(std::int64_t era) {
+  if (era <= era_) {
+    return;
+  }
+  era_ = era;
+  ResetOffsets(&operator_reader_);
+  ResetOffsets(&server_reader_);
+  kept_records_ = operator_records_.records;
+  kept_until_ = Now() + kKeepTime;
+  operator_records_.era = era;
+  operator_records_.next = 0;
+  arriving_update_ = {-1, -1, {}};
+  recent_updates_.clear();
+  published_end_ = 0;
+}
+
+void StoreWatch::ResetOffsets(TopicReader* reader) {
+  // A host that has read nothing yet has nothing to keep.
+  reader->enters_era = reader->enters_era || reader->next.has_value();
+  reader->next.reset();
+  reader->relevant_end = 0;
+  reader->announced = 0;
+  reader->announced_at.reset();
+  reader->behind_since.reset();
+  if (reader->relied_until) {
+    reader->relied_until = Instant();
+  }
+}
+
 void StoreWatch::HandleProgress(Instant now,
                                 const protocol::LeaderHeartbeat& heartbeat) {
   const protocol::ReadProgress& progress = heartbeat.progress;
+  HandleEra(progress.era);
+  if (progress.era < era_) {
+    // The leader does not know the era yet.
+    return;
+  }
   if (heartbeat.update && heartbeat.update->entry_parts > 0) {
     HandleEntries(now, *heartbeat.update, progress.servers);
   }
@@ -112,7 +149,7 @@
     return;
   }
   if (update.entry_part == 0) {
-    arriving_update_ = {update.base_server_offset, end, {}};
+    arriving_update_ = {update.base_server_offset, end, {}, era_};
     next_update_part_ = 0;
   }
   if (update.base_server_offset != arriving_update_.base ||
@@ -164,7 +201,8 @@
     const std::vector<protocol::EntryUpdate>& updates) {
   bool used = false;
   for (const protocol::EntryUpdate& update : updates) {
-    if (!server_reader_.next || update.base > *server_reader_.next ||
+    if (update.era != era_ || !server_reader_.next ||
+        update.base > *server_reader_.next ||
         update.end <= *server_reader_.next) {
       continue;
     }
@@ -213,7 +251,7 @@
   published_end_ = server_reader_.relevant_end;
   if (!update->entries.empty()) {
     RememberEntries(
-        {update->base_server_offset, published_end_, update->entries});
+        {update->base_server_offset, published_end_, update->entries, era_});
   }
 }
 
@@ -223,16 +261,20 @@
                                : protocol::kUnknownAge;
   };
   return {operator_reader_.relevant_end, server_reader_.relevant_end,
-          age(server_reader_), age(operator_reader_)};
+          age(server_reader_), age(operator_reader_), era_};
 }
 
 void StoreWatch::Tick(Instant now, bool leading) {
   leading_ = leading;
+  HandleEra(store_.era());
   if (!leading) {
     unpublished_entries_.clear();
     published_end_ = server_reader_.relevant_end;
   }
   RemoveGone(now);
+  if (now >= kept_until_) {
+    EndKeeping();
+  }
   LogReliance(now, &operator_reader_);
   LogReliance(now, &server_reader_);
   const bool heard_leader = operator_reader_.relied_until.has_value();
@@ -282,6 +324,9 @@
   if (reader.read_now && reader.behind_since) {
     return true;
   }
+  if (reader.enters_era && !reader.next) {
+    return true;
+  }
   // A leader's progress replaces this host's own reads, even if the store
   // refuses the reads of this host.
   if (ReliesOnLeader(now, reader)) {
@@ -297,6 +342,13 @@
                             const std::optional<TopicPage>& page) {
   reader->read_at = Now();
   reader->read_now = false;
+  const std::int64_t era = era_;
+  HandleEra(store_.era());
+  if ((!page && era != era_) || (page && page->era != era_)) {
+    // The topic is read anew.
+    reader->failing = false;
+    return false;
+  }
   reader->failing = !page;
   reader->failures = page ? 0 : reader->failures + 1;
   if (!page) {
@@ -344,12 +396,13 @@
       const bool waits =
           leading_ && !found_records && !operator_reader_.failing;
       const Duration wait = waits ? kOperatorLongPollTime : Duration(0);
-      page = co_await store_.ReadFrom(topic, *operator_reader_.next, wait);
+      const TopicPosition from{era_, *operator_reader_.next};
+      page = co_await store_.ReadFrom(topic, from, wait);
     }
     const bool usable = RecordRead(&operator_reader_, started, page);
     found_records = usable && !page->records.empty();
     if (found_records) {
-      ApplyOperators(*page, "store");
+      ApplyOperators(std::move(*page), "store");
       hooks_.progressed();
       co_await Sleep(executor_, kOperatorBatchDelay);
     }
@@ -368,7 +421,9 @@
 }
 
 bool StoreWatch::HandleOperatorRecords(protocol::OperatorRecords operators) {
-  if (operator_reader_.next && operators.next <= *operator_reader_.next) {
+  HandleEra(operators.era);
+  if (operators.era < era_ ||
+      (operator_reader_.next && operators.next <= *operator_reader_.next)) {
     return false;
   }
   TopicPage page;
@@ -383,8 +438,51 @@
   return true;
 }
 
-void StoreWatch::ApplyOperators(const TopicPage& page,
-                                std::string_view source) {
+void StoreWatch::EndKeeping() {
+  // An older configuration is never taken, so this record is kept.
+  const auto ended = std::erase_if(kept_records_, [](const auto& record) {
+    return record.first != platform::kConfigKey;
+  });
+  if (ended > 0) {
+    operator_reader_.next.reset();
+  }
+}
+
+void StoreWatch::KeepKnownRecords(TopicPage* page) {
+  for (platform::KeyedRecord& record : page->records) {
+    const auto kept = kept_records_.find(record.key);
+    if (kept == kept_records_.end()) {
+      continue;
+    }
+    if (record.key == platform::kConfigKey && record.value &&
+        IsOlderConfig(*record.value)) {
+      // Serves other hosts, too, the configuration that is in force.
+      record.value = kept->second;
+      continue;
+    }
+    kept_records_.erase(kept);
+  }
+  if (!page->covers_all_keys) {
+    return;
+  }
+  for (const auto& [key, value] : kept_records_) {
+    const bool listed =
+        std::any_of(page->records.begin(), page->records.end(),
+                    [&key](const auto& record) { return record.key == key; });
+    if (!listed) {
+      page->records.push_back({key, value, 0});
+    }
+  }
+}
+
+bool StoreWatch::IsOlderConfig(const std::string& text) const {
+  protocol::Findings findings;
+  const auto config = platform::ParseOperatorConfig(text, &findings);
+  return config && config->version() < config_version_;
+}
+
+void StoreWatch::ApplyOperators(TopicPage page, std::string_view source) {
+  KeepKnownRecords(&page);
   operator_reader_.relevant_end = page.next;
   operator_records_.next = page.next;
   if (page.covers_all_keys) {
@@ -471,7 +569,8 @@
     const Instant started = Now();
     std::optional<TopicPage> page;
     if (server_reader_.next) {
-      page = co_await store_.ReadFrom(topic, *server_reader_.next, Duration(0));
+      const TopicPosition from{era_, *server_reader_.next};
+      page = co_await store_.ReadFrom(topic, from, Duration(0));
     } else {
       page = co_await store_.ReadNewest(topic);
     }
@@ -499,6 +598,9 @@
   std::set<std::string> listed;
   for (const platform::KeyedRecord& record : page.records) {
     listed.insert(record.key);
+    if (server_reader_.enters_era && IsOfGoneServer(record)) {
+      continue;
+    }
     if (ApplyEntry(now, record.key, record.value)) {
       unpublished_entries_.emplace_back(record.key, record.value);
     }
@@ -506,6 +608,11 @@
   if (!page.covers_all_keys) {
     return;
   }
+  if (server_reader_.enters_era) {
+    // The store has lost entries, which the servers write again.
+    server_reader_.enters_era = false;
+    missing_entries_.HandleLostEntries(now);
+  }
   std::vector<std::string> missing;
   for (const auto& [id, server] : pool_.servers()) {
     if (!server.gone && !listed.contains(id)) {
@@ -519,6 +626,20 @@
   }
 }
 
+bool StoreWatch::IsOfGoneServer(const platform::KeyedRecord& record) const {
+  const auto known = pool_.servers().find(record.key);
+  if (known == pool_.servers().end() || !known->second.gone || !record.value) {
+    return false;
+  }
+  protocol::Findings findings;
+  const auto entry =
+      platform::ParseServerEntry(record.key, *record.value, &findings);
+  const state::ServerRecord& last = known->second.record;
+  return entry &&
+         entry->incarnation.start_time_ms == last.incarnation.start_time_ms &&
+         entry->sequence <= last.sequence;
+}
+
 bool StoreWatch::ApplyEntry(Instant now,
                             const std::string& id,
                             const std::optional<std::string>& entry) {
--- a/src/transport/store_watch.h
+++ b/src/transport/store_watch.h
@@ -40,6 +40,11 @@
 // Each record of operators is relevant. An entry of a server is relevant if it
 // changes the server pool. Servers renew their entries, so most entries are not
 // relevant.
+//
+// In a new era of the store, offsets of before mean nothing. Both topics are
+// then read anew from the newest records. What this host knew stays in use
+// until a record of the new era replaces it: the store may have lost what
+// operators and servers wrote last, and they write it again.
 class StoreWatch {
  public:
   // All hooks must be set.
@@ -86,6 +91,8 @@
   // Handles the records of operators of another host. Returns whether they are
   // newer.
   bool HandleOperatorRecords(protocol::OperatorRecords operators);
+  // The era of the store to which the offsets of this host belong.
+  std::int64_t era() const { return era_; }
   // Whether a read of the operators' records is under way.
   bool reading_operators() const {
     return operator_reader_.next && !operator_reader_.waiting;
@@ -98,6 +105,9 @@
     return operator_records_;
   }
 
+  // Enters a later era of the store.
+  void HandleEra(std::int64_t era);
+
   // Whether this host lacks entries of servers, and from which offset on. Like
   // records of operators, they are fetched from another host.
   std::optional<std::int64_t> MissingEntriesFrom(state::Instant now) const;
@@ -140,6 +150,9 @@
     // had all records: from a read of its own or from `announced`.
     std::optional<state::Instant> announced_at;
     std::optional<state::Instant> confirmed_at;
+    // Until the first read in an era has ended, what the store lacks may be
+    // what it has lost.
+    bool enters_era = false;
     // The number of consecutive failed reads.
     int failures = 0;
     // The next read is due at once if records are missing.
@@ -152,6 +165,8 @@
     bool relies_on_leader = false;
   };
 
+  // Forgets the offsets of the topic.
+  static void ResetOffsets(TopicReader* reader);
   awaitable<void> FollowOperators();
   awaitable<void> FollowServers();
   // Waits until Tick() finds the next read due.
@@ -191,7 +206,14 @@
   // reads only the newest of each key. Each configuration is a whole one.
   bool ReadsNewestOperators() const;
   // `source` tells where the records come from: "store" or "host".
-  void ApplyOperators(const TopicPage& page, std::string_view source);
+  void ApplyOperators(TopicPage page, std::string_view source);
+  // Replaces in `page` what the store has put back or lost by what this host
+  // knows.
+  void KeepKnownRecords(TopicPage* page);
+  // From now on, what the store lacks has been deleted.
+  void EndKeeping();
+  // Whether this is a configuration of a lower version than that in force.
+  bool IsOlderConfig(const std::string& text) const;
   // Applies the newest of the configurations, given from the oldest on, that
   // can be read.
   void ApplyNewestConfig(const std::vector<const std::string*>& configs,
@@ -200,6 +222,8 @@
   // in force takes effect.
   bool ApplyConfig(const std::string& text, std::string_view source);
   void ApplyServers(state::Instant now, const TopicPage& page);
+  // Whether this is an entry that its server wrote before it was gone.
+  bool IsOfGoneServer(const platform::KeyedRecord& record) const;
   // Applies the entry of server `id`, or its removal. Returns whether that
   // changed the server pool.
   bool ApplyEntry(state::Instant now,
@@ -217,12 +241,17 @@
   coordination::ServerPool& pool_;
   EventLog& log_;
   const Hooks hooks_;
+  std::int64_t era_ = 0;
   TopicReader operator_reader_;
   TopicReader server_reader_;
   bool leading_ = false;
   // The term and the number of the latest heartbeat.
   std::pair<std::int64_t, std::int64_t> last_heartbeat_{0, 0};
   protocol::OperatorRecords operator_records_;
+  // Records that this host knew when it entered the era, by key, as far as no
+  // record of the era has replaced them, and until when they are kept.
+  std::map<std::string, std::string> kept_records_;
+  state::Instant kept_until_{};
   std::int64_t config_version_ = 0;
   // Whether the newest configuration could not be read, so that an earlier one
   // is in force.
--- a/tests/hosts/election_scale_test.cc
+++ b/tests/hosts/election_scale_test.cc
@@ -2,7 +2,9 @@
 // 1,000 hosts.
 
 #include <catch2/catch.hpp>
+#include <cstdint>
 #include <cstdio>
+#include <random>
 
 #include "tests/hosts/election_simulation.h"
 
@@ -85,4 +87,43 @@
   }
 }
 
+// Guards against a term that is won twice because the store has lost it, and
+// against hosts that stay without a leader. The moment and the extent of each
+// loss are random.
+TEST_CASE("no term is won twice over eras of the store", "[O3][O5]") {
+  for (std::uint64_t seed = 1; seed <= 150; ++seed) {
+    INFO("seed " << seed);
+    std::mt19937_64 random(seed);
+    const int hosts = 2 + static_cast<int>(random() % 7);
+    ElectionSimulation simulation(hosts, false, seed);
+    simulation.SetEras();
+    simulation.Advance(milliseconds(random() % 6000));
+    int lost_hosts = 0;
+    for (int loss = 0; loss < 4; ++loss) {
+      const bool kills = lost_hosts + 2 < hosts && random() % 3 == 0;
+      if (kills) {
+        lost_hosts += simulation.leader() ? 1 : 0;
+        simulation.KillLeader();
+        simulation.Advance(milliseconds(random() % 3000));
+      }
+      if (random() % 2 == 0) {
+        simulation.SetStoreUp(false);
+        simulation.Advance(milliseconds(random() % 3000));
+        simulation.SetStoreUp(true);
+      }
+      simulation.LoseRecords(milliseconds(random() % 8000));
+      if (random() % 4 == 0) {
+        lost_hosts = 0;
+        simulation.RestartAll();
+      }
+      // A further loss may come before all hosts know of this one.
+      simulation.Advance(milliseconds(random() % 7000));
+      REQUIRE_FALSE(simulation.repeated_term());
+    }
+    simulation.Advance(std::chrono::seconds(20));
+    CHECK(simulation.leader().has_value());
+    CHECK_FALSE(simulation.repeated_term());
+  }
+}
+
 }  // namespace mustardflow::tests
--- a/tests/hosts/election_simulation.cc
+++ b/tests/hosts/election_simulation.cc
@@ -43,22 +43,83 @@
       registered_hosts_.push_back(i);
     }
   }
+  copies_.emplace_back(Instant(), ledger_);
   for (int i = 0; i < hosts; ++i) {
     Host& host = hosts_[static_cast<std::size_t>(i)];
     host.name = "host-" + std::to_string(i);
     host.peers =
         std::make_unique<coordination::PeerDirectory>(host.name, StrengthOf(i));
     host.start = now_ + microseconds(random_() % 300000);
-    Schedule(host.start - now_, [this, i, bootstrap] {
-      Host& started = hosts_[static_cast<std::size_t>(i)];
-      started.election = std::make_unique<coordination::LeaderElection>(
-          now_, started.name, static_cast<double>(random_() % 1000) / 1000,
-          bootstrap);
-      Schedule(StoreDelay(), [this, i] { registered_hosts_.push_back(i); });
-      Schedule(bootstrap ? kRegistrationTime : StoreDelay(),
-               [this, i] { Register(i); });
-      Tick(i);
-    });
+    Schedule(host.start - now_,
+             [this, i, bootstrap] { StartProcess(i, bootstrap); });
+  }
+}
+
+void ElectionSimulation::StartProcess(int index, bool bootstrap) {
+  Host& started = hosts_[static_cast<std::size_t>(index)];
+  started.alive = true;
+  const std::string claim =
+      started.name +
+      (started.life > 0 ? "-" + std::to_string(started.life) : "");
+  started.election = std::make_unique<coordination::LeaderElection>(
+      now_, claim, static_cast<double>(random_() % 1000) / 1000, bootstrap);
+  Schedule(StoreDelay(), [this, index] { registered_hosts_.push_back(index); });
+  Deliver(index, bootstrap ? kRegistrationTime : StoreDelay(),
+          [this, index] { Register(index); });
+  Tick(index);
+}
+
+void ElectionSimulation::RestartAll() {
+  for (std::size_t i = 0; i < hosts_.size(); ++i) {
+    Host& host = hosts_[i];
+    host.alive = false;
+    host.registered = false;
+    host.era = 0;
+    ++host.life;
+    Schedule(microseconds(random_() % 300000),
+             [this, i] { StartProcess(static_cast<int>(i), false); });
+  }
+}
+
+void ElectionSimulation::LoseRecords(Duration age) {
+  ledger_ = coordination::LedgerHead();
+  while (!copies_.empty() && copies_.back().first > now_ - age) {
+    copies_.pop_back();
+  }
+  if (!copies_.empty()) {
+    ledger_ = copies_.back().second;
+  }
+  ++era_;
+}
+
+void ElectionSimulation::Deliver(int index, Duration delay, Event event) {
+  const int life = hosts_[static_cast<std::size_t>(index)].life;
+  Schedule(delay, [this, index, life, event = std::move(event)] {
+    const Host& host = hosts_[static_cast<std::size_t>(index)];
+    if (host.alive && host.life == life) {
+      event();
+    }
+  });
+}
+
+Duration ElectionSimulation::AnswerDelay() {
+  return era_ > 0 ? MessageDelay() : Duration(0);
+}
+
+void ElectionSimulation::HandleEra(int index, std::int64_t era) {
+  Host& host = hosts_[static_cast<std::size_t>(index)];
+  host.era = std::max(host.era, era);
+  host.election->HandleEra(now_, host.era);
+}
+
+void ElectionSimulation::RecordWonTerm(int index, std::int64_t term) {
+  repeated_term_ = repeated_term_ || !won_terms_.insert(term).second;
+  for (std::size_t i = 0; i < hosts_.size(); ++i) {
+    const Host& host = hosts_[i];
+    const bool knows_higher = host.alive && host.election &&
+                              static_cast<int>(i) != index &&
+                              host.election->term() > term;
+    repeated_term_ = repeated_term_ || (era_ > 0 && knows_higher);
   }
 }
 
@@ -88,16 +149,17 @@
 void ElectionSimulation::Register(int index) {
   Host& host = hosts_[static_cast<std::size_t>(index)];
   if (!store_up_) {
-    Schedule(milliseconds(250), [this, index] { Register(index); });
+    Deliver(index, milliseconds(250), [this, index] { Register(index); });
     return;
   }
+  HandleEra(index, era_);
   for (const int other : registered_hosts_) {
     host.peers->RecordRegistered(
         hosts_[static_cast<std::size_t>(other)].name,
         {AddressOf(other), "z", StrengthOf(other), now_});
   }
   host.registered = true;
-  host.election->HandleTerm(ledger_.term);
+  host.election->HandleTerm(ledger_.term, ledger_.era);
   host.election->SetRank(host.peers->Rank(), host.peers->KnowsMuchStronger());
   host.election->Join(now_);
 }
@@ -107,7 +169,7 @@
   if (!host.alive) {
     return;
   }
-  Schedule(kTickInterval, [this, index] { Tick(index); });
+  Deliver(index, kTickInterval, [this, index] { Tick(index); });
   if (!host.registered) {
     return;
   }
@@ -131,23 +193,37 @@
     }
     void operator()(const coordination::ReadLedger&) const {
       ElectionSimulation* const s = simulation;
-      s->Schedule(s->StoreDelay(), [s, host = index] {
-        s->hosts_[static_cast<std::size_t>(host)].election->HandleLedger(
-            s->now_, s->store_up_ ? std::optional(s->ledger_) : std::nullopt);
+      s->Deliver(index, s->StoreDelay(), [s, host = index] {
+        std::optional<coordination::LedgerHead> head;
+        if (s->store_up_) {
+          head = s->ledger_;
+          head->store_era = s->era_;
+        }
+        const auto deliver = [s, host, head] {
+          s->HandleEra(host, head ? head->store_era : 0);
+          s->hosts_[static_cast<std::size_t>(host)].election->HandleLedger(
+              s->now_, head);
+        };
+        if (const Duration delay = s->AnswerDelay(); delay > Duration(0)) {
+          s->Deliver(host, delay, deliver);
+        } else {
+          deliver();
+        }
       });
     }
     void operator()(const coordination::ClaimTerm& claim) const {
       ++simulation->claims_;
-      simulation->Append(index, claim.term, claim.ledger_end);
+      simulation->Append(index, claim.term, claim.era, claim.ledger_end);
     }
     void operator()(const coordination::RenewTerm&) const {
-      simulation->Append(
-          index,
-          simulation->hosts_[static_cast<std::size_t>(index)].election->term(),
-          std::nullopt);
+      const auto& election =
+          *simulation->hosts_[static_cast<std::size_t>(index)].election;
+      simulation->Append(index, election.term(), election.term_era(),
+                         std::nullopt);
     }
-    void operator()(const coordination::BeginLeading&) const {
+    void operator()(const coordination::BeginLeading& begin) const {
       ++simulation->terms_;
+      simulation->RecordWonTerm(index, begin.term);
       simulation->leader_since_ =
           simulation->now_ - Instant(std::chrono::seconds(1000));
     }
@@ -158,9 +234,11 @@
 
 void ElectionSimulation::Append(int index,
                                 std::int64_t term,
+                                std::int64_t era,
                                 std::optional<std::int64_t> at) {
   const Instant sent = now_;
-  Schedule(StoreDelay(), [this, index, term, at, sent] {
+  const int life = hosts_[static_cast<std::size_t>(index)].life;
+  Schedule(StoreDelay(), [this, index, term, era, at, sent, life] {
     Host& host = hosts_[static_cast<std::size_t>(index)];
     WriteOutcome outcome = WriteOutcome::kDone;
     if (!store_up_) {
@@ -172,11 +250,27 @@
     } else {
       ledger_.renewal = term == ledger_.term ? ledger_.renewal + 1 : 0;
       ledger_.term = term;
-      ledger_.claim = host.name;
+      ledger_.era = era;
+      ledger_.claim = host.name + (life > 0 ? "-" + std::to_string(life) : "");
       ++ledger_.end;
+      copies_.emplace_back(now_, ledger_);
+    }
+    const std::int64_t answer_era = store_up_ ? era_ : 0;
+    const auto deliver = [this, index, sent, outcome, answer_era] {
+      HandleEra(index, answer_era);
+      // As StoreClient does with an answer of an earlier era.
+      Host& answered = hosts_[static_cast<std::size_t>(index)];
+      answered.election->HandleWrite(
+          now_, sent,
+          answer_era < answered.era ? WriteOutcome::kUnknown : outcome);
+    };
+    if (!host.alive || host.life != life) {
+      return;
     }
-    if (host.alive) {
-      host.election->HandleWrite(now_, sent, outcome);
+    if (const Duration delay = AnswerDelay(); delay > Duration(0)) {
+      Deliver(index, delay, deliver);
+    } else {
+      deliver();
     }
   });
 }
@@ -188,7 +282,7 @@
   };
   for (const state::Address& to : host.peers->Sample(kQueriedHosts, random)) {
     const int other = std::stoi(to.ip);
-    Schedule(MessageDelay() + MessageDelay(), [this, index, other] {
+    Deliver(index, MessageDelay() + MessageDelay(), [this, index, other] {
       const Host& asked = hosts_[static_cast<std::size_t>(other)];
       if (!asked.alive || !asked.election) {
         return;
@@ -200,7 +294,7 @@
         age = now_ - *heard;
       }
       hosts_[static_cast<std::size_t>(index)].election->HandleQueryReply(
-          now_, asked.election->term(), age);
+          now_, asked.election->term(), age, asked.election->term_era());
     });
   }
 }
@@ -208,15 +302,19 @@
 void ElectionSimulation::SendHeartbeats(int index) {
   const std::int64_t term =
       hosts_[static_cast<std::size_t>(index)].election->term();
+  const std::int64_t era =
+      hosts_[static_cast<std::size_t>(index)].election->term_era();
+  const std::int64_t store_era = hosts_[static_cast<std::size_t>(index)].era;
   const bool stepping_down =
       hosts_[static_cast<std::size_t>(index)].election->stepping_down(now_);
   for (std::size_t other = 0; other < hosts_.size(); ++other) {
     // Through a relay.
     Schedule(MessageDelay() + MessageDelay(),
-             [this, other, term, stepping_down] {
+             [this, other, term, era, store_era, stepping_down] {
                Host& host = hosts_[other];
                if (host.alive && host.election) {
-                 host.election->HandleHeartbeat(now_, term, stepping_down);
+                 HandleEra(static_cast<int>(other), store_era);
+                 host.election->HandleHeartbeat(now_, term, stepping_down, era);
                }
              });
   }
--- a/tests/hosts/election_simulation.h
+++ b/tests/hosts/election_simulation.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,17 @@
   void Advance(state::Duration time);
   // Ends the process of the present leader for good.
   void KillLeader();
+  // Ends the processes of all hosts and starts them again.
+  void RestartAll();
+  // The store comes back from a copy that is `age` old, in the next era.
+  // Before, SetEras() must have been called.
+  void LoseRecords(state::Duration age);
+  // The store names its era in its answers, which from now on take some time
+  // after the store has done what they confirm.
+  void SetEras() { era_ = 1; }
+  // Whether a term was won twice, or one below those that a host knew that
+  // was alive when it was won.
+  bool repeated_term() const { return repeated_term_; }
 
   // The terms that were won, and the claims that were sent.
   int terms() const { return terms_; }
@@ -48,6 +60,10 @@
     state::Instant start{};
     bool alive = true;
     bool registered = false;
+    // The highest era of the store that the host knows.
+    std::int64_t era = 0;
+    // The number of its process.
+    int life = 0;
     state::Instant next_heartbeat{};
   };
 
@@ -62,7 +78,18 @@
   void Register(int host);
   void Perform(int host, const coordination::ElectionAction& action);
   void Query(int host);
-  void Append(int host, std::int64_t term, std::optional<std::int64_t> at);
+  void Append(int host,
+              std::int64_t term,
+              std::int64_t era,
+              std::optional<std::int64_t> at);
+  void StartProcess(int host, bool bootstrap);
+  // Runs `event` if the host's process is still the same.
+  void Deliver(int host, state::Duration delay, Event event);
+  // How long an answer of the store is under way.
+  state::Duration AnswerDelay();
+  // Tells the election of the host the highest era that it knows.
+  void HandleEra(int host, std::int64_t era);
+  void RecordWonTerm(int host, std::int64_t term);
   void SendHeartbeats(int host);
 
   std::mt19937_64 random_;
@@ -70,6 +97,11 @@
   state::Instant now_{std::chrono::seconds(1000)};
   std::multimap<state::Instant, Event> events_;
   coordination::LedgerHead ledger_;
+  std::int64_t era_ = 0;
+  // What the ledger was from a time on.
+  std::vector<std::pair<state::Instant, coordination::LedgerHead>> copies_;
+  std::set<std::int64_t> won_terms_;
+  bool repeated_term_ = false;
   std::vector<int> registered_hosts_;
   bool store_up_ = true;
   int terms_ = 0;
--- a/tests/keys/lead_proof_test.cc
+++ b/tests/keys/lead_proof_test.cc
@@ -270,4 +270,25 @@
   CHECK_FALSE(proof.MayGrant(now, 5));
 }
 
+// Guards against two leaders in two eras of the store that both take its
+// confirmations for a proof.
+TEST_CASE("a confirmation of an earlier era proves nothing", "[O3]") {
+  const Instant start(seconds(100));
+  constexpr std::size_t kHosts = 4;
+  LeadershipProof proof;
+  proof.Begin(start, start, false);
+  proof.RecordStoreConfirmation(start);
+  REQUIRE(proof.MayGrant(start, kHosts));
+  proof.HandleNewEra();
+  CHECK_FALSE(proof.MayGrant(start, kHosts));
+  // Most hosts follow.
+  const std::int64_t number = proof.RecordSentHeartbeat(start);
+  proof.RecordReport("b", number);
+  proof.RecordReport("c", number);
+  CHECK(proof.MayGrant(start + milliseconds(200), kHosts));
+  // The next term has a proof of its own.
+  proof.Begin(start + seconds(3), start + seconds(3), true);
+  CHECK(proof.MayGrant(start + seconds(3), kHosts));
+}
+
 }  // namespace mustardflow::tests
--- a/tests/keys/leader_election_test.cc
+++ b/tests/keys/leader_election_test.cc
@@ -249,4 +249,94 @@
   CHECK(Await<coordination::ReadLedger>(election, &now, milliseconds(400)));
 }
 
+// The following tests guard against a term, and so a fence, that is given out
+// twice because the store has come back without the record of its winner.
+
+TEST_CASE("a leader goes on in a new era and then claims a far higher term",
+          "[O3]") {
+  Instant now(seconds(10));
+  LeaderElection election(now, "a", 0);
+  election.HandleEra(now, 3);
+  REQUIRE(ReachClaim(election, &now, {0, "", 0, 0, false, 0, 3}));
+  election.HandleWrite(now, now, WriteOutcome::kDone);
+  REQUIRE(Await<coordination::BeginLeading>(election, &now, seconds(1)));
+  const std::int64_t term = election.term();
+  election.HandleEra(now, 4);
+  // What the store had confirmed is no proof any more, and it is not asked for
+  // another one.
+  const Instant seen = now;
+  election.HandleWrite(now, now, WriteOutcome::kDone);
+  CHECK_FALSE(Await<coordination::RenewTerm>(election, &now, seconds(3)));
+  CHECK(election.leading());
+  CHECK_FALSE(election.stepping_down(now));
+  const auto stop =
+      Await<coordination::StopLeading>(election, &now, seconds(3));
+  REQUIRE(stop);
+  CHECK(stop->enters_era);
+  CHECK(now - seen >= coordination::kEraSettleTime);
+  // The copy still names the term before.
+  const auto claim = ReachClaim(election, &now, {7, "b", 0, 5, false, 3, 4});
+  REQUIRE(claim);
+  CHECK(claim->era == 4);
+  CHECK(claim->term > term + coordination::kTermsPerEra);
+}
+
+TEST_CASE("a claim that an earlier era has confirmed wins no term", "[O3]") {
+  Instant now(seconds(10));
+  LeaderElection election(now, "a", 0);
+  election.HandleEra(now, 1);
+  const auto claim = ReachClaim(election, &now, {0, "", 0, 0, false, 0, 1});
+  REQUIRE(claim);
+  election.HandleEra(now, 2);
+  election.HandleWrite(now, now, WriteOutcome::kDone);
+  CHECK_FALSE(election.leading());
+  // The claim is in the copy, or the store has taken it in its new era. No host
+  // replies, so this one waits until nobody renews.
+  std::optional<coordination::ClaimTerm> next;
+  for (int i = 0; i < 5 && !next; ++i) {
+    next = ReachClaim(election, &now, {claim->term, "a", 0, 6, false, 1, 2});
+  }
+  CHECK_FALSE(election.leading());
+  REQUIRE(next);
+  CHECK(next->term > claim->term + coordination::kTermsPerEra);
+}
+
+TEST_CASE("a host that knows only the copy claims above what others know",
+          "[O3]") {
+  Instant now(seconds(10));
+  LeaderElection election(now, "a", 0);
+  election.HandleEra(now, 2);
+  election.HandleTerm(7, 1);
+  election.Join(now);
+  REQUIRE(Await<coordination::QueryHosts>(election, &now, seconds(3)));
+  const bool replied = GENERATE(true, false);
+  if (replied) {
+    election.HandleQueryReply(now, 9000, std::nullopt, 1);
+  }
+  std::optional<coordination::ClaimTerm> claim;
+  for (int i = 0; i < 5 && !claim; ++i) {
+    claim = ReachClaim(election, &now, {7, "b", 0, 5, false, 1, 2});
+  }
+  REQUIRE(claim);
+  CHECK(claim->term > (replied ? 9000 : 7) + coordination::kTermsPerEra);
+}
+
+TEST_CASE("a host lets the leader of an earlier era claim first", "[O10]") {
+  Instant now(seconds(10));
+  LeaderElection election(now, "a", 0);
+  // The leader has lost the store, so it asks for a successor.
+  election.HandleHeartbeat(now, 7, true, 1);
+  for (int i = 0; i < 10; ++i) {
+    if (Await<coordination::ReadLedger>(election, &now, milliseconds(200))) {
+      election.HandleEra(now, 2);
+      election.HandleLedger(now, LedgerHead{7, "b", 0, 5, false, 1, 2});
+    }
+    CHECK_FALSE(
+        Await<coordination::ClaimTerm>(election, &now, milliseconds(100)));
+    election.HandleHeartbeat(now, 7, true, 1);
+  }
+  now += seconds(1);
+  CHECK(ReachClaim(election, &now, {7, "b", 0, 5, false, 1, 2}));
+}
+
 }  // namespace mustardflow::tests
--- a/tests/protocol/host_messages_test.cc
+++ b/tests/protocol/host_messages_test.cc
@@ -109,6 +109,45 @@
   CHECK(decoded.update->changes.at("odd").size() == 15);
 }
 
+// Guards against messages and records that differ for hosts of earlier versions
+// and for a store that has no eras.
+TEST_CASE("eras are carried, and left out where the store has none") {
+  const std::int64_t era = GENERATE(0, 3);
+  LeaderHeartbeat heartbeat;
+  heartbeat.address = {"10.0.0.7", 7200};
+  heartbeat.era = era;
+  heartbeat.progress.era = era;
+  protocol::LeaderQueryReply reply;
+  reply.era = era;
+  HostReport report;
+  report.era = era;
+  coordination::LedgerHead head;
+  head.era = era;
+  head.recovering = era > 0;
+  const std::vector<std::string> texts = {
+      protocol::EncodeMessage(heartbeat),
+      protocol::EncodeMessage(reply),
+      protocol::EncodeMessage(report),
+      protocol::EncodeLedgerHead(head, "h1"),
+      protocol::EncodeOperatorRecords({9, {}, era}),
+      protocol::EncodeEntryUpdates({{1, 2, {}, era}})};
+  for (const std::string& text : texts) {
+    CAPTURE(text);
+    CHECK((text.find("era\":") == std::string::npos) == (era == 0));
+  }
+  const auto beat = protocol::DecodeMessage(texts[0]);
+  CHECK(std::get<LeaderHeartbeat>(*beat).era == era);
+  CHECK(std::get<LeaderHeartbeat>(*beat).progress.era == era);
+  CHECK(std::get<protocol::LeaderQueryReply>(*protocol::DecodeMessage(texts[1]))
+            .era == era);
+  CHECK(std::get<HostReport>(*protocol::DecodeMessage(texts[2])).era == era);
+  std::string host;
+  CHECK(protocol::DecodeLedgerHead(texts[3], &host)->era == era);
+  CHECK(protocol::DecodeLedgerHead(texts[3], &host)->recovering == (era > 0));
+  CHECK(protocol::DecodeOperatorRecords(texts[4])->era == era);
+  CHECK(protocol::DecodeEntryUpdates(texts[5])->front().era == era);
+}
+
 // Leaders of the version before do not say how old the operators' records are.
 TEST_CASE("a heartbeat without the operators' age confirms nothing") {
   LeaderHeartbeat heartbeat;
--- a/tests/transport/store_watch_test.cc
+++ b/tests/transport/store_watch_test.cc
@@ -85,6 +85,12 @@
   void SetNewest(std::string newest) { newest_ = std::move(newest); }
   // The maximum number of records in an answer.
   void SetPageSize(std::size_t records) { page_size_ = records; }
+  // Comes back in this era with only the first of its records.
+  void GoBack(std::int64_t era, std::size_t records) {
+    era_ = era;
+    records_.resize(std::min(records, records_.size()));
+    server_records_.clear();
+  }
   // How long answers are under way.
   void SetDelay(milliseconds delay) { delay_ = delay; }
   // Reads of the operators' topic that arrive from now on get no answer, or get
@@ -103,6 +109,9 @@
   awaitable<transport::HttpReply> Answer(transport::HttpRequest request) {
     transport::HttpReply reply;
     reply.status = 200;
+    if (era_) {
+      reply.fields.emplace_back("Store-Era", std::to_string(*era_));
+    }
     if (request.path == "/log-newest") {
       reply.body = newest_;
       co_await Delay(delay_);
@@ -116,6 +125,11 @@
     }
     const auto wait_end =
         transport::Now() + milliseconds(std::stoi(request.query.at("wait_ms")));
+    const Records& records = of_operators ? records_ : server_records_;
+    if (std::stoull(request.query.at("from")) > records.size()) {
+      reply.status = 410;
+      co_return reply;
+    }
     while (of_operators && std::stoll(request.query.at("from")) >= end() &&
            transport::Now() < wait_end) {
       co_await Delay(milliseconds(2));
@@ -165,6 +179,7 @@
   milliseconds delay_{0};
   bool silent_ = false;
   int reads_ = 0;
+  std::optional<std::int64_t> era_;
   std::size_t page_size_ = 1000;
   transport::HttpListener listener_;
 };
@@ -587,4 +602,59 @@
   CHECK(host.watch().operators().records.size() == 2);
 }
 
+// Guards against an accepted change that is undone, and against hosts that read
+// nothing any more, because the store has come back from an older copy.
+TEST_CASE("in a new era of the store no known record is taken back",
+          "[Z3][Z7]") {
+  WatchFixture host;
+  const bool leading = GENERATE(true, false);
+  host.store().GoBack(1, 0);
+  host.store().Put("config", Config(3));
+  host.store().Put("config", Config(4));
+  host.store().Put("evacuate/north", "{}");
+  host.store().PutServer("s1", Entry("10.0.0.1:80", "1"));
+  host.watch().Start();
+  host.Run(milliseconds(1700), leading);
+  REQUIRE(host.version() == 4);
+  REQUIRE(host.evacuated().contains("north"));
+  REQUIRE(host.pool().servers().contains("s1"));
+
+  // The offset of the next read is beyond the end.
+  host.store().GoBack(2, 1);
+  host.store().SetNewest(
+      R"({"items":[{"key":"config","value":)"
+      R"("eyJ2ZXJzaW9uIjozLCJyb3V0ZXMiOnt9fQ==","offset":0}],)"
+      R"("has_more":false,"end":1})");
+  // Longer than an entry may be missing at other times.
+  host.Run(milliseconds(3500), leading);
+  CHECK(host.version() == 4);
+  CHECK(host.evacuated().contains("north"));
+  CHECK_FALSE(host.pool().servers().at("s1").gone);
+  CHECK(host.watch().operators().era == 2);
+  CHECK(host.watch().operators().next == 1);
+  // Other hosts get what is in force.
+  CHECK(host.watch().operators().records.at("config") == Config(4));
+  CHECK(host.watch().Progress(transport::Now()).era == 2);
+
+  host.store().Put("config", Config(5));
+  host.Run(milliseconds(1700), leading);
+  CHECK(host.version() == 5);
+}
+
+TEST_CASE("offsets of two eras are not compared", "[Z7]") {
+  WatchFixture host;
+  host.store().GoBack(1, 0);
+  host.store().Put("config", Config(3));
+  host.watch().Start();
+  host.Run(milliseconds(1700));
+  REQUIRE(host.version() == 3);
+  // Another host has read less, but in the next era.
+  protocol::OperatorRecords later{1, {{"config", Config(4)}}, 2};
+  CHECK(host.watch().HandleOperatorRecords(later));
+  CHECK(host.version() == 4);
+  protocol::OperatorRecords earlier{50, {{"config", Config(9)}}, 1};
+  CHECK_FALSE(host.watch().HandleOperatorRecords(earlier));
+  CHECK(host.version() == 4);
+}
+
 }  // namespace mustardflow::tests
