soak: Stores that come back from copies

--eras plays a store that is unavailable for a moment and comes back from a copy of 0.3 to 5 s ago, in the next era: alone, with its leader killed, with a start of all hosts, and with a move of keys under way. Operators and servers write their records again. The oracle of owners checks all of it.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -25,6 +25,7 @@
 from announcements import announce_often, check_served_elsewhere
 from callers import Callers
 from changes import Changes, MOVED, OPTIONAL
+from eras import lose_records
 from hosts import Host, address_of_run, free_ports, trouble
 from leavers import LAG_S, LEAVERS, Leavers, mute_often
 from orders import disturb_orders
@@ -67,7 +68,7 @@
 
 
 class Soak:
-    def __init__(self, program, seed, folder, hosts, servers, owner):
+    def __init__(self, program, seed, folder, hosts, servers, owner, eras):
         self.random = random.Random(seed)
         self.oracle = Oracle()
         self.store = Store(random.Random(f"store {seed}"))
@@ -111,6 +112,10 @@
             (disturb, random.Random(f"{disturb.__name__} {seed}"))
             for disturb in (disturb_orders, disturb_leaders, leave_in_groups)
         ] if owner else []
+        # The store's losses, without other faults beside them.
+        self.eras = random.Random(f"eras {seed}") if eras else None
+        if eras:
+            self.store.era = 1
         self.ending = False
         self.longest_lag_s = 0.0
 
@@ -283,13 +288,15 @@
         changes = asyncio.create_task(self.change_often())
         background.append(asyncio.create_task(mute_often(
             self, self.leavers.random)))
-        disturbing = [asyncio.create_task(
-            announce_often(self, self.announcing))]
+        disturbing = [asyncio.create_task(announce_often(
+            self, self.announcing))] if not self.eras else []
         disturbing += [asyncio.create_task(disturb(self, choices))
                        for disturb, choices in self.owner_faults]
+        if self.eras:
+            await lose_records(self, self.eras)
         faults = []
         end = time.monotonic() + FAULT_S
-        while time.monotonic() < end:
+        while time.monotonic() < end and not self.eras:
             if not self.calm:
                 faults.append(asyncio.create_task(self.fault()))
             await asyncio.sleep(self.random.uniform(0.3, 2))
@@ -298,7 +305,7 @@
         await changes
         await asyncio.gather(*disturbing)
         await self.await_service("end")
-        if self.calm:
+        if self.calm and not self.eras:
             await check_served_elsewhere(self)
         self.callers.stopping = True
         await asyncio.gather(*callers)
@@ -362,7 +369,7 @@
     folder = pathlib.Path(tempfile.mkdtemp(prefix="mustardflow-soak-"))
     print(f"seed {seed}", flush=True)
     soak = Soak(options.program, seed, folder, options.hosts, options.servers,
-                options.owner)
+                options.owner, options.eras)
     violations = asyncio.run(soak.play()) + refused_forwards(folder)
     print(f"  answers by status: {soak.callers.counts}; the soak itself was "
           f"late by {soak.longest_lag_s:.2f} s at most")
@@ -381,6 +388,9 @@
     parser.add_argument("--owner", action="store_true",
                         help="with faults of orders, leaders that stall and "
                         "servers that leave in groups")
+    parser.add_argument("--eras", action="store_true",
+                        help="the store comes back from older copies, without "
+                        "other faults")
     parser.add_argument("--seed", type=int, help="play this seed only")
     parser.add_argument("--seeds", type=int, default=1, help="how many")
     parser.add_argument("--minutes", type=float, help="fresh seeds for so long")
