--- a/src/transport/store_watch.cc
+++ b/src/transport/store_watch.cc
@@ -465,12 +465,12 @@
   if (!page->covers_all_keys) {
     return;
   }
-  for (const auto& [key, value] : kept_records_) {
-    const bool listed =
-        std::any_of(page->records.begin(), page->records.end(),
-                    [&key](const auto& record) { return record.key == key; });
+  for (const auto& kept : kept_records_) {
+    const bool listed = std::any_of(
+        page->records.begin(), page->records.end(),
+        [&kept](const auto& record) { return record.key == kept.first; });
     if (!listed) {
-      page->records.push_back({key, value, 0});
+      page->records.push_back({kept.first, kept.second, 0});
     }
   }
 }
