keys: A leader of an earlier era begins no moves

Moves that were planned while the store could not confirm them were unfinished when the leader claimed its next term, which then waited for the leases of their former holders.

The coordinator begins no moves while the leader's term is of an earlier era.

--- a/src/coordination/keyspace_coordinator.cc
+++ b/src/coordination/keyspace_coordinator.cc
@@ -427,13 +427,17 @@
   if (superseded_) {
     return {};
   }
-  MoveFromUnusable(now);
+  if (begins_moves_) {
+    MoveFromUnusable(now);
+  }
   if (now >= next_balance_) {
     next_balance_ = now + kBalanceInterval;
     load_.Decay(now);
     load_.SetServers(servers_.size());
     MergeSteady();
-    Balance(now);
+    if (begins_moves_) {
+      Balance(now);
+    }
   }
   std::vector<DueSlice> due;
   for (auto& [first, slice] : slices_) {
--- a/src/coordination/keyspace_coordinator.h
+++ b/src/coordination/keyspace_coordinator.h
@@ -141,6 +141,11 @@
   // them again since it restarted.
   void SetServers(state::Instant now, std::vector<KeyServer> servers);
 
+  // Whether this coordinator begins moves of ranges. A leader whose table the
+  // store cannot confirm would leave them unfinished, and its next term would
+  // have to wait for the leases of their former holders.
+  void SetBeginsMoves(bool begins) { begins_moves_ = begins; }
+
   // Sets the mean execution time of a request, in seconds, if it is known.
   void SetExecutionTime(std::optional<double> seconds) {
     execution_seconds_ = seconds;
@@ -457,6 +462,7 @@
   // When the number of servers last rose.
   state::Instant server_count_rose_at_;
   state::Instant start_time_;
+  bool begins_moves_ = true;
   state::Instant next_balance_;
   state::Instant next_hot_move_;
   std::optional<state::Instant> last_tick_;
--- a/src/transport/leader_duty.cc
+++ b/src/transport/leader_duty.cc
@@ -792,6 +792,7 @@
   UpdateServerList(now);
   const bool may_grant = MayGrant(now);
   for (auto& [service, keyspace] : keyspaces_) {
+    keyspace.coordinator->SetBeginsMoves(!election_.outdated());
     if (may_grant) {
       for (KeyOrder& order : keyspace.coordinator->Tick(now)) {
         asio::co_spawn(executor_,
--- a/tests/keys/balance_test.cc
+++ b/tests/keys/balance_test.cc
@@ -52,6 +52,8 @@
     coordinator_.SetServers(now_, list_);
   }
 
+  void SetBeginsMoves(bool begins) { coordinator_.SetBeginsMoves(begins); }
+
   void SetExecutionTime(double seconds) {
     coordinator_.SetExecutionTime(seconds);
   }
@@ -276,4 +278,19 @@
   CHECK(fleet.moved_share() - before < 0.3);
 }
 
+// Guards against keys that wait for a lease after a change of the store's era,
+// because moves were begun that the store could not confirm before.
+TEST_CASE("no move begins while the store confirms nothing") {
+  ReliableFleet fleet(8, milliseconds(20));
+  fleet.Run(seconds(5), 400);
+  const double before = fleet.moved_share();
+  const HotRange hot{0.6, 1000, 64};
+  fleet.SetBeginsMoves(false);
+  fleet.Run(seconds(5), 400, hot);
+  CHECK(fleet.moved_share() == before);
+  fleet.SetBeginsMoves(true);
+  fleet.Run(seconds(5), 400, hot);
+  CHECK(fleet.moved_share() > before);
+}
+
 }  // namespace mustardflow::tests
