--- a/tests/requests/waiting_cases_test.cc
+++ b/tests/requests/waiting_cases_test.cc
@@ -27,8 +27,8 @@
 // Fills the only server of a service, whose requests all pass through this
 // host.
 class FullServer {
-public:
-  explicit FullServer(const std::string &service) : service_(service) {
+ public:
+  explicit FullServer(const std::string& service) : service_(service) {
     fixture_.pool().EstimateByKind();
     fixture_.flow().AdmitByPriority();
     fixture_.AddServer("s1", service);
@@ -40,7 +40,7 @@
     }
     for (int i = 0; i < kMaxInFlight; ++i) {
       const FlowActions actions = Start(0);
-      const auto *send = FlowFixture::FindAction<SendAttempt>(actions);
+      const auto* send = FlowFixture::FindAction<SendAttempt>(actions);
       REQUIRE(send);
       sent_.push_back(*send);
       fixture_.flow().HandleConnected(send->request, send->attempt);
@@ -59,17 +59,17 @@
                                         sent_[index].attempt,
                                         SendResult::kAnswered);
   }
-  FlowFixture &fixture() { return fixture_; }
+  FlowFixture& fixture() { return fixture_; }
   RequestId last_id() const { return last_id_; }
 
-private:
+ private:
   const std::string service_;
   FlowFixture fixture_;
   std::vector<SendAttempt> sent_;
   RequestId last_id_ = 0;
 };
 
-} // namespace
+}  // namespace
 
 TEST_CASE("beyond the slots and one more, requests wait in order of priority",
           "[L7]") {
@@ -81,7 +81,7 @@
   CHECK(server.fixture().flow().waiting_for_capacity() == 2);
   server.fixture().now() += milliseconds(50);
   const FlowActions actions = server.Answer(0);
-  const auto *send = FlowFixture::FindAction<SendAttempt>(actions);
+  const auto* send = FlowFixture::FindAction<SendAttempt>(actions);
   REQUIRE(send);
   CHECK(send->request == second + 1);
   CHECK(server.fixture().flow().waiting_for_capacity() == 1);
@@ -94,7 +94,7 @@
   const RequestId id = server.last_id();
   const FlowActions left = server.fixture().flow().HandleCallerDisconnect(
       server.fixture().now(), id);
-  const auto *end = FlowFixture::FindAction<FinishRequest>(left);
+  const auto* end = FlowFixture::FindAction<FinishRequest>(left);
   REQUIRE(end);
   CHECK(end->outcome == RequestOutcome::kCancelled);
   server.fixture().now() += milliseconds(50);
@@ -111,7 +111,7 @@
   server.fixture().now() += milliseconds(20);
   const FlowActions actions =
       server.fixture().flow().Tick(server.fixture().now());
-  const auto *end = FlowFixture::FindAction<FinishRequest>(actions);
+  const auto* end = FlowFixture::FindAction<FinishRequest>(actions);
   REQUIRE(end);
   CHECK(end->outcome == RequestOutcome::kRefused);
   CHECK(end->reason == "shortage-wait");
@@ -142,8 +142,8 @@
       server.fixture().flow().EndAll(server.fixture().now());
   CHECK_FALSE(FlowFixture::FindAction<SendAttempt>(actions));
   bool ended = false;
-  for (const auto &action : actions) {
-    const auto *end = std::get_if<FinishRequest>(&action);
+  for (const auto& action : actions) {
+    const auto* end = std::get_if<FinishRequest>(&action);
     ended = ended || (end != nullptr && end->request == id &&
                       end->outcome == RequestOutcome::kRefused);
   }
@@ -160,7 +160,7 @@
   for (int i = 0; i < 100; ++i) {
     server.fixture().now() += milliseconds(2);
     const auto actions = server.Start(1);
-    if (const auto *end = FlowFixture::FindAction<FinishRequest>(actions)) {
+    if (const auto* end = FlowFixture::FindAction<FinishRequest>(actions)) {
       ++refused;
       // The time left is 1200 ms. Another host that passes the refusal on
       // scales the delay by 0.75 or more.
@@ -178,7 +178,7 @@
   server.fixture().SetOwner("s2");
   const FlowActions actions =
       server.fixture().flow().HandleTableChange(server.fixture().now());
-  const auto *send = FlowFixture::FindAction<SendAttempt>(actions);
+  const auto* send = FlowFixture::FindAction<SendAttempt>(actions);
   REQUIRE(send);
   CHECK(send->request == server.last_id());
   CHECK(send->server.incarnation.id == "s2");
@@ -197,4 +197,4 @@
   CHECK(server.fixture().flow().waiting_for_capacity() == 0);
 }
 
-} // namespace mustardflow::tests
+}  // namespace mustardflow::tests
