--- a/tests/requests/waiting_cases_test.cc
+++ b/tests/requests/waiting_cases_test.cc
@@ -10,7 +10,6 @@
 
 namespace {
 
-using coordination::AbortAttempt;
 using coordination::FinishRequest;
 using coordination::FlowActions;
 using coordination::RequestId;
@@ -152,6 +151,25 @@
   CHECK(server.fixture().flow().waiting_for_capacity() == 0);
 }
 
+// Two refused requests in three were retried and refused again. A caller that
+// is told to wait for more than a third of its time does not retry.
+TEST_CASE("a refusal is final while more work arrives than servers do",
+          "[L7]") {
+  FullServer server("shelf");
+  int refused = 0;
+  for (int i = 0; i < 100; ++i) {
+    server.fixture().now() += milliseconds(2);
+    const auto actions = server.Start(1);
+    if (const auto* end = FlowFixture::FindAction<FinishRequest>(actions)) {
+      ++refused;
+      // The time left is 1200 ms. Another host that passes the refusal on
+      // scales the delay by 0.75 or more.
+      CHECK(end->retry_after * 0.75 > milliseconds(400));
+    }
+  }
+  CHECK(refused > 50);
+}
+
 // A request that waited for the former owner would be late although the new
 // one is idle.
 TEST_CASE("a waiting request follows its key to another server", "[L7]") {
