transport: Treat invalid statuses of servers as lost answers

An answer with a status below 100, with 101, or with 1xx and a body was taken for an interim answer: the host went on to wait, and the caller got 504 at its deadline, or a later message as the answer. Such an attempt now counts as lost at once and is retried only where a lost answer is.

--- a/src/transport/server_connection.cc
+++ b/src/transport/server_connection.cc
@@ -51,6 +51,19 @@
          });
 }
 
+// Whether the head has a status that HTTP does not have or that was not asked
+// for, as 101, or is an interim answer that announces a body.
+bool IsInvalid(const http::response_header<>& head) {
+  const unsigned status = head.result_int();
+  if (status >= 200) {
+    return false;
+  }
+  const auto length = head.find(http::field::content_length);
+  return status < 100 || status == 101 ||
+         head.find(http::field::transfer_encoding) != head.end() ||
+         (length != head.end() && length->value() != "0");
+}
+
 }  // namespace
 
 ServerConnection::ServerConnection(asio::io_context& context,
@@ -207,6 +220,10 @@
     return true;
   }
   const auto id = message.find(platform::kAttemptIdField);
+  if (IsInvalid(message.base())) {
+    FinishExchange(ExchangeResult::kBroken, {});
+    return true;
+  }
   const bool interim = message.result_int() < 200;
   const bool of_earlier_request =
       id != message.end() && id->value() != request_id_;
