coordination: Raise all fences of a server after a lost connection

After an order failed, only its own range got a higher fence.

As soon as a connection to a server is lost, with an order of any kind, or closed after an answer, all fences issued so far are spent for that server: each range gets a new one with its next grant, when that is due, so nothing is sent in addition. A grant that waited for the one whose connection was lost may not open another connection; it is withheld and made anew under a higher fence once the term is proven, without a further pause.

The simulation reads the list of servers each 350 ms, as leaders do, and follows the rule for new connections; its oracle no longer excuses a leader that has not read a new incarnation.

--- a/src/coordination/keyspace_coordinator.cc
+++ b/src/coordination/keyspace_coordinator.cc
@@ -147,10 +147,15 @@
   }
 }
 
-std::int64_t KeyspaceCoordinator::NextFence() {
+std::int64_t KeyspaceCoordinator::LastFence() const {
   // Each term has 2^20 fences.
   constexpr int kCountBits = 20;
-  return (term_ << kCountBits) | ++fence_count_;
+  return (term_ << kCountBits) | fence_count_;
+}
+
+std::int64_t KeyspaceCoordinator::NextFence() {
+  ++fence_count_;
+  return LastFence();
 }
 
 const KeyspaceCoordinator::ServerState* KeyspaceCoordinator::FindServer(
@@ -184,7 +189,7 @@
         // The server may have restarted and forgotten a successor's fences. The
         // servers of the first list need no newer proof: the claim of the term
         // proves that this host leads.
-        state.needs_proof_after = now;
+        RecordLostConnection(now, &state);
       }
     }
     state.server = std::move(server);
@@ -252,6 +257,23 @@
                                     end + kMaxTransitTime + kMaxLeaseDuration);
 }
 
+bool KeyspaceCoordinator::MayConnect(const KeyOrder& order) const {
+  if (order.kind != OrderKind::kGrant) {
+    return true;
+  }
+  const ServerState* server = FindServer(order.server);
+  return server != nullptr && order.fence > server->lost_fence;
+}
+
+void KeyspaceCoordinator::HandleConnectionClosed(
+    Instant now,
+    const ServerIncarnation& server) {
+  const auto found = servers_.find(server.id);
+  if (found != servers_.end()) {
+    RecordLostConnection(now, &found->second);
+  }
+}
+
 void KeyspaceCoordinator::HandleOrderOutcome(Instant now,
                                              const KeyOrder& order,
                                              OrderOutcome outcome,
@@ -335,12 +357,15 @@
   if (outcome != OrderOutcome::kAccepted &&
       outcome != OrderOutcome::kWithheld) {
     // Once a grant with a higher fence is accepted, the server refuses this
-    // one. And behind a lost connection there may be a new incarnation, which
-    // must not get the fence of the one before.
+    // one.
     slice->fence = NextFence();
   }
   if (outcome != OrderOutcome::kAccepted) {
-    slice->next_grant = now + kRetryInterval;
+    // A grant that waited for one whose connection was lost is not late by
+    // itself; it only needs another fence.
+    const bool outdated =
+        outcome == OrderOutcome::kWithheld && !MayConnect(order);
+    slice->next_grant = outdated ? now : now + kRetryInterval;
     return;
   }
   slice->holder.late_grant_end = Instant();
@@ -393,6 +418,12 @@
   }
 }
 
+void KeyspaceCoordinator::RecordLostConnection(Instant now,
+                                               ServerState* server) const {
+  server->needs_proof_after = now;
+  server->lost_fence = LastFence();
+}
+
 void KeyspaceCoordinator::RecordFailure(Instant now,
                                         const ServerIncarnation& server) {
   const auto found = servers_.find(server.id);
@@ -400,7 +431,7 @@
     return;
   }
   ServerState& state = found->second;
-  state.needs_proof_after = now;
+  RecordLostConnection(now, &state);
   if (!state.failing_since) {
     state.failing_since = now;
   } else if (now - *state.failing_since >= kUnresponsiveTimeout) {
@@ -613,6 +644,9 @@
   if (!MayGrant(now, *slice)) {
     return;
   }
+  if (slice->fence <= FindServer(slice->holder.server)->lost_fence) {
+    slice->fence = NextFence();
+  }
   slice->pending_grant = ++order_count_;
   orders->push_back({slice->pending_grant, OrderKind::kGrant,
                      slice->holder.server, slice->first, slice->last,
--- a/src/coordination/keyspace_coordinator.h
+++ b/src/coordination/keyspace_coordinator.h
@@ -145,6 +145,15 @@
   // have granted are assumed to end correspondingly earlier.
   void HandlePredecessorEnd(state::Instant end);
 
+  // Whether the order may be sent over a connection that is yet to be opened.
+  // Behind it there may be a later incarnation of the server than behind the
+  // connection before, so a grant needs a fence that was issued since then.
+  bool MayConnect(const KeyOrder& order) const;
+
+  // The connection to the server was closed although no order failed.
+  void HandleConnectionClosed(state::Instant now,
+                              const state::ServerIncarnation& server);
+
   // `order` has ended with `outcome`. `handover` holds the data that the server
   // handed over in an accepted release.
   void HandleOrderOutcome(state::Instant now,
@@ -294,6 +303,10 @@
     // seen. The server gets no grant until the store has confirmed a write of
     // this term that was sent after that moment.
     std::optional<state::Instant> needs_proof_after;
+    // The last fence that was issued before a connection to the server was last
+    // lost. The grants of all its ranges get higher ones from then on, so that
+    // a later incarnation gets no fence of the one before.
+    std::int64_t lost_fence = 0;
   };
 
   // By holder, in order of keys: the steady slices without a grant under way.
@@ -320,6 +333,8 @@
   bool IsUsable(const state::ServerIncarnation& incarnation) const;
   // Replaces restarted servers in the slice by their new incarnations.
   void UpdateIncarnations(state::Instant now, Slice* slice);
+  // The last fence that was issued.
+  std::int64_t LastFence() const;
   std::int64_t NextFence();
 
   // The server that the slice has or moves to.
@@ -420,6 +435,8 @@
                           Slice* slice);
   // Sets what `outcome` proves of the holder's lease.
   void UpdateLease(state::Instant now, OrderOutcome outcome, Lease* holder);
+  // A connection to the server was lost; the server may have restarted.
+  void RecordLostConnection(state::Instant now, ServerState* server) const;
   void RecordFailure(state::Instant now,
                      const state::ServerIncarnation& server);
   void ChangeRecorded() { ++recorded_change_; }
--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -75,9 +75,10 @@
     }
     stream->expires_at(end);
     bool keep = false;
-    trace = {true, true, Now()};
+    trace = {true, true, false, Now()};
     auto reply = co_await SendOver(*stream, request, times, options, &keep);
     if (reply) {
+      trace.closed = !keep;
       if (keep) {
         KeepIdle(address, std::move(stream));
       }
@@ -93,6 +94,9 @@
   if (lost && !options.reconnect) {
     co_return beast::error_code(asio::error::connection_aborted);
   }
+  if (options.may_connect && !options.may_connect()) {
+    co_return beast::error_code(asio::error::operation_aborted);
+  }
   auto stream = std::make_unique<beast::tcp_stream>(executor_);
   stream->expires_at(
       std::min(end, std::chrono::steady_clock::now() + kConnectTimeout));
@@ -116,8 +120,9 @@
     co_return beast::error_code(asio::error::operation_aborted);
   }
   bool keep = false;
-  trace = {true, false, Now()};
+  trace = {true, false, false, Now()};
   auto reply = co_await SendOver(*stream, request, times, options, &keep);
+  trace.closed = reply && !keep;
   if (reply && keep) {
     KeepIdle(address, std::move(stream));
   }
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -37,6 +37,8 @@
   bool sent = false;
   // Whether the last connection that it was written to had been used before.
   bool reused = false;
+  // Whether the connection was closed after the reply.
+  bool closed = false;
   // When it was last handed to the network.
   state::Instant written{};
 };
@@ -59,6 +61,9 @@
   // Asked immediately before the request is written. If it returns false,
   // nothing is written, and the request fails. If empty, it is always written.
   std::function<bool()> may_write;
+  // Asked before a connection is opened. If it returns false, none is opened,
+  // and the request fails. If empty, it may always be opened.
+  std::function<bool()> may_connect;
   // Returns whether a reply belongs to this request. If not, the request fails
   // and its connection is reset. If empty, each reply belongs to it.
   std::function<bool(const HttpReply&)> is_own_reply;
@@ -69,9 +74,9 @@
   HttpSendTrace* trace = nullptr;
 };
 
-// A request that was not written because of HttpSendOptions::may_write, or
-// because its timeout had passed before its connection was open, fails with
-// operation_aborted. Its connection is kept.
+// A request that was not written because of HttpSendOptions::may_write or
+// may_connect, or because its timeout had passed before its connection was
+// open, fails with operation_aborted. Its connection is kept.
 //
 // Sends requests with bodies that fit in memory. Reuses idle connections on
 // which nothing has arrived since their last reply; a peer may receive a
--- a/src/transport/leader_duty.cc
+++ b/src/transport/leader_duty.cc
@@ -902,11 +902,15 @@
     const state::Address address = record->address;
     // The process may have been suspended since the order was made, and a
     // connection may have to be opened first.
-    const std::function<bool()> may_write = [this, term, &service, &order,
-                                             &address] {
+    OrderChecks checks;
+    checks.may_write = [this, term, &service, &order, &address] {
       return MayWrite(term, service, order, address);
     };
-    reply = co_await order_client_.Send(address, order, may_write);
+    checks.may_connect = [this, term, &service, &order] {
+      const auto* coordinator = FindCoordinator(term, service);
+      return coordinator != nullptr && coordinator->MayConnect(order);
+    };
+    reply = co_await order_client_.Send(address, order, checks);
   }
   if (reply.outcome != OrderOutcome::kAccepted || !grant) {
     log_.Write(
@@ -931,6 +935,9 @@
   }
   const std::uint64_t routed = coordinator->routed_change();
   coordinator->HandleOrderOutcome(Now(), order, reply.outcome, reply.handover);
+  if (grant && reply.trace.closed) {
+    coordinator->HandleConnectionClosed(Now(), order.server);
+  }
   if (coordinator->superseded()) {
     election_.HandleFenced();
     co_return;
--- a/src/transport/order_client.cc
+++ b/src/transport/order_client.cc
@@ -157,9 +157,9 @@
 
 awaitable<OrderReply> OrderClient::Send(state::Address address,
                                         KeyOrder order,
-                                        std::function<bool()> may_write) {
+                                        OrderChecks checks) {
   if (order.kind == OrderKind::kRelease) {
-    co_return co_await SendNow(address, order, std::move(may_write));
+    co_return co_await SendNow(address, order, std::move(checks));
   }
   const bool begins = co_await WaitForTurn(address);
   if (!begins) {
@@ -168,17 +168,18 @@
     co_return withheld;
   }
   const Turn turn(grants_, address);
-  co_return co_await SendNow(address, order, std::move(may_write));
+  co_return co_await SendNow(address, order, std::move(checks));
 }
 
 awaitable<OrderReply> OrderClient::SendNow(state::Address address,
                                            KeyOrder order,
-                                           std::function<bool()> may_write) {
+                                           OrderChecks checks) {
   OrderReply result;
   const bool grant = order.kind == OrderKind::kGrant;
   HttpSendOptions options = MakeOptions(order.server.id);
   options.trace = &result.trace;
-  options.may_write = std::move(may_write);
+  options.may_write = std::move(checks.may_write);
+  options.may_connect = std::move(checks.may_connect);
   // On a new connection the order could reach a later incarnation of the
   // server, for which the grant is not meant.
   options.reconnect = false;
--- a/src/transport/order_client.h
+++ b/src/transport/order_client.h
@@ -18,6 +18,14 @@
 
 namespace mustardflow::transport {
 
+// Asked about an order while it is sent; what is refused is not done.
+struct OrderChecks {
+  // Whether the order may be written, asked immediately before.
+  std::function<bool()> may_write;
+  // Whether a connection may be opened for the order.
+  std::function<bool()> may_connect;
+};
+
 // How an order has ended.
 struct OrderReply {
   coordination::OrderOutcome outcome = coordination::OrderOutcome::kNotSent;
@@ -34,13 +42,11 @@
  public:
   explicit OrderClient(const asio::any_io_executor& executor);
 
-  // Sends the order to the server at `address`. `may_write` is asked
-  // immediately before the order is written; if it returns false, nothing is
-  // written. A grant that waits for earlier ones longer than kOrderTimeout is
-  // not written either.
+  // Sends the order to the server at `address`, as far as `checks` permits. A
+  // grant that waits for earlier ones longer than kOrderTimeout is not written.
   awaitable<OrderReply> Send(state::Address address,
                              coordination::KeyOrder order,
-                             std::function<bool()> may_write);
+                             OrderChecks checks);
 
   // Returns whether the server answers an order that changes nothing.
   awaitable<bool> Probe(state::Address address,
@@ -62,7 +68,7 @@
   // Sends the order at once.
   awaitable<OrderReply> SendNow(state::Address address,
                                 coordination::KeyOrder order,
-                                std::function<bool()> may_write);
+                                OrderChecks checks);
   std::string MakeId();
   // The options that all orders have: an id of its own, by which the answer to
   // another order is told, and the intended server.
--- a/tests/keys/keyspace_cases_test.cc
+++ b/tests/keys/keyspace_cases_test.cc
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <catch2/catch.hpp>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -165,6 +166,95 @@
   CHECK(fences[3] == fences[2]);
 }
 
+// Guards against a new incarnation that gets the fences of the one before for
+// the ranges whose orders were not under way when the connection was lost, and
+// against a lost connection that makes all ranges of the server be granted at
+// once or late.
+TEST_CASE("all ranges of a server get higher fences after a lost connection",
+          "[O8]") {
+  const bool closed = GENERATE(false, true);
+  Instant now(seconds(100));
+  const state::ServerIncarnation a{"a", 1};
+  const state::ServerIncarnation b{"b", 1};
+  const std::int32_t last = state::kShardKeyCount - 1;
+  const state::ServiceRanges recorded = {{0, 9999, a, {}, 1, true},
+                                         {10000, 19999, b, {}, 1, true},
+                                         {20000, 29999, a, {}, 1, true},
+                                         {30000, 39999, b, {}, 1, true},
+                                         {40000, last, a, {}, 1, true}};
+  KeyspaceCoordinator coordinator(now, 2, recorded, now);
+  coordinator.SetServers(now, {{a, 1, true}, {b, 1, true}});
+  // By first key: the fences of the grants, and when they were sent.
+  std::map<std::int32_t, std::vector<std::pair<std::int64_t, Instant>>> grants;
+  std::optional<Instant> lost_at;
+  const auto run = [&](bool loses) {
+    for (const Instant end = now + seconds(4); now < end;) {
+      now += milliseconds(10);
+      for (const KeyOrder& order : coordinator.Tick(now)) {
+        const bool lost = loses && !lost_at && order.first == 20000;
+        coordinator.HandleOrderOutcome(
+            now, order,
+            lost && !closed ? OrderOutcome::kReset : OrderOutcome::kAccepted,
+            "");
+        if (lost) {
+          lost_at = now;
+          if (closed) {
+            coordinator.HandleConnectionClosed(now, order.server);
+          }
+        }
+        if (!loses || (lost_at && now > *lost_at)) {
+          grants[order.first].emplace_back(order.fence, now);
+        }
+      }
+      coordinator.HandleRecordConfirmed(coordinator.recorded_change());
+      coordinator.HandleProof(now);
+      coordinator.HandleDelivery(now, now);
+    }
+  };
+  run(false);
+  const auto before = std::exchange(grants, {});
+  run(true);
+  REQUIRE(before.size() == 5);
+  REQUIRE(grants.size() == 5);
+  for (const auto& [first, sent] : grants) {
+    CAPTURE(closed, first);
+    const std::int64_t fence = before.at(first).back().first;
+    const bool of_b = first == 10000 || first == 30000;
+    CHECK((sent.front().first > fence) == !of_b);
+    CHECK(sent.front().first == sent.back().first);
+    CHECK(sent.size() <= before.at(first).size() + 1);
+    CHECK(sent.front().second - before.at(first).back().second <
+          milliseconds(1300));
+  }
+}
+
+// Guards against a grant that waited while a connection was lost and opens the
+// next one with the fence of an earlier incarnation.
+TEST_CASE("a grant from before a lost connection may not open another",
+          "[O8]") {
+  Instant now(seconds(100));
+  KeyspaceCoordinator coordinator(now, 1, {}, now);
+  coordinator.SetServers(now, {{{"a", 1}, 1, true}});
+  std::vector<KeyOrder> orders;
+  while (orders.empty()) {
+    now += milliseconds(10);
+    orders = coordinator.Tick(now);
+    coordinator.HandleRecordConfirmed(coordinator.recorded_change());
+  }
+  KeyOrder release = orders[0];
+  release.kind = OrderKind::kRelease;
+  CHECK(coordinator.MayConnect(orders[0]));
+  coordinator.HandleOrderOutcome(now, release, OrderOutcome::kUnknown, "");
+  CHECK_FALSE(coordinator.MayConnect(orders[0]));
+  coordinator.HandleOrderOutcome(now, orders[0], OrderOutcome::kWithheld, "");
+  now += milliseconds(10);
+  coordinator.HandleProof(now);
+  const std::vector<KeyOrder> next = coordinator.Tick(now);
+  REQUIRE(next.size() == 1);
+  CHECK(next[0].fence > orders[0].fence);
+  CHECK(coordinator.MayConnect(next[0]));
+}
+
 // Guards against keys that wait for the end of a lease because the release was
 // sent to a former incarnation only.
 TEST_CASE("a release is sent again to a restarted server", "[O8]") {
--- a/tests/keys/keyspace_simulation.cc
+++ b/tests/keys/keyspace_simulation.cc
@@ -24,6 +24,8 @@
 constexpr Duration kReportInterval = std::chrono::milliseconds(400);
 constexpr Duration kReleaseTimeout = std::chrono::milliseconds(2600);
 constexpr Duration kRenewInterval = std::chrono::seconds(1);
+// Until a leader reads the list again, it does not know of a new incarnation.
+constexpr Duration kListInterval = std::chrono::milliseconds(350);
 
 }  // namespace
 
@@ -245,6 +247,10 @@
 }
 
 void KeyspaceSimulation::UpdateServerList(Leader* leader) {
+  if (now_ < leader->next_list) {
+    return;
+  }
+  leader->next_list = now_ + kListInterval;
   std::vector<coordination::KeyServer> servers;
   for (int i = 0; i < kServers; ++i) {
     const Server& server = servers_[static_cast<std::size_t>(i)];
@@ -264,9 +270,14 @@
   const bool waits_for_work = order.kind == OrderKind::kRelease;
   const auto timeout_at =
       now_ + (waits_for_work ? kReleaseTimeout : coordination::kOrderTimeout);
-  const auto answer = [this, index, order](Instant when, OrderOutcome outcome) {
-    Schedule(when, [this, index, order, outcome] {
+  const auto answer = [this, index, order, target](Instant when,
+                                                   OrderOutcome outcome) {
+    Schedule(when, [this, index, order, target, outcome] {
       Leader& leader = leaders_[index];
+      if (outcome == OrderOutcome::kNotSent ||
+          outcome == OrderOutcome::kUnknown) {
+        leader.connected_epoch[static_cast<std::size_t>(target)] = 0;
+      }
       if (!leader.stopped) {
         leader.coordinator->HandleOrderOutcome(now_, order, outcome, "");
         if (leader.coordinator->superseded()) {
@@ -289,10 +300,14 @@
       leaders_[index].connected_epoch[static_cast<std::size_t>(target)];
   if (!disconnected && connected_epoch != 0 &&
       connected_epoch != server.epoch) {
-    connected_epoch = 0;
     answer(sent + RandomDelay(1, 200), OrderOutcome::kNotSent);
     return;
   }
+  if (!disconnected && connected_epoch == 0 &&
+      !leaders_[index].coordinator->MayConnect(order)) {
+    answer(sent + RandomDelay(1, 200), OrderOutcome::kWithheld);
+    return;
+  }
   connected_epoch = disconnected ? connected_epoch : server.epoch;
   if (disconnected || Chance(faults_.refused)) {
     answer(sent + RandomDelay(1, 200), OrderOutcome::kNotSent);
@@ -385,12 +400,11 @@
       continue;
     }
     CheckWork(i, server);
-    // A leader that has not read the new incarnation, or does not know of its
-    // successor, cannot know that it needs a higher fence for the same server.
+    // A leader that does not know of its successor cannot know that it needs a
+    // higher fence for the same server.
     const bool cannot_know =
         highest_holder_[key_index].id == receiver.id &&
-        (order.server.start_time_ms < start_time_ms ||
-         order.fence >> 20 < static_cast<std::int64_t>(leaders_.size()));
+        order.fence >> 20 < static_cast<std::int64_t>(leaders_.size());
     if (!cannot_know && highest_holder_[key_index] != receiver &&
         order.fence <= highest_fence_[key_index]) {
       violation_ = "fence " + std::to_string(order.fence) + " at " +
--- a/tests/keys/keyspace_simulation.h
+++ b/tests/keys/keyspace_simulation.h
@@ -127,6 +127,8 @@
     bool writing = false;
     state::Instant next_renewal{};
     state::Instant next_heartbeat{};
+    // When the leader reads the list of servers next.
+    state::Instant next_list{};
     // What the leader writes before this moment leaves at this moment.
     state::Instant stalled_until{};
   };
--- a/tests/transport/order_client_test.cc
+++ b/tests/transport/order_client_test.cc
@@ -52,9 +52,12 @@
   }
 
   // Sends an order without waiting for its end.
-  void Start(OrderKind kind, std::function<bool()> may_write) {
-    asio::co_spawn(context_, SendOne(kind, std::move(may_write)),
-                   asio::detached);
+  void Start(OrderKind kind,
+             std::function<bool()> may_write,
+             std::function<bool()> may_connect = {}) {
+    asio::co_spawn(
+        context_, SendOne(kind, {std::move(may_write), std::move(may_connect)}),
+        asio::detached);
   }
 
   // Sends an order and returns its end.
@@ -78,12 +81,14 @@
   // How the connections ended that the client ended.
   std::vector<boost::system::error_code> ends;
   std::vector<OrderReply> replies;
+  // Called with each reply before the next grant to the server begins.
+  std::function<void(const OrderReply&)> on_reply;
   // The open connections.
   std::vector<tcp::socket*> connections;
 
  private:
   transport::awaitable<void> SendOne(OrderKind kind,
-                                     std::function<bool()> may_write) {
+                                     transport::OrderChecks checks) {
     KeyOrder order;
     order.id = ++order_count_;
     order.kind = kind;
@@ -93,8 +98,10 @@
     order.fence = 7;
     const state::Address address{"127.0.0.1",
                                  acceptor_.local_endpoint().port()};
-    replies.push_back(
-        co_await client_.Send(address, order, std::move(may_write)));
+    replies.push_back(co_await client_.Send(address, order, std::move(checks)));
+    if (on_reply) {
+      on_reply(replies.back());
+    }
   }
 
   transport::awaitable<void> Accept() {
@@ -386,4 +393,34 @@
   CHECK_FALSE(fixture.replies.back().trace.sent);
 }
 
+// Guards against a grant with an old fence that goes to a new incarnation over
+// a new connection, since it waited for one whose connection was lost.
+TEST_CASE("a waiting grant asks before it opens another connection", "[O8]") {
+  const bool closes = GENERATE(false, true);
+  OrderFixture fixture([closes](tcp::socket& socket, const Received&) {
+    if (closes) {
+      asio::write(socket, asio::buffer(Answer(200, "Connection: close\r\n")));
+    } else {
+      socket.set_option(asio::socket_base::linger(true, 0));
+      socket.close();
+    }
+  });
+  bool lost = false;
+  fixture.on_reply = [&lost](const OrderReply& reply) {
+    lost = lost || reply.trace.closed || reply.outcome == OrderOutcome::kReset;
+  };
+  for (int i = 0; i < 3; ++i) {
+    fixture.Start(
+        OrderKind::kGrant, [] { return true; }, [&lost] { return !lost; });
+  }
+  fixture.RunUntilReplies(3);
+  fixture.RunFor(milliseconds(20));
+  CAPTURE(closes);
+  CHECK(fixture.received.size() == 1);
+  CHECK(fixture.replies[0].outcome ==
+        (closes ? OrderOutcome::kAccepted : OrderOutcome::kReset));
+  CHECK(fixture.replies[1].outcome == OrderOutcome::kWithheld);
+  CHECK(fixture.replies[2].outcome == OrderOutcome::kWithheld);
+}
+
 }  // namespace mustardflow::tests
