admission: Rate limits of organisations over all hosts

Limits of organisations apply to all hosts together, and most organisations are seen by few hosts at less than a request a second, so divided buckets do not work. Hosts count the requests of limited organisations and report them; the leader keeps demand and a token bucket for each and publishes the fraction that hosts admit. Buckets at the hosts bound a surge that the leader cannot know yet; without a leader, hosts use equal shares. Requests over the limit get 429 with Retry-After. Further attempts are charged as well, so that the bound holds at the servers; attempts that reach no server are returned.

RateShare moves from coordination to admission, which both use. HostReport and LeaderHeartbeat have a member more each; messages without it are read as before, and deployments without `tenants` send none.

--- a/src/coordination/rate_share.cc
+++ b/src/admission/rate_share.cc
@@ -1,11 +1,11 @@
 // Division of a limit among hosts, token bucket and slots.
 
-#include "coordination/rate_share.h"
+#include "admission/rate_share.h"
 
 #include <algorithm>
 #include <cmath>
 
-namespace mustardflow::coordination {
+namespace mustardflow::admission {
 
 using state::Duration;
 using state::Instant;
@@ -96,4 +96,4 @@
   tokens_at_ = now;
 }
 
-}  // namespace mustardflow::coordination
+}  // namespace mustardflow::admission
--- a/src/coordination/rate_share.h
+++ b/src/admission/rate_share.h
@@ -1,15 +1,15 @@
 // One host's share of a limit on requests per second that applies to all hosts
 // together.
 
-#ifndef MUSTARDFLOW_COORDINATION_RATE_SHARE_H_
-#define MUSTARDFLOW_COORDINATION_RATE_SHARE_H_
+#ifndef MUSTARDFLOW_ADMISSION_RATE_SHARE_H_
+#define MUSTARDFLOW_ADMISSION_RATE_SHARE_H_
 
 #include <cstddef>
 #include <optional>
 
 #include "state/time.h"
 
-namespace mustardflow::coordination {
+namespace mustardflow::admission {
 
 // What a host may send: on average `per_second` requests, and `burst` requests
 // at once.
@@ -63,6 +63,6 @@
   std::optional<state::Instant> tokens_at_;
 };
 
-}  // namespace mustardflow::coordination
+}  // namespace mustardflow::admission
 
-#endif  // MUSTARDFLOW_COORDINATION_RATE_SHARE_H_
+#endif  // MUSTARDFLOW_ADMISSION_RATE_SHARE_H_
--- a/src/coordination/server_pool.cc
+++ b/src/coordination/server_pool.cc
@@ -168,7 +168,7 @@
   }
   if (fresh || other_incarnation) {
     server = ServerState();
-    server.rate_share = RateShare(PhaseOf(record.incarnation.id));
+    server.rate_share = admission::RateShare(PhaseOf(record.incarnation.id));
   }
   if (fresh || other_incarnation || server.gone || server.unconfirmed ||
       server.record.draining != record.draining ||
@@ -307,7 +307,7 @@
   return static_cast<double>(HostRank(server) >> 11) / kSeedSpan;
 }
 
-std::optional<RateAllowance> ServerPool::RateAllowanceFor(
+std::optional<admission::RateAllowance> ServerPool::RateAllowanceFor(
     Instant now,
     const ServerState& server) const {
   const auto limit = server.announced.RateLimit(now);
@@ -317,6 +317,7 @@
     return std::nullopt;
   }
   const auto gate = gated_.find(server.record.incarnation.id);
+  using admission::SenderRole;
   SenderRole role = SenderRole::kEqual;
   if (gate != gated_.end()) {
     role = !gate->second.own ? SenderRole::kOther
@@ -324,7 +325,7 @@
                ? SenderRole::kNewGate
                : SenderRole::kGate;
   }
-  return DivideRate(*limit, role, hosts_);
+  return admission::DivideRate(*limit, role, hosts_);
 }
 
 std::size_t ServerPool::ColdShare(Instant now,
--- a/src/coordination/server_pool.h
+++ b/src/coordination/server_pool.h
@@ -15,9 +15,9 @@
 #include <variant>
 #include <vector>
 
+#include "admission/rate_share.h"
 #include "coordination/announced_state.h"
 #include "coordination/decaying_maximum.h"
-#include "coordination/rate_share.h"
 #include "state/host_profile.h"
 #include "state/ownership_table.h"
 #include "state/routing_config.h"
@@ -251,7 +251,7 @@
     // when none is returned.
     bool announcement_pending = false;
     state::Instant next_announcement{};
-    RateShare rate_share;
+    admission::RateShare rate_share;
     // Requests of this host since the last TakeSendCount().
     int sends = 0;
   };
@@ -294,7 +294,7 @@
   void ApplyPublishedLimit(state::Instant now, ServerState* server) const;
   // What this host may send to a server that announced a limit; nullopt if no
   // limit is in force.
-  std::optional<RateAllowance> RateAllowanceFor(
+  std::optional<admission::RateAllowance> RateAllowanceFor(
       state::Instant now,
       const ServerState& server) const;
   // Requests per second that this host may send to a cold server.
--- a/src/platform/settings_file.cc
+++ b/src/platform/settings_file.cc
@@ -45,6 +45,12 @@
     set_period(&bounds->max_lease);
   } else if (name == "config_apply") {
     set_period(&bounds->config_apply);
+  } else if (name == "quota_window") {
+    set_period(&bounds->quota_window);
+  } else if (name == "quota_overage") {
+    set_number(&bounds->quota_overage);
+  } else if (name == "quota_slack") {
+    set_number(&bounds->quota_slack);
   } else if (name == "grace") {
     set_period(&bounds->stop_grace);
   }
--- a/src/protocol/host_messages.cc
+++ b/src/protocol/host_messages.cc
@@ -2,6 +2,7 @@
 
 #include "protocol/host_messages.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <cmath>
 #include <stdexcept>
@@ -256,6 +257,69 @@
   return update;
 }
 
+// Fractions are encoded as integers in this unit.
+constexpr double kFractionUnit = 1e-5;
+// Counts of one interval above this are not those of a host. Sums of them do
+// not overflow.
+constexpr std::int64_t kMaxCount = 1000000000;
+constexpr std::size_t kMaxIntervals = 2;
+
+json::object EncodeFractions(const admission::OrganisationFractions& value) {
+  json::object fractions;
+  for (const auto& [name, fraction] : value.fractions) {
+    fractions[name] =
+        static_cast<std::int64_t>(std::llround(fraction / kFractionUnit));
+  }
+  return {{"complete", value.complete}, {"fractions", std::move(fractions)}};
+}
+
+admission::OrganisationFractions ReadFractions(const json::value& value) {
+  admission::OrganisationFractions read;
+  read.complete = value.at("complete").as_bool();
+  for (const auto& [name, fraction] : value.at("fractions").as_object()) {
+    read.fractions[std::string(name)] = std::clamp(
+        static_cast<double>(fraction.to_number<std::int64_t>()) * kFractionUnit,
+        0.0, 1.0);
+  }
+  return read;
+}
+
+// A count is encoded as an array: offered, admitted.
+json::object EncodeOrganisations(const admission::OrganisationReport& report) {
+  json::array intervals;
+  for (const admission::RequestCounts& counts : report.counts) {
+    json::object interval;
+    for (const auto& [name, count] : counts) {
+      interval[name] = json::array{count.offered, count.admitted};
+    }
+    intervals.push_back(std::move(interval));
+  }
+  return {{"sequence", report.sequence},
+          {"interval", report.interval},
+          {"counts", std::move(intervals)}};
+}
+
+admission::OrganisationReport ReadOrganisations(const json::value& value) {
+  admission::OrganisationReport report;
+  report.sequence = value.at("sequence").to_number<std::int64_t>();
+  report.interval = value.at("interval").to_number<std::int64_t>();
+  const json::array& intervals = value.at("counts").as_array();
+  if (report.interval < 0 || intervals.size() > kMaxIntervals) {
+    throw std::invalid_argument("not intervals of a report");
+  }
+  for (const json::value& interval : intervals) {
+    admission::RequestCounts& counts = report.counts.emplace_back();
+    for (const auto& [name, count] : interval.as_object()) {
+      counts[std::string(name)] = {
+          std::clamp<std::int64_t>(count.at(0).to_number<std::int64_t>(), 0,
+                                   kMaxCount),
+          std::clamp<std::int64_t>(count.at(1).to_number<std::int64_t>(),
+                                   -kMaxCount, kMaxCount)};
+    }
+  }
+  return report;
+}
+
 struct MessageWriter {
   json::object operator()(const LeaderHeartbeat& heartbeat) const {
     json::object object = {
@@ -274,6 +338,9 @@
     if (!heartbeat.relay_to.empty()) {
       object["relay_to"] = EncodeAddresses(heartbeat.relay_to);
     }
+    if (heartbeat.organisations) {
+      object["organisations"] = EncodeFractions(*heartbeat.organisations);
+    }
     if (heartbeat.update) {
       object["news"] = EncodeUpdate(*heartbeat.update);
     }
@@ -304,18 +371,23 @@
           json::object{{"requests", load_report.requests},
                        {"samples", json::value_from(load_report.samples)}};
     }
-    return {{"kind", "report"},
-            {"host", report.host},
-            {"term", report.term},
-            {"beat", report.heartbeat_number},
-            {"load", std::move(load)},
-            {"zone", report.zone},
-            {"strength", report.strength},
-            {"forward", report.forward_address},
-            {"stopping", report.stopping},
-            {"slowness", json::value_from(report.relative_latency)},
-            {"execution_s", json::value_from(report.execution_seconds)},
-            {"announced", EncodeAnnouncements(report.announcements)}};
+    json::object object{
+        {"kind", "report"},
+        {"host", report.host},
+        {"term", report.term},
+        {"beat", report.heartbeat_number},
+        {"load", std::move(load)},
+        {"zone", report.zone},
+        {"strength", report.strength},
+        {"forward", report.forward_address},
+        {"stopping", report.stopping},
+        {"slowness", json::value_from(report.relative_latency)},
+        {"execution_s", json::value_from(report.execution_seconds)},
+        {"announced", EncodeAnnouncements(report.announcements)}};
+    if (report.organisations.interval > 0) {
+      object["organisations"] = EncodeOrganisations(report.organisations);
+    }
+    return object;
   }
 };
 
@@ -346,6 +418,10 @@
     heartbeat.stepping_down = object.at("yielding").as_bool();
     heartbeat.hosts = object.at("hosts").to_number<std::size_t>();
     heartbeat.number = object.at("number").to_number<std::int64_t>();
+    // Leaders of earlier versions send none.
+    if (const json::value* value = object.if_contains("organisations")) {
+      heartbeat.organisations = ReadFractions(*value);
+    }
     if (const json::value* update = object.if_contains("news")) {
       heartbeat.update = ReadUpdate(*update);
     }
@@ -390,7 +466,7 @@
   for (const auto& [server, value] : object.at("slowness").as_object()) {
     report.relative_latency[std::string(server)] = value.to_number<double>();
   }
-  // Hosts of earlier versions send neither.
+  // Hosts of earlier versions send none of these.
   if (const json::value* times = object.if_contains("execution_s")) {
     for (const auto& [service, value] : times->as_object()) {
       report.execution_seconds[std::string(service)] =
@@ -400,6 +476,9 @@
   if (const json::value* announced = object.if_contains("announced")) {
     report.announcements = ReadAnnouncements(*announced);
   }
+  if (const json::value* value = object.if_contains("organisations")) {
+    report.organisations = ReadOrganisations(*value);
+  }
   return report;
 }
 
--- a/src/protocol/host_messages.h
+++ b/src/protocol/host_messages.h
@@ -14,6 +14,7 @@
 #include <variant>
 #include <vector>
 
+#include "admission/organisation_counts.h"
 #include "coordination/leader_election.h"
 #include "coordination/load_sampler.h"
 #include "coordination/reported_announcements.h"
@@ -89,6 +90,8 @@
   bool stepping_down = false;
   // Number of hosts that share the limits, as the leader counts them.
   std::size_t hosts = 1;
+  // Nullopt if there is nothing new; the fractions of before remain in force.
+  std::optional<admission::OrganisationFractions> organisations;
   // Sequence number of the heartbeat within the term. Host reports name the
   // latest number that they received.
   std::int64_t number = 0;
@@ -142,6 +145,8 @@
   std::map<std::string, double> execution_seconds;
   // What servers have announced in their answers to this host.
   std::vector<coordination::AnnouncementReport> announcements;
+  // The requests of organisations that have a limit.
+  admission::OrganisationReport organisations;
 };
 
 using HostMessage =
--- a/src/state/host_profile.h
+++ b/src/state/host_profile.h
@@ -29,6 +29,12 @@
   Duration max_lease = std::chrono::seconds(10);
   // The time within which a published configuration must be in force.
   Duration config_apply = std::chrono::seconds(2);
+  // Over all hosts, in any period of this length, servers receive at most
+  // `(rate * window + burst) * (1 + quota_overage) + quota_slack` requests of
+  // an organisation with a limit.
+  Duration quota_window = std::chrono::seconds(5);
+  double quota_overage = 0.1;
+  double quota_slack = 20;
   // The time from a stop signal until the process is killed.
   Duration stop_grace = std::chrono::seconds(6);
 };
--- a/src/transport/entry_host.cc
+++ b/src/transport/entry_host.cc
@@ -26,6 +26,8 @@
 // Interval of the work that is not needed at each tick.
 constexpr Duration kSlowTickInterval = std::chrono::milliseconds(250);
 constexpr Duration kReportInterval = std::chrono::milliseconds(400);
+// Minimum time between reports that are early because of a surge.
+constexpr Duration kMinReportGap = std::chrono::milliseconds(100);
 // Interval of reading the table from the store while this host has lost contact
 // with the leader.
 constexpr Duration kTableReadInterval = std::chrono::milliseconds(1000);
@@ -123,6 +125,7 @@
               pool_,
               log,
               {[this](protocol::LeaderHeartbeat heartbeat) {
+                 HandleFractions(Now(), heartbeat);
                  link_.Broadcast(Now(), std::move(heartbeat));
                },
                [this] { QueryHosts(); },
@@ -320,7 +323,9 @@
   view_.config_confirmed_at = watch_.ConfigConfirmedAt();
   relay_.Tick(now);
   const bool announced = reported_announcements_ != pool_.announcements();
-  if (now >= next_report_ || announced) {
+  const bool surging = relay_.organisation_limits().surging() &&
+                       now - last_report_ >= kMinReportGap;
+  if (now >= next_report_ || announced || surging) {
     reported_announcements_ = pool_.announcements();
     next_report_ = now + kReportInterval;
     SendReport(now);
@@ -395,6 +400,7 @@
     }
   }
   report.announcements = announcement_reporter_.Report(now, pool_);
+  report.organisations = relay_.organisation_limits().TakeCounts(now);
   last_report_ = now;
   if (leader_.leading()) {
     leader_.HandleReport(now, report);
@@ -471,6 +477,7 @@
     watch_.HandleProgress(now, heartbeat);
   }
   RecordHostCount(now, heartbeat.hosts);
+  HandleFractions(now, heartbeat);
   if (heartbeat.update && heartbeat.update->changes_table() &&
       follower_.HandleUpdate({heartbeat.term, heartbeat.update->base_revision,
                               heartbeat.revision, heartbeat.update->changes,
@@ -484,6 +491,16 @@
   }
 }
 
+void EntryHost::HandleFractions(Instant now,
+                                const protocol::LeaderHeartbeat& heartbeat) {
+  admission::OrganisationLimits& limits = relay_.organisation_limits();
+  if (heartbeat.organisations) {
+    limits.SetFractions(now, *heartbeat.organisations);
+  } else {
+    limits.HandleLeader(now);
+  }
+}
+
 awaitable<void> EntryHost::FetchRecordedTable() {
   co_await ReadLedger();
   reading_table_ = false;
--- a/src/transport/entry_host.h
+++ b/src/transport/entry_host.h
@@ -83,6 +83,10 @@
                         const protocol::LeaderQueryReply& reply);
   void HandleHeartbeat(const state::Address& from,
                        const protocol::LeaderHeartbeat& heartbeat);
+  // Passes the fractions in a heartbeat, which may be this host's own, to the
+  // limits of organisations.
+  void HandleFractions(state::Instant now,
+                       const protocol::LeaderHeartbeat& heartbeat);
   // Records a host count, either this host's own or that of the leader, and
   // applies the maximum over kHostCountWindow.
   void RecordHostCount(state::Instant now, std::size_t hosts);
--- a/src/transport/leader_duty.cc
+++ b/src/transport/leader_duty.cc
@@ -119,7 +119,8 @@
       hooks_(std::move(hooks)),
       order_client_(executor),
       election_(Now(), std::move(claim), stagger, profile.bootstrap),
-      outcomes_tick_(executor_, [this] { TickAfterOutcomes(); }) {}
+      outcomes_tick_(executor_, [this] { TickAfterOutcomes(); }),
+      organisations_(profile.bounds) {}
 
 void LeaderDuty::SetConfig(std::shared_ptr<const state::RoutingConfig> config) {
   config_ = std::move(config);
@@ -155,6 +156,7 @@
     next_server_list_ = now;
     next_gate_assignment_ = std::min(next_gate_assignment_, now);
   }
+  organisations_.Record(now, report.host, report.organisations);
   for (const auto& [service, load] : report.load) {
     const auto found = keyspaces_.find(service);
     if (found == keyspaces_.end() || load.samples.empty()) {
@@ -502,6 +504,7 @@
   ledger_schedule_ = coordination::LedgerSchedule();
   renewal_count_ = 0;
   next_heartbeat_ = now;
+  organisations_.Begin(now);
   gate_assignment_ = coordination::GateAssignment();
   next_gate_assignment_ = now + kInitialGateDelay;
   table_ = state::OwnershipTable();
@@ -832,6 +835,7 @@
   heartbeat.stepping_down = election_.stepping_down(now);
   heartbeat.hosts = hooks_.host_count();
   heartbeat.number = proof_.RecordSentHeartbeat(now);
+  heartbeat.organisations = std::exchange(fractions_, std::nullopt);
   return heartbeat;
 }
 
@@ -854,15 +858,37 @@
   hooks_.take_entries(&update);
   std::vector<protocol::HeartbeatUpdate> parts =
       protocol::SplitUpdate(update, kMaxUpdateBytes);
-  if (parts.empty() || parts.size() > kMaxUpdateParts) {
+  if (parts.size() > kMaxUpdateParts) {
     // Hosts that miss an entry see from the announced offset that they are
     // behind, and read the entry from the store.
+    parts.clear();
+  }
+  fractions_ = UpdateFractions(now);
+  if (parts.empty()) {
     hooks_.broadcast(MakeHeartbeat(now));
   } else {
     SendUpdates(now, table_.revision, std::move(parts));
   }
 }
 
+std::optional<admission::OrganisationFractions> LeaderDuty::UpdateFractions(
+    Instant now) {
+  if (!config_ || !config_->organisations()) {
+    return std::nullopt;
+  }
+  auto fractions = organisations_.Update(now, *config_, hooks_.host_count());
+  for (const admission::FractionChange& change : organisations_.TakeChanges()) {
+    log_.Write(LogPart::kLeader, "organisation-fraction",
+               {{"organisation", change.organisation},
+                {"fraction", change.fraction},
+                {"demand", change.demand},
+                {"limit", change.limit},
+                {"level", change.level},
+                {"hosts", static_cast<std::int64_t>(hooks_.host_count())}});
+  }
+  return fractions;
+}
+
 const state::ServerRecord* LeaderDuty::FindRecord(
     const state::ServerIncarnation& incarnation) const {
   const auto found = server_records_.find(incarnation.id);
--- a/src/transport/leader_duty.h
+++ b/src/transport/leader_duty.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "admission/organisation_demand.h"
 #include "coordination/gate_assignment.h"
 #include "coordination/keyspace_coordinator.h"
 #include "coordination/lead_proof.h"
@@ -206,6 +207,10 @@
   void SendUpdates(state::Instant now,
                    std::int64_t revision,
                    std::vector<protocol::HeartbeatUpdate> parts);
+  // Returns the fractions of organisations' requests that hosts admit, for the
+  // next heartbeat; nullopt if there is nothing to say.
+  std::optional<admission::OrganisationFractions> UpdateFractions(
+      state::Instant now);
   protocol::LeaderHeartbeat MakeHeartbeat(state::Instant now);
   // The table as the ledger has to hold it.
   state::OwnershipTable RecordedTable() const;
@@ -304,6 +309,9 @@
   coordination::ReportedAverages relative_latencies_;
   // By service: the mean execution time of a request in seconds.
   coordination::ReportedAverages execution_seconds_;
+  admission::OrganisationDemand organisations_;
+  // For the next heartbeat only.
+  std::optional<admission::OrganisationFractions> fractions_;
   // What servers have announced. Kept across terms, as hosts report it again
   // only with each report.
   coordination::ReportedAnnouncements announcements_;
--- a/src/transport/request_relay.cc
+++ b/src/transport/request_relay.cc
@@ -31,6 +31,10 @@
 // Retry-After for requests that come too late in a stop. Other hosts can serve
 // them at once.
 constexpr Duration kStoppingRetryAfter = std::chrono::milliseconds(50);
+// Retry-After for requests over the limit of their organisation, and the time
+// over which it is spread. A bucket recovers from a debt in about 2 s.
+constexpr Duration kOverLimitRetryAfter = std::chrono::milliseconds(1000);
+constexpr Duration kOverLimitSpread = std::chrono::milliseconds(1000);
 // Maximum number of shard keys sampled for one load report of a service.
 constexpr std::size_t kSamplesPerReport = 120;
 // A request with a longer body costs more in another zone.
@@ -249,7 +253,8 @@
       answer_bytes_(profile.memory_bytes / kAnswerMemoryDivisor),
       server_connections_(context, answer_bytes_),
       gate_connections_(context, answer_bytes_),
-      flow_(view, pool, profile.bounds, std::move(random)) {}
+      flow_(view, pool, profile.bounds, std::move(random)),
+      organisation_limits_(profile.bounds) {}
 
 RequestRelay::RequestId RequestRelay::Start(CallerMessage message,
                                             RequestSource source,
@@ -265,7 +270,7 @@
   const bool usable = (source == RequestSource::kHost
                            ? ClassifyForwarded(request)
                            : Classify(request) && CheckAttemptId(request)) &&
-                      CheckStop(request);
+                      CheckStop(request) && CheckLimit(request);
   if (usable) {
     Perform(flow_.Start(request->terms.received, request->id, request->terms));
   }
@@ -343,6 +348,7 @@
     return false;
   }
   request->organisation = organisation->name;
+  request->limited = organisation->limited();
   request->terms.priority = state::PriorityOf(*request->route, organisation);
   return true;
 }
@@ -430,6 +436,63 @@
   return true;
 }
 
+bool RequestRelay::CheckLimit(const RequestPtr& request) {
+  if (!request->limited || request->source == RequestSource::kHost) {
+    return true;
+  }
+  const state::Organisation* organisation =
+      request->config->FindOrganisation(request->organisation);
+  if (organisation_limits_.Admit(request->terms.received, *organisation,
+                                 view_.hosts, random_())) {
+    request->has_unused_admission = true;
+    return true;
+  }
+  const auto spread =
+      std::chrono::duration_cast<Duration>(random_() * kOverLimitSpread);
+  CallerAnswer answer{429, "Too Many Requests", {}, ""};
+  answer.fields.emplace_back("Retry-After",
+                             FormatSeconds(kOverLimitRetryAfter + spread));
+  RejectRequest(request, "over-limit", request->organisation,
+                std::move(answer));
+  return false;
+}
+
+void RequestRelay::CountAttempt(Request* request) {
+  if (!request->limited) {
+    return;
+  }
+  if (!request->has_unused_admission) {
+    organisation_limits_.Charge(Now(), request->organisation);
+  }
+  request->has_unused_admission = false;
+}
+
+void RequestRelay::ReturnAttempt(Request* request) {
+  if (!request->limited) {
+    return;
+  }
+  if (request->has_unused_admission) {
+    organisation_limits_.GiveBack(Now(), request->organisation);
+  }
+  request->has_unused_admission = true;
+}
+
+void RequestRelay::SettleAdmission(Request* request, RequestOutcome outcome) {
+  if (!request->limited) {
+    return;
+  }
+  if (request->source == RequestSource::kHost) {
+    // The forwarding host returns the attempt of a request that was refused,
+    // though a server may have got it and refused it.
+    if (outcome == RequestOutcome::kRefused && !request->has_unused_admission) {
+      organisation_limits_.Charge(Now(), request->organisation);
+    }
+  } else if (request->has_unused_admission) {
+    organisation_limits_.GiveBack(Now(), request->organisation);
+  }
+  request->has_unused_admission = false;
+}
+
 bool RequestRelay::ClassifyForwarded(const RequestPtr& request) {
   const CallerMessage& message = request->message;
   request->attempt_id = std::string(message[platform::kAttemptIdField]);
@@ -467,6 +530,9 @@
       request->config ? request->config->FindOrganisation(request->organisation)
                       : nullptr;
   if (known != nullptr) {
+    request->limited = known->limited();
+    // The forwarding host has admitted the request and counted one attempt.
+    request->has_unused_admission = true;
     terms.priority = known->priority.value_or(terms.priority);
   }
   return true;
@@ -514,6 +580,7 @@
   const auto connection = connections.Take(
       Now(), peer, send.fresh_connection_only, request->used_connections);
   request->used_connections.push_back(connection);
+  CountAttempt(request.get());
   request->connections.emplace(send.attempt, connection);
   connection->Send(
       RequestBytes(*request, send), request->attempt_id,
@@ -619,6 +686,11 @@
   } else if (exchange_result == ExchangeResult::kBroken) {
     result = SendResult::kLost;
   }
+  if (result == SendResult::kNotConnected ||
+      result == SendResult::kGateRefused ||
+      result == SendResult::kGateRejected) {
+    ReturnAttempt(request.get());
+  }
   Perform(flow_.HandleResult(now, id, attempt, result, retry_after));
 }
 
@@ -769,6 +841,7 @@
   if (!request) {
     return;
   }
+  SettleAdmission(request.get(), conclusion.outcome);
   const EndingLabels labels = LabelsFor(conclusion.outcome);
   Ending ending{labels.outcome, AnswerOrigin::kHost,
                 conclusion.reason.empty() ? labels.event : conclusion.reason};
--- a/src/transport/request_relay.h
+++ b/src/transport/request_relay.h
@@ -14,6 +14,7 @@
 #include <utility>
 #include <vector>
 
+#include "admission/organisation_limits.h"
 #include "coordination/load_sampler.h"
 #include "coordination/request_flow.h"
 #include "coordination/server_pool.h"
@@ -120,6 +121,10 @@
                       int status,
                       std::string_view reason);
 
+  admission::OrganisationLimits& organisation_limits() {
+    return organisation_limits_;
+  }
+
   std::size_t active() const { return requests_.size(); }
   // Sets the metrics that are derived from the state of the relay.
   void SetMetrics(state::Instant now);
@@ -149,6 +154,10 @@
     bool drop_credentials = false;
     // The name of the organisation whose key the request has; empty if none.
     std::string organisation;
+    // Whether that organisation has a limit.
+    bool limited = false;
+    // Whether the request has been admitted and no server has it yet.
+    bool has_unused_admission = false;
     // The connection of each attempt under way.
     std::map<coordination::AttemptId, std::shared_ptr<ServerConnection>>
         connections;
@@ -178,6 +187,16 @@
   // Sets the organisation of the request. If its route needs a key and the
   // request has none that is known, rejects it and returns false.
   bool CheckCredential(const RequestPtr& request);
+  // Rejects the request and returns false if its organisation is over its
+  // limit.
+  bool CheckLimit(const RequestPtr& request);
+  // Counts an attempt that may reach a server. All but the first are charged to
+  // the organisation in addition to the admission.
+  void CountAttempt(Request* request);
+  // Returns an attempt that has not reached a server.
+  void ReturnAttempt(Request* request);
+  // Settles the admission of a request that ends.
+  void SettleAdmission(Request* request, coordination::RequestOutcome outcome);
   // Ends a request that the configuration does not allow: for good, or, if this
   // host cannot rule out a newer configuration, with a time to come back.
   void RejectByConfig(const RequestPtr& request,
@@ -268,6 +287,7 @@
   // is 0.
   ServerConnectionPool gate_connections_;
   coordination::RequestFlow flow_;
+  admission::OrganisationLimits organisation_limits_;
   coordination::TrafficSplit split_;
   RequestId last_id_ = 0;
   std::optional<state::Instant> stopping_since_;
--- a/tests/platform/settings_file_test.cc
+++ b/tests/platform/settings_file_test.cc
@@ -17,7 +17,8 @@
   "limits": {"memory_mb": 260},
   "bounds": ["retry_budget_ratio=0.2", "retry_budget_slack=56",
              "warmup_overage=1.5", "warmup_slack=5", "grace=6s",
-             "config_apply=2500ms",
+             "config_apply=2500ms", "quota_window=4s", "quota_overage=0.2",
+             "quota_slack=30",
              "hold_max=10000ms", "unheard_of=1", "no figure", "grace=soon"],
   "platform": {"address": "10.200.1.7:8384"},
   "something_new": [1, 2, 3]
@@ -40,6 +41,9 @@
   CHECK(profile->bounds.cold_slack == 5);
   CHECK(profile->bounds.stop_grace == std::chrono::seconds(6));
   CHECK(profile->bounds.config_apply == std::chrono::milliseconds(2500));
+  CHECK(profile->bounds.quota_window == std::chrono::seconds(4));
+  CHECK(profile->bounds.quota_overage == 0.2);
+  CHECK(profile->bounds.quota_slack == 30);
 }
 
 TEST_CASE("all missing and invalid settings are reported together") {
--- a/tests/protocol/host_messages_test.cc
+++ b/tests/protocol/host_messages_test.cc
@@ -48,7 +48,9 @@
   heartbeat.address = {"10.0.0.7", 7200};
   heartbeat.relay_to = {{"10.0.0.8", 7200}};
   heartbeat.update = LargeUpdate();
+  heartbeat.organisations = {{{"first", 0.25}}, false};
   HostReport report;
+  report.organisations = {5, 2, {{{"first", {8, -1}}}, {}}};
   report.host = "h1";
   report.load["shelf"] = {3, {1, 2, 65535}};
   report.relative_latency["s"] = 1.5;
@@ -362,4 +364,40 @@
   }));
 }
 
+// Guards against fractions and counts that are lost on the way, and against
+// messages of earlier versions that cannot be read.
+TEST_CASE("organisations in messages round-trip and may be missing") {
+  LeaderHeartbeat heartbeat;
+  heartbeat.host = "h1";
+  heartbeat.address = {"10.0.0.7", 7200};
+  HostReport report;
+  report.host = "h1";
+  const std::string old_heartbeat = protocol::EncodeMessage(heartbeat);
+  const std::string old_report = protocol::EncodeMessage(report);
+  CHECK(old_heartbeat.find("organisations") == std::string::npos);
+  CHECK(old_report.find("organisations") == std::string::npos);
+  const auto read_old = protocol::DecodeMessage(old_heartbeat);
+  REQUIRE(read_old);
+  CHECK_FALSE(std::get<LeaderHeartbeat>(*read_old).organisations);
+  heartbeat.organisations = {{{"first", 0.25}, {"second", 0}}, false};
+  const auto read = protocol::DecodeMessage(protocol::EncodeMessage(heartbeat));
+  REQUIRE(read);
+  const auto& fractions = std::get<LeaderHeartbeat>(*read).organisations;
+  REQUIRE(fractions);
+  CHECK(fractions->fractions == heartbeat.organisations->fractions);
+  CHECK_FALSE(fractions->complete);
+  report.organisations = {5, 2, {{{"first", {8, -1}}}, {}}};
+  const auto read_report =
+      protocol::DecodeMessage(protocol::EncodeMessage(report));
+  REQUIRE(read_report);
+  const admission::OrganisationReport& counts =
+      std::get<HostReport>(*read_report).organisations;
+  CHECK(counts.sequence == 5);
+  CHECK(counts.interval == 2);
+  REQUIRE(counts.counts.size() == 2);
+  CHECK(counts.counts[0].at("first").offered == 8);
+  CHECK(counts.counts[0].at("first").admitted == -1);
+  CHECK(counts.counts[1].empty());
+}
+
 }  // namespace mustardflow::tests
--- a/tests/transport/organisations_test.cc
+++ b/tests/transport/organisations_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -203,4 +204,66 @@
   CHECK(Count(request, "key-") == 0);
 }
 
+// Guards against limits that are not applied, and against refused requests that
+// are charged or reach a server.
+TEST_CASE("requests over the limit get 429 and reach no server") {
+  RelayFixture host(RequestKind::kIdempotent);
+  state::Organisations organisations = TwoOrganisations();
+  organisations["first"].rate = 5;
+  host.SetOrganisations(organisations);
+  admission::OrganisationLimits& limits = host.relay().organisation_limits();
+  limits.SetFractions(transport::Now(), {{{"first", 0.4}}, true});
+  tcp::socket caller = host.ConnectCaller();
+  Send(caller, RequestWith("X-Credential: key-1\r\n"));
+  const std::string refusal = host.ReceiveUntil(caller, "\r\n\r\n");
+  CHECK(refusal.starts_with("HTTP/1.1 429"));
+  CHECK(Count(refusal, "Retry-After: 1.50\r\n") == 1);
+  CHECK_FALSE(host.HasNewConnection());
+  limits.SetFractions(transport::Now(), {{{"first", 0.6}}, true});
+  Send(caller, RequestWith("X-Credential: key-1\r\n"));
+  tcp::socket server = host.AcceptFromRelay();
+  host.ReceiveUntil(server, "\r\n\r\n");
+  Send(server, kAnswer);
+  CHECK(host.ReceiveUntil(caller, "\r\n\r\n").starts_with("HTTP/1.1 200"));
+  const auto report = limits.TakeCounts(transport::Now());
+  REQUIRE(report.counts.size() == 1);
+  CHECK(report.counts[0].at("first").offered == 2);
+  CHECK(report.counts[0].at("first").admitted == 1);
+}
+
+// Guards against a quota that is spent by requests which no server got, and
+// against attempts at servers that are not counted.
+TEST_CASE("the quota counts what servers may have got") {
+  RelayFixture host(RequestKind::kIdempotent);
+  state::Organisations organisations = TwoOrganisations();
+  organisations["first"].rate = 5;
+  host.SetOrganisations(organisations);
+  host.UseGate(RequestKind::kIdempotent);
+  admission::OrganisationLimits& limits = host.relay().organisation_limits();
+  limits.SetFractions(transport::Now(), {});
+  tcp::socket caller = host.ConnectCaller();
+  Send(caller, RequestWith("X-Shard-Key: 5\r\nX-Credential: key-1\r\n"));
+  tcp::socket gate = host.AcceptAtGate();
+  host.ReceiveUntil(gate, "\r\n\r\n");
+  std::int64_t admitted = 0;
+  SECTION("a request that its gate refused is returned") {
+    Send(gate,
+         "HTTP/1.1 503 Busy\r\nX-Attempt-Id: 1\r\nRetry-After: 1\r\n"
+         "X-Mustardflow-Outcome: refused\r\nContent-Length: 0\r\n\r\n");
+    CHECK(host.ReceiveUntil(caller, "\r\n\r\n").starts_with("HTTP/1.1 503"));
+  }
+  SECTION("an attempt past a gate that fails is charged") {
+    gate.close();
+    tcp::socket server = host.AcceptFromRelay();
+    host.ReceiveUntil(server, "\r\n\r\n");
+    Send(server, kAnswer);
+    CHECK(host.ReceiveUntil(caller, "\r\n\r\n").starts_with("HTTP/1.1 200"));
+    admitted = 2;
+  }
+  const auto report = limits.TakeCounts(transport::Now());
+  REQUIRE(report.counts.size() == 1);
+  CHECK(report.counts[0].at("first").offered == 1);
+  CHECK(report.counts[0].at("first").admitted == admitted);
+}
+
 }  // namespace mustardflow::tests
