transport: One memory account for bodies and answers; connections follow max_fds

Cause: bodies of requests were held whole in a growing string and copied for each attempt, answers were copied for writing, and neither was bounded; connections were limited to 2,500 for each listener, whatever max_fds says. Crowds of clients took a process over memory_mb, and the platform ended it.

Change: requests and answers draw from one account for each process, with a limit from memory_mb. A body is held once, in blocks, and written behind a head of its own. A request for which there is no memory gets 503 with Retry-After before it is passed on; transfers of callers that make no progress give way to others; an answer of a server waits for up to 1 s. A gate's refusal has the outcome "refused". Connections are divided from max_fds less 200; at the limit, an idle connection gives way to a new one. The decisions are in src/admission, without I/O. ByteBudget is replaced by the account.

--- a/apps/mustardflow_entry.cc
+++ b/apps/mustardflow_entry.cc
@@ -1,6 +1,7 @@
 // The main program of an entry host on the platform. Takes the path of the
 // settings file from the environment, and runs until SIGTERM.
 
+#include <malloc.h>
 #include <unistd.h>
 
 #include <csignal>
@@ -18,6 +19,12 @@
 
 // Exit status if the settings are missing or invalid.
 constexpr int kInvalidSettingsStatus = 2;
+// Memory blocks from this size on are mapped one by one and go back to the
+// system when they are freed. Without a fixed size, the allocator raises it to
+// that of the largest block freed, and keeps such blocks.
+constexpr int kMapBytes = 128 << 10;
+// The free memory that the allocator keeps at the end of its heap.
+constexpr int kKeptBytes = 1 << 20;
 
 std::string ReadFile(const char* path) {
   std::ifstream stream(path);
@@ -43,6 +50,8 @@
     std::cerr << findings.Report(path);
     return kInvalidSettingsStatus;
   }
+  mallopt(M_MMAP_THRESHOLD, kMapBytes);
+  mallopt(M_TRIM_THRESHOLD, kKeptBytes);
   std::signal(SIGPIPE, SIG_IGN);
   // The concurrency hint 1 says that one thread runs the context, so that Asio
   // can leave out locks.
--- a/src/platform/settings_file.cc
+++ b/src/platform/settings_file.cc
@@ -82,6 +82,9 @@
       std::min(read_positive("memory_mb", default_memory),
                kMaxMemoryMegabytes) *
       kBytesPerMegabyte);
+  constexpr double kMaxDescriptors = 1 << 24;
+  profile->max_descriptors = static_cast<std::size_t>(
+      std::min(read_positive("max_fds", 0), kMaxDescriptors));
   // cpu_share is the share of one core; cpu_cores is the speed of that core
   // relative to a reference core.
   profile->cores =
--- a/src/state/host_profile.h
+++ b/src/state/host_profile.h
@@ -52,6 +52,8 @@
   Duration server_heartbeat = std::chrono::seconds(1);
   // The memory limit of this host.
   std::size_t memory_bytes = 256u << 20;
+  // The number of descriptors that the process may open; 0 if unknown.
+  std::size_t max_descriptors = 0;
   // The processor capacity of this host, in cores.
   double cores = 1;
   // The bandwidth of the network link of this host, in Mbit/s.
--- a/src/transport/caller_connection.cc
+++ b/src/transport/caller_connection.cc
@@ -8,6 +8,7 @@
 #include <limits>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "platform/server_protocol.h"
 #include "transport/clocks.h"
@@ -25,6 +26,14 @@
 // allocate, and exceed what operators allow callers to send.
 constexpr std::size_t kMaxForwardedHeaderBytes = 1 << 20;
 constexpr std::size_t kMaxForwardedBodyBytes = 256 << 20;
+// No further request is read while answers of more bytes wait for the caller.
+constexpr std::size_t kMaxQueuedAnswerBytes = 256 << 10;
+// What a request needs in memory beside its header and body.
+constexpr std::size_t kRequestOverheadBytes = 2 << 10;
+// The largest number of blocks that are written at once.
+constexpr std::size_t kMaxBlocksPerWrite = 4;
+// The status of a request for which there is no memory.
+constexpr int kNoMemoryStatus = 503;
 // How long a connection whose sending side is closed waits for the caller to
 // close its side.
 constexpr state::Duration kLingerTimeout = std::chrono::seconds(1);
@@ -81,7 +90,21 @@
       log_(log),
       source_(source),
       closed_handler_(std::move(closed)),
-      idle_since_(Now()) {}
+      memory_(relay.memory()),
+      own_draw_(memory_),
+      idle_since_(Now()) {
+  memory_->Add(this);
+  CountOwnMemory();
+}
+
+CallerConnection::~CallerConnection() {
+  memory_->Remove(this);
+}
+
+void CallerConnection::CountOwnMemory() {
+  own_draw_.SetCounted(sizeof(CallerConnection) + sizeof(Parser) +
+                       input_buffer_.capacity());
+}
 
 void CallerConnection::Start() {
   beast::error_code ignored;
@@ -98,7 +121,9 @@
   // The parser stops after the header, which then can be told apart from the
   // trailer; see AcceptHeader().
   parser_->eager(false);
+  parser_->get().body().Bind(memory_, this);
   header_accepted_ = false;
+  header_bytes_ = 0;
   header_before_trailer_.reset();
   header_limit_ = 0;
   body_limit_ = 0;
@@ -157,12 +182,15 @@
     return;
   }
   input_buffer_.append(read_chunk_.data(), size);
+  receiving_.progressed = memory_->now();
+  receiving_.moved_bytes += size;
+  CountOwnMemory();
   Parse();
 }
 
 void CallerConnection::Parse() {
   while (!input_buffer_.empty() && !reading_finished_ && !closed_ &&
-         exchanges_.size() < kMaxPipelinedRequests) {
+         MayReadRequest()) {
     if (!request_started_at_) {
       // Empty lines before a request are ignored (RFC 9112, section 2.2).
       input_buffer_.erase(0, input_buffer_.find_first_not_of("\r\n"));
@@ -172,9 +200,16 @@
       request_started_at_ = Now();
     }
     RaiseLimits();
+    if (const auto rejection = PrepareBody()) {
+      Reject(*rejection);
+      break;
+    }
     beast::error_code error;
     const std::size_t used = parser_->put(asio::buffer(input_buffer_), error);
     input_buffer_.erase(0, used);
+    if (!header_accepted_) {
+      header_bytes_ += used;
+    }
     if (error && error != http::error::need_more) {
       Reject({StatusFor(error), error.message()});
       break;
@@ -184,7 +219,11 @@
         Reject(*rejection);
         break;
       }
-      if (const auto rejection = CheckBodySize()) {
+      auto rejection = CheckBodySize();
+      if (!rejection) {
+        rejection = ReserveMemory();
+      }
+      if (rejection) {
         Reject(*rejection);
         break;
       }
@@ -207,11 +246,23 @@
   }
   // At the limit reading pauses, so that TCP flow control holds the caller
   // back.
-  if (exchanges_.size() < kMaxPipelinedRequests) {
+  if (MayReadRequest()) {
     Read();
   }
 }
 
+bool CallerConnection::MayReadRequest() const {
+  if (request_started_at_) {
+    return exchanges_.size() < kMaxPipelinedRequests;
+  }
+  std::size_t queued = output_body_.size();
+  for (const auto& exchange : exchanges_) {
+    queued += exchange->answer ? exchange->answer->body.size() : 0;
+  }
+  return exchanges_.size() < kMaxPipelinedRequests &&
+         queued < kMaxQueuedAnswerBytes;
+}
+
 bool CallerConnection::AwaitsContinue() const {
   return request_started_at_ && !reading_finished_ &&
          parser_->is_header_done() &&
@@ -223,6 +274,9 @@
   parser_->get().erase(http::field::expect);
   request_started_at_ = Now();
   writing_ = true;
+  sending_ = {};
+  sending_.began = sending_.progressed = memory_->now();
+  receiving_.began = receiving_.progressed = sending_.began;
   asio::async_write(
       socket_, asio::buffer(kContinue),
       [self = shared_from_this()](const beast::error_code& error, std::size_t) {
@@ -254,6 +308,27 @@
   return std::nullopt;
 }
 
+std::optional<CallerConnection::Rejection> CallerConnection::ReserveMemory() {
+  if (parser_->get().body().drawn_bytes() > 0) {
+    return std::nullopt;
+  }
+  receiving_ = {};
+  receiving_.began = receiving_.progressed = memory_->now();
+  if (!parser_->get().body().Reserve(kRequestOverheadBytes + header_bytes_,
+                                     parser_->content_length().value_or(0))) {
+    return Rejection{kNoMemoryStatus, "no memory for the request"};
+  }
+  return std::nullopt;
+}
+
+std::optional<CallerConnection::Rejection> CallerConnection::PrepareBody() {
+  if (!header_accepted_ || !parser_->chunked() ||
+      parser_->get().body().Prepare(input_buffer_.size())) {
+    return std::nullopt;
+  }
+  return Rejection{kNoMemoryStatus, "no memory for the body"};
+}
+
 void CallerConnection::UseOriginForm() {
   auto& message = parser_->get();
   const auto absolute =
@@ -357,15 +432,18 @@
 
 void CallerConnection::Reject(const Rejection& rejection) {
   const bool by_limit = rejection.status == 413 || rejection.status == 431;
-  const bool refused = by_limit && !relay_.ConfigConfirmed();
+  const bool no_memory = rejection.status == kNoMemoryStatus;
+  const bool refused = no_memory || (by_limit && !relay_.ConfigConfirmed());
   const std::string_view event = refused ? "refused" : "malformed";
   CallerAnswer answer;
-  if (refused) {
+  if (no_memory) {
+    answer = RequestRelay::NoMemoryAnswer();
+  } else if (refused) {
     answer = RequestRelay::UnconfirmedAnswer();
   } else {
     const auto status = static_cast<http::status>(rejection.status);
     answer = {
-        rejection.status, std::string(http::obsolete_reason(status)), {}, ""};
+        rejection.status, std::string(http::obsolete_reason(status)), {}, {}};
   }
   const beast::string_view id = parser_->get()[beast::string_view(
       platform::kAttemptIdField.data(), platform::kAttemptIdField.size())];
@@ -377,9 +455,12 @@
               {"earlier_requests", requests_},
               {"config", view_.config ? view_.config->version() : -1}});
   relay_.CountRejection(source_, answer.status,
-                        refused ? "configuration-unconfirmed" : event);
+                        no_memory ? "no-memory"
+                        : refused ? "configuration-unconfirmed"
+                                  : event);
   if (source_ == RequestSource::kHost) {
-    answer.fields.emplace_back(kOutcomeField, kUnreadableOutcome);
+    answer.fields.emplace_back(kOutcomeField,
+                               no_memory ? "refused" : kUnreadableOutcome);
     if (!id.empty()) {
       answer.fields.emplace_back(platform::kAttemptIdField, std::string(id));
     }
@@ -389,6 +470,10 @@
   exchange->answer = std::move(answer);
   exchanges_.push_back(exchange);
   reading_finished_ = true;
+  request_started_at_.reset();
+  parser_->get().body().Clear();
+  input_buffer_ = std::string();
+  CountOwnMemory();
   WriteNextAnswer();
 }
 
@@ -416,32 +501,64 @@
   if (close) {
     reading_finished_ = true;
   }
-  output_buffer_ = AnswerBytes(*exchange, close);
+  output_head_ = AnswerHead(*exchange, close);
+  output_head_written_ = 0;
+  output_body_ = exchange->is_head_request ? BodyBuffer()
+                                           : std::move(exchange->answer->body);
+  sending_ = {};
+  sending_.began = sending_.progressed = memory_->now();
+  WriteAnswer(close);
+}
+
+void CallerConnection::WriteAnswer(bool close) {
   writing_ = true;
-  asio::async_write(socket_, asio::buffer(output_buffer_),
-                    [self = shared_from_this(), close](
-                        const beast::error_code& error, std::size_t) {
-                      self->writing_ = false;
-                      self->idle_since_ = Now();
-                      if (self->closed_) {
-                        return;
-                      }
-                      if (error) {
-                        self->HandleDisconnect();
-                      } else if (close || self->Done()) {
-                        self->Linger();
-                      } else {
-                        self->WriteNextAnswer();
-                        self->Parse();
-                      }
-                    });
-}
-
-std::string CallerConnection::AnswerBytes(const Exchange& exchange,
-                                          bool close) const {
+  std::vector<asio::const_buffer> buffers;
+  if (output_head_written_ < output_head_.size()) {
+    buffers.push_back(asio::buffer(output_head_) + output_head_written_);
+  }
+  output_body_.AppendTo(&buffers, kMaxBlocksPerWrite);
+  socket_.async_write_some(
+      buffers, [self = shared_from_this(), close](
+                   const beast::error_code& error, std::size_t size) {
+        self->writing_ = false;
+        self->idle_since_ = Now();
+        if (self->closed_) {
+          return;
+        }
+        if (error) {
+          self->HandleDisconnect();
+          return;
+        }
+        self->sending_.progressed = self->memory_->now();
+        self->sending_.moved_bytes += size;
+        const std::size_t of_head = std::min(
+            size, self->output_head_.size() - self->output_head_written_);
+        self->output_head_written_ += of_head;
+        self->output_body_.Consume(size - of_head);
+        if (self->output_head_written_ < self->output_head_.size() ||
+            !self->output_body_.empty()) {
+          self->WriteAnswer(close);
+        } else {
+          self->HandleAnswerWritten(close);
+        }
+      });
+}
+
+void CallerConnection::HandleAnswerWritten(bool close) {
+  output_body_.Clear();
+  if (close || Done()) {
+    Linger();
+  } else {
+    WriteNextAnswer();
+    Parse();
+  }
+}
+
+std::string CallerConnection::AnswerHead(const Exchange& exchange,
+                                         bool close) const {
   const CallerAnswer& answer = *exchange.answer;
   std::string bytes;
-  bytes.reserve(256 + answer.body.size());
+  bytes.reserve(256);
   bytes += "HTTP/1.1 " + std::to_string(answer.status) + ' ' + answer.reason +
            "\r\n";
   for (const auto& [name, value] : answer.fields) {
@@ -455,9 +572,6 @@
     AppendField("Connection", "close", &bytes);
   }
   bytes += "\r\n";
-  if (!exchange.is_head_request) {
-    bytes += answer.body;
-  }
   return bytes;
 }
 
@@ -529,13 +643,75 @@
   }
 }
 
+bool CallerConnection::ReceivesBody() const {
+  return header_accepted_ && request_started_at_ && !reading_finished_ &&
+         !AwaitsContinue();
+}
+
+std::optional<admission::Transfer> CallerConnection::CurrentTransfer() const {
+  if (closed_) {
+    return std::nullopt;
+  }
+  admission::Transfer transfer;
+  if (ReceivesBody()) {
+    transfer = receiving_;
+    transfer.held_bytes = parser_->get().body().drawn_bytes();
+  } else if (writing_) {
+    transfer = sending_;
+    transfer.held_bytes = output_head_.size() + output_body_.drawn_bytes();
+  } else {
+    return std::nullopt;
+  }
+  return transfer;
+}
+
+void CallerConnection::EndTransfer() {
+  const auto self = shared_from_this();
+  if (ReceivesBody()) {
+    Reject({kNoMemoryStatus, "slower than others that need its memory"});
+    return;
+  }
+  log_.Write(LogPart::kCaller, "slow-reader-closed",
+             {{"unread_bytes", static_cast<std::int64_t>(output_body_.size())},
+              {"forwarded", source_ == RequestSource::kHost}});
+  // A reset also frees what the system holds for the caller.
+  beast::error_code ignored;
+  socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+  HandleDisconnect();
+}
+
+admission::OpenConnection CallerConnection::Use() const {
+  admission::OpenConnection use;
+  const auto transfer = CurrentTransfer();
+  const state::Instant now = memory_->now();
+  if (transfer) {
+    use.stalled = admission::IsStalled(now, *transfer);
+    use.since = transfer->progressed;
+  } else if (lingering_ ||
+             (exchanges_.empty() && !writing_ && !request_started_at_)) {
+    use.idle = true;
+    // By the account's clock, like the other times.
+    use.since = now - (Now() - idle_since_);
+  }
+  return use;
+}
+
+void CallerConnection::CloseForOthers() {
+  log_.Write(LogPart::kCaller, "closed-for-others",
+             {{"idle", exchanges_.empty() && !writing_},
+              {"forwarded", source_ == RequestSource::kHost}});
+  HandleDisconnect();
+}
+
 void CallerConnection::Close() {
   if (closed_) {
     return;
   }
   closed_ = true;
+  memory_->Remove(this);
   beast::error_code ignored;
   socket_.close(ignored);
+  output_body_.Clear();
   const auto self = shared_from_this();
   if (closed_handler_) {
     closed_handler_(this);
--- a/src/transport/caller_connection.h
+++ b/src/transport/caller_connection.h
@@ -12,10 +12,14 @@
 #include <optional>
 #include <string>
 
+#include "admission/connection_limits.h"
+#include "admission/memory_policy.h"
 #include "state/routing_config.h"
 #include "state/time.h"
 #include "transport/asio.h"
+#include "transport/body_buffer.h"
 #include "transport/event_log.h"
+#include "transport/memory_account.h"
 #include "transport/request_relay.h"
 
 namespace mustardflow::transport {
@@ -23,7 +27,8 @@
 // Reads pipelined requests, passes them to the relay and writes the answers in
 // the order of the requests. Closes itself on errors, at its time limits and
 // after the last answer, and then calls the closed handler.
-class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
+class CallerConnection : public std::enable_shared_from_this<CallerConnection>,
+                         public MemoryHolder {
  public:
   using ClosedHandler = std::function<void(CallerConnection*)>;
 
@@ -33,6 +38,9 @@
                    EventLog& log,
                    RequestSource source,
                    ClosedHandler closed);
+  ~CallerConnection() override;
+  CallerConnection(const CallerConnection&) = delete;
+  CallerConnection& operator=(const CallerConnection&) = delete;
 
   void Start();
 
@@ -51,8 +59,17 @@
   // second.
   void Tick(state::Instant now);
 
+  // How the connection is used, to choose one that can be closed.
+  admission::OpenConnection Use() const;
+  // Closes an idle connection, or one whose caller makes no progress.
+  void CloseForOthers();
+
+  // MemoryHolder:
+  std::optional<admission::Transfer> CurrentTransfer() const override;
+  void EndTransfer() override;
+
  private:
-  using Parser = http::request_parser<http::string_body>;
+  using Parser = http::request_parser<BufferedBody>;
 
   // A request that has been read and whose answer is not being written yet.
   struct Exchange {
@@ -88,6 +105,19 @@
   // Checks the complete header once, and prepares to read the body. Returns why
   // the request is rejected, if it is.
   std::optional<Rejection> AcceptHeader();
+  // Draws memory for the head of the request and for a body of announced
+  // length. Returns why the request is rejected, if it is.
+  std::optional<Rejection> ReserveMemory();
+  // Draws memory for the received bytes of a body whose length is not
+  // announced. Returns why the request is rejected, if it is.
+  std::optional<Rejection> PrepareBody();
+  // Whether the body of the arriving request waits for the caller.
+  bool ReceivesBody() const;
+  // Whether a further request may be read. Too many requests under way, or
+  // answers that the caller does not read, delay it.
+  bool MayReadRequest() const;
+  // Counts the memory of the connection itself.
+  void CountOwnMemory();
   // Replaces a target in absolute form by its path and query, and the Host
   // field by the target's host.
   void UseOriginForm();
@@ -110,7 +140,10 @@
   // Writes the answer to the oldest request if it is known and no write is in
   // progress.
   void WriteNextAnswer();
-  std::string AnswerBytes(const Exchange& exchange, bool close) const;
+  std::string AnswerHead(const Exchange& exchange, bool close) const;
+  // Writes a part of the current answer, and then the rest.
+  void WriteAnswer(bool close);
+  void HandleAnswerWritten(bool close);
   // Whether no further request is read and no answer is missing.
   bool Done() const { return reading_finished_ && exchanges_.empty(); }
   void HandleDisconnect();
@@ -129,6 +162,8 @@
   std::unique_ptr<Parser> parser_;
   // Whether AcceptHeader() has accepted the header of the arriving request.
   bool header_accepted_ = false;
+  // The size of the arriving request's header, as far as it was parsed.
+  std::size_t header_bytes_ = 0;
   // The header of a request with a body in chunks, as it was before the
   // trailer.
   std::optional<CallerMessage::header_type> header_before_trailer_;
@@ -138,8 +173,18 @@
   std::array<char, 8 << 10> read_chunk_{};
   // Received bytes that have not been parsed yet.
   std::string input_buffer_;
-  // The answer that is being written.
-  std::string output_buffer_;
+  // The answer that is being written. Bytes are removed from the body once they
+  // are written.
+  std::string output_head_;
+  std::size_t output_head_written_ = 0;
+  BodyBuffer output_body_;
+  const MemoryAccountPtr memory_;
+  // The memory of the connection itself.
+  MemoryDraw own_draw_;
+  // The progress of the arriving body and of the answer that is being written,
+  // by the clock of the memory account.
+  admission::Transfer receiving_;
+  admission::Transfer sending_;
   // The number of requests that were passed to the relay.
   std::int64_t requests_ = 0;
   // Invariant: in the order in which the requests arrived.
--- a/src/transport/caller_listener.cc
+++ b/src/transport/caller_listener.cc
@@ -15,9 +15,6 @@
 // Length of the accept queue. The kernel drops connection requests while the
 // queue is full; the caller's retransmission then takes seconds.
 constexpr int kBacklog = 1024;
-// Maximum number of open connections; further ones are closed at once. The
-// limit leaves file descriptors for connections to servers.
-constexpr std::size_t kMaxConnections = 2500;
 
 }  // namespace
 
@@ -33,6 +30,9 @@
       relay_(relay),
       log_(log),
       source_(source),
+      max_connections_(source == RequestSource::kHost
+                           ? relay.connection_limits().forwarded
+                           : relay.connection_limits().callers),
       accept_retry_timer_(context) {
   const tcp::endpoint endpoint = ToEndpoint(address);
   acceptor_.open(endpoint.protocol());
@@ -54,7 +54,7 @@
               [this](const beast::error_code&) { Accept(); });
           return;
         }
-        if (connections_.size() < kMaxConnections) {
+        if (connections_.size() < max_connections_ || CloseOne()) {
           auto connection = std::make_shared<CallerConnection>(
               std::move(socket), view_, relay_, log_, source_,
               [this](CallerConnection* closed) { connections_.erase(closed); });
@@ -68,6 +68,22 @@
       });
 }
 
+bool CallerListener::CloseOne() {
+  std::vector<std::shared_ptr<CallerConnection>> candidates;
+  std::vector<admission::OpenConnection> uses;
+  for (const auto& [raw, connection] : connections_) {
+    candidates.push_back(connection);
+    uses.push_back(connection->Use());
+  }
+  const auto chosen =
+      admission::ChooseConnectionToClose(relay_.memory()->now(), uses);
+  if (!chosen) {
+    return false;
+  }
+  candidates[*chosen]->CloseForOthers();
+  return true;
+}
+
 void CallerListener::Tick(state::Instant now) {
   std::vector<std::shared_ptr<CallerConnection>> connections;
   for (const auto& [raw, connection] : connections_) {
--- a/src/transport/caller_listener.h
+++ b/src/transport/caller_listener.h
@@ -40,6 +40,8 @@
 
  private:
   void Accept();
+  // Closes a connection that others need more, if there is one.
+  bool CloseOne();
 
   asio::io_context& context_;
   tcp::acceptor acceptor_;
@@ -47,6 +49,9 @@
   RequestRelay& relay_;
   EventLog& log_;
   const RequestSource source_;
+  // Maximum number of open connections. At the limit, an idle one is closed for
+  // a new one; without an idle one, the new one is closed at once.
+  const std::size_t max_connections_;
   bool draining_ = false;
   // Delays the next accept after a failed one.
   asio::steady_timer accept_retry_timer_;
--- a/src/transport/entry_host.cc
+++ b/src/transport/entry_host.cc
@@ -62,16 +62,18 @@
   return {profile.ip, static_cast<std::uint16_t>(profile.peer_port + 1)};
 }
 
-ListenerLimits SmallListenerLimits() {
+ListenerLimits SmallListenerLimits(
+    const admission::ConnectionLimits& connections) {
   ListenerLimits limits;
-  limits.max_connections = 100;
+  limits.max_connections = connections.probes;
   return limits;
 }
 
 // All hosts may fetch from this host, so connections must not stay open long.
-ListenerLimits PeerListenerLimits() {
+ListenerLimits PeerListenerLimits(
+    const admission::ConnectionLimits& connections) {
   ListenerLimits limits;
-  limits.max_connections = 2000;
+  limits.max_connections = connections.peer_pages;
   limits.read_timeout = std::chrono::seconds(3);
   return limits;
 }
@@ -169,13 +171,13 @@
                  RequestSource::kHost),
       readiness_(context.get_executor(),
                  profile_.readiness,
-                 SmallListenerLimits(),
+                 SmallListenerLimits(relay_.connection_limits()),
                  [this](HttpRequest request) {
                    return AnswerReadiness(std::move(request));
                  }),
       peer_pages_(context.get_executor(),
                   {profile_.ip, profile_.peer_port},
-                  PeerListenerLimits(),
+                  PeerListenerLimits(relay_.connection_limits()),
                   [this](HttpRequest request) {
                     return AnswerPeer(std::move(request));
                   }),
@@ -194,7 +196,8 @@
   readiness_.Start();
   if (profile_.operators.port != 0) {
     operators_.emplace(context_.get_executor(), profile_.operators,
-                       SmallListenerLimits(), [this](HttpRequest request) {
+                       SmallListenerLimits(relay_.connection_limits()),
+                       [this](HttpRequest request) {
                          return AnswerOperators(std::move(request));
                        });
     operators_->Start();
--- a/src/transport/entry_metrics.cc
+++ b/src/transport/entry_metrics.cc
@@ -20,7 +20,7 @@
 
 using NameAndHelp = std::pair<const char*, const char*>;
 
-constexpr std::array<NameAndHelp, 13> kGauges = {{
+constexpr std::array<NameAndHelp, 15> kGauges = {{
     {"mustardflow_requests_under_way", "Requests that have no answer yet."},
     {"mustardflow_oldest_request_seconds", "Age of the oldest of them."},
     {"mustardflow_waiting_for_owner", "Requests whose key has no server."},
@@ -38,17 +38,22 @@
      "Backend servers that announce in their answers that they leave."},
     {"mustardflow_servers_paused",
      "Backend servers that want no requests from this host at present."},
+    {"mustardflow_memory_account_bytes",
+     "Memory that requests and answers hold."},
+    {"mustardflow_memory_account_limit_bytes", "The most that they may hold."},
     {"mustardflow_leading", "1 if this host leads."},
     {"mustardflow_leader_silence_seconds",
      "Time since the leader was last heard; 0 at the leader."},
 }};
 
 // Set from counts that other components keep.
-constexpr std::array<NameAndHelp, 5> kCounters = {{
+constexpr std::array<NameAndHelp, 6> kCounters = {{
     {"mustardflow_repeats_total", "Requests sent to a server once more."},
     {"mustardflow_store_calls_total", "Calls to the platform's store."},
     {"mustardflow_server_connections_total",
      "Connections opened to backend servers."},
+    {"mustardflow_transfers_ended_total",
+     "Transfers of callers ended to free memory."},
     {"mustardflow_entries_unreadable_total",
      "Entries in the store that name no server."},
     {"mustardflow_log_lines_suppressed_total",
--- a/src/transport/request_relay.cc
+++ b/src/transport/request_relay.cc
@@ -35,8 +35,9 @@
 constexpr std::size_t kSamplesPerReport = 120;
 // A request with a longer body costs more in another zone.
 constexpr std::size_t kLargeBodyBytes = 16 << 10;
-// Answers that are being received may take this fraction of the host's memory.
-constexpr std::size_t kAnswerMemoryDivisor = 4;
+// Retry-After for requests that find no memory or no descriptor. Connections
+// that make no progress for this time are closed.
+constexpr Duration kNoMemoryRetryAfter = std::chrono::milliseconds(1000);
 // Upper bound of the times that header fields may state. A higher value is
 // replaced by it, so that sums of times do not overflow.
 constexpr Duration kMaxStatedTime = std::chrono::hours(24);
@@ -246,9 +247,12 @@
       random_(random),
       log_(log),
       metrics_(metrics),
-      answer_bytes_(profile.memory_bytes / kAnswerMemoryDivisor),
-      server_connections_(context, answer_bytes_),
-      gate_connections_(context, answer_bytes_),
+      memory_(std::make_shared<MemoryAccount>(profile.memory_bytes)),
+      connection_limits_(
+          admission::ConnectionLimitsFor(profile.max_descriptors)),
+      open_connections_(std::make_shared<std::size_t>(0)),
+      server_connections_(context, memory_, open_connections_),
+      gate_connections_(context, memory_, open_connections_),
       flow_(view, pool, profile.bounds, std::move(random)) {}
 
 RequestRelay::RequestId RequestRelay::Start(CallerMessage message,
@@ -265,7 +269,7 @@
   const bool usable = (source == RequestSource::kHost
                            ? ClassifyForwarded(request)
                            : Classify(request) && CheckAttemptId(request)) &&
-                      CheckStop(request);
+                      CheckStop(request) && CheckConnections(request);
   if (usable) {
     Perform(flow_.Start(request->terms.received, request->id, request->terms));
   }
@@ -298,7 +302,7 @@
       request->config->FindRoute(hostname, target.substr(0, target.find('?')));
   if (request->route == nullptr) {
     RejectByConfig(request, "no-route", hostname + std::string(target),
-                   {404, "Not Found", {}, ""});
+                   {404, "Not Found", {}, {}});
     return false;
   }
   if (request->route->services.empty()) {
@@ -337,7 +341,7 @@
                     RefusalAnswer(kNoConfigRetryAfter));
     } else {
       RejectByConfig(request, "no-key", request->route->name,
-                     {400, "Bad Request", {}, ""});
+                     {400, "Bad Request", {}, {}});
     }
     return false;
   }
@@ -375,12 +379,25 @@
   return RefusalAnswer(kNoConfigRetryAfter);
 }
 
+CallerAnswer RequestRelay::NoMemoryAnswer() {
+  return RefusalAnswer(kNoMemoryRetryAfter);
+}
+
+bool RequestRelay::CheckConnections(const RequestPtr& request) {
+  if (*open_connections_ < connection_limits_.servers ||
+      server_connections_.HasIdle() || gate_connections_.HasIdle()) {
+    return true;
+  }
+  RejectRequest(request, "refused", "no-descriptors", NoMemoryAnswer());
+  return false;
+}
+
 bool RequestRelay::CheckAttemptId(const RequestPtr& request) {
   if (!request->attempt_id.empty()) {
     return true;
   }
   RejectRequest(request, "no-id", request->terms.service,
-                {400, "Bad Request", {}, ""});
+                {400, "Bad Request", {}, {}});
   return false;
 }
 
@@ -420,7 +437,7 @@
       attempts && *attempts >= 1 && *attempts <= state::kMaxAttempts;
   if (!deadline || !known_kind || !target || !valid_attempts || !terms.key) {
     RejectRequest(request, "malformed-forward", terms.service,
-                  {400, "Bad Request", {}, ""});
+                  {400, "Bad Request", {}, {}});
     return false;
   }
   terms.kind = static_cast<state::RequestKind>(*kind);
@@ -471,11 +488,16 @@
   }
   const auto connection = connections.Take(
       Now(), peer, send.fresh_connection_only, request->used_connections);
+  if (*open_connections_ > connection_limits_.servers &&
+      !server_connections_.CloseIdle()) {
+    gate_connections_.CloseIdle();
+  }
   request->used_connections.push_back(connection);
   request->connections.emplace(send.attempt, connection);
   connection->Send(
-      RequestBytes(*request, send), request->attempt_id,
-      request->message.method() == http::verb::head,
+      RequestHead(*request, send),
+      std::shared_ptr<const BodyBuffer>(request, &request->message.body()),
+      request->attempt_id, request->message.method() == http::verb::head,
       [this, id = send.request, attempt = send.attempt,
        incarnation = peer.incarnation, is_gate = send.gate.has_value(),
        sent = Now()](ExchangeResult exchange_result, ServerAnswer answer) {
@@ -497,12 +519,12 @@
   request->connections.erase(connection);
 }
 
-std::string RequestRelay::RequestBytes(
+std::string RequestRelay::RequestHead(
     const Request& request,
     const coordination::SendAttempt& send) const {
   const CallerMessage& message = request.message;
   std::string bytes;
-  bytes.reserve(512 + message.body().size());
+  bytes.reserve(512);
   AppendText(message.method_string(), &bytes);
   bytes += ' ';
   AppendText(message.target(), &bytes);
@@ -530,7 +552,6 @@
     AppendField(platform::kServerIdField, send.server.incarnation.id, &bytes);
   }
   bytes += "\r\n";
-  bytes += message.body();
   return bytes;
 }
 
@@ -668,6 +689,7 @@
   Perform(flow_.Tick(now));
   server_connections_.Tick(now);
   gate_connections_.Tick(now);
+  memory_->Tick(now);
 }
 
 void RequestRelay::HandleTableChange(Instant now) {
@@ -739,10 +761,10 @@
       answer = RefusalAnswer(conclusion.retry_after);
       break;
     case RequestOutcome::kUnknown:
-      answer = {502, "Bad Gateway", {}, ""};
+      answer = {502, "Bad Gateway", {}, {}};
       break;
     case RequestOutcome::kTimedOut:
-      answer = {504, "Gateway Timeout", {}, ""};
+      answer = {504, "Gateway Timeout", {}, {}};
       break;
     case RequestOutcome::kCancelled:
       break;
@@ -880,6 +902,12 @@
   for (const auto& [id, request] : requests_) {
     oldest = std::max<Duration>(oldest, now - request->terms.received);
   }
+  metrics_.Set("mustardflow_memory_account_bytes",
+               static_cast<double>(memory_->used()));
+  metrics_.Set("mustardflow_memory_account_limit_bytes",
+               static_cast<double>(memory_->limit()));
+  metrics_.Set("mustardflow_transfers_ended_total",
+               static_cast<double>(memory_->ended_transfers()));
   metrics_.Set("mustardflow_requests_under_way",
                static_cast<double>(requests_.size()));
   metrics_.Set("mustardflow_oldest_request_seconds",
--- a/src/transport/request_relay.h
+++ b/src/transport/request_relay.h
@@ -14,6 +14,7 @@
 #include <utility>
 #include <vector>
 
+#include "admission/connection_limits.h"
 #include "coordination/load_sampler.h"
 #include "coordination/request_flow.h"
 #include "coordination/server_pool.h"
@@ -21,13 +22,15 @@
 #include "state/host_profile.h"
 #include "state/routing_view.h"
 #include "transport/asio.h"
+#include "transport/body_buffer.h"
 #include "transport/entry_metrics.h"
 #include "transport/event_log.h"
+#include "transport/memory_account.h"
 #include "transport/server_links.h"
 
 namespace mustardflow::transport {
 
-using CallerMessage = http::request<http::string_body>;
+using CallerMessage = http::request<BufferedBody>;
 
 // The final answer to a caller.
 struct CallerAnswer {
@@ -35,7 +38,7 @@
   std::string reason;
   // End-to-end header fields only: no hop-by-hop fields, no Content-Length.
   std::vector<std::pair<std::string, std::string>> fields;
-  std::string body;
+  BodyBuffer body;
 };
 
 // Who made the final answer to a request.
@@ -113,6 +116,8 @@
   bool ConfigConfirmed() const;
   // The answer to a request that a newer configuration might allow.
   static CallerAnswer UnconfirmedAnswer();
+  // The answer to a request for which the host has no memory.
+  static CallerAnswer NoMemoryAnswer();
 
   // Counts the answer to a request that was rejected before it was complete.
   // `reason` is the event in the log.
@@ -120,6 +125,12 @@
                       int status,
                       std::string_view reason);
 
+  // The account from which all bodies and answers of the process draw.
+  const MemoryAccountPtr& memory() const { return memory_; }
+  const admission::ConnectionLimits& connection_limits() const {
+    return connection_limits_;
+  }
+
   std::size_t active() const { return requests_.size(); }
   // Sets the metrics that are derived from the state of the relay.
   void SetMetrics(state::Instant now);
@@ -183,6 +194,9 @@
   // Rejects the request and returns false if the host stops too soon for it.
   // Otherwise ensures that it ends before the host does.
   bool CheckStop(const RequestPtr& request);
+  // Rejects the request and returns false if no connection to a server can be
+  // opened for it.
+  bool CheckConnections(const RequestPtr& request);
   // Rejects the request and returns false if it has no X-Attempt-Id. Every
   // server refuses such a request, and its answer could not be matched.
   bool CheckAttemptId(const RequestPtr& request);
@@ -196,9 +210,9 @@
   void Abort(const coordination::AbortAttempt& abort);
   void EndRequest(const coordination::FinishRequest& conclusion);
   void LogAttempt(const coordination::ReportAttempt& report);
-  // Serializes the request for one attempt.
-  std::string RequestBytes(const Request& request,
-                           const coordination::SendAttempt& send) const;
+  // Serializes the head of the request for one attempt.
+  std::string RequestHead(const Request& request,
+                          const coordination::SendAttempt& send) const;
   void HandleExchangeResult(RequestId id,
                             coordination::AttemptId attempt,
                             const state::ServerIncarnation& peer,
@@ -253,7 +267,10 @@
   const std::function<double()> random_;
   EventLog& log_;
   EntryMetrics& metrics_;
-  ByteBudget answer_bytes_;
+  const MemoryAccountPtr memory_;
+  const admission::ConnectionLimits connection_limits_;
+  // The number of open connections to servers and gates.
+  const std::shared_ptr<std::size_t> open_connections_;
   ServerConnectionPool server_connections_;
   // Connections to gates. The pool is keyed by the incarnation of a server; for
   // a gate, the id of this incarnation is the gate's address and its start time
--- a/src/transport/server_connection.cc
+++ b/src/transport/server_connection.cc
@@ -6,6 +6,7 @@
 #include <charconv>
 #include <limits>
 #include <utility>
+#include <vector>
 
 #include "platform/server_protocol.h"
 #include "transport/clocks.h"
@@ -17,6 +18,10 @@
 // Limits the memory for an answer, which is buffered until it is complete.
 constexpr std::size_t kMaxAnswerBytes = 32 << 20;
 constexpr std::size_t kMaxHeaderBytes = 64 << 10;
+// How often, and for how long, an answer waits for memory. Servers cut off an
+// answer that stays unread for some seconds.
+constexpr auto kPauseInterval = std::chrono::milliseconds(20);
+constexpr state::Duration kMaxPause = std::chrono::seconds(1);
 // Interim answers and late answers to earlier requests that may precede the
 // answer to a request. A server in trouble may send them without end.
 constexpr int kMaxSkippedMessages = 16;
@@ -53,16 +58,28 @@
 
 }  // namespace
 
-ServerConnection::ServerConnection(asio::io_context& context,
-                                   const state::Address& address,
-                                   ByteBudget& budget)
-    : socket_(context), endpoint_(ToEndpoint(address)), budget_(budget) {}
+ServerConnection::ServerConnection(
+    asio::io_context& context,
+    const state::Address& address,
+    MemoryAccountPtr memory,
+    std::shared_ptr<std::size_t> open_connections)
+    : socket_(context),
+      endpoint_(ToEndpoint(address)),
+      memory_(std::move(memory)),
+      open_connections_(std::move(open_connections)),
+      own_draw_(memory_),
+      pause_timer_(context) {
+  ++*open_connections_;
+  own_draw_.SetCounted(sizeof(ServerConnection));
+}
 
-void ServerConnection::Send(std::string bytes,
+void ServerConnection::Send(std::string head,
+                            std::shared_ptr<const BodyBuffer> body,
                             std::string request_id,
                             bool answer_has_no_body,
                             Handler handler) {
-  output_buffer_ = std::move(bytes);
+  output_head_ = std::move(head);
+  output_body_ = std::move(body);
   request_id_ = std::move(request_id);
   answer_has_no_body_ = answer_has_no_body;
   handler_ = std::move(handler);
@@ -79,17 +96,15 @@
   }
 }
 
-void ServerConnection::ReturnBytes() {
-  budget_.Return(taken_bytes_);
-  taken_bytes_ = 0;
-}
-
 void ServerConnection::ResetParser() {
-  ReturnBytes();
   parser_ = std::make_unique<Parser>();
+  parser_->get().body().Bind(memory_, nullptr);
+  paused_since_.reset();
   parser_->body_limit(kMaxAnswerBytes);
   parser_->header_limit(kMaxHeaderBytes);
-  parser_->eager(true);
+  // The parser stops after the header, so that memory can be drawn for the
+  // body.
+  parser_->eager(false);
   if (answer_has_no_body_) {
     parser_->skip(true);
   }
@@ -117,10 +132,13 @@
 
 void ServerConnection::Write() {
   writing_ = true;
+  std::vector<asio::const_buffer> buffers{asio::buffer(output_head_)};
+  output_body_->AppendTo(&buffers, std::numeric_limits<std::size_t>::max());
   asio::async_write(
-      socket_, asio::buffer(output_buffer_),
+      socket_, buffers,
       [self = shared_from_this()](const beast::error_code& error, std::size_t) {
         self->writing_ = false;
+        self->output_body_.reset();
         // While a read is pending, the read reports the failure. The server may
         // have sent an answer before it closed, and the read delivers it first.
         if (error && !self->closed_ && !self->reading_) {
@@ -169,17 +187,25 @@
     FinishExchange(ExchangeResult::kBroken, {});
     return;
   }
-  if (!budget_.Take(size)) {
-    FinishExchange(ExchangeResult::kBroken, {});
-    return;
-  }
-  taken_bytes_ += size;
   input_buffer_.append(read_chunk_.data(), size);
   Parse();
 }
 
 void ServerConnection::Parse() {
   while (!input_buffer_.empty()) {
+    // To free memory, the account may end the request itself.
+    preparing_ = true;
+    const bool prepared = PrepareBody();
+    preparing_ = false;
+    if (closed_) {
+      parser_.reset();
+      return;
+    }
+    if (!prepared) {
+      PauseReading();
+      return;
+    }
+    paused_since_.reset();
     beast::error_code error;
     const std::size_t used = parser_->put(asio::buffer(input_buffer_), error);
     input_buffer_.erase(0, used);
@@ -200,8 +226,36 @@
   Read();
 }
 
+bool ServerConnection::PrepareBody() {
+  if (!parser_->is_header_done()) {
+    return true;
+  }
+  parser_->eager(true);
+  // What is announced is not reserved: a server in trouble may announce what it
+  // never sends.
+  return parser_->get().body().Prepare(input_buffer_.size());
+}
+
+void ServerConnection::PauseReading() {
+  const state::Instant now = Now();
+  if (!paused_since_) {
+    paused_since_ = now;
+  }
+  if (now - *paused_since_ > kMaxPause) {
+    FinishExchange(ExchangeResult::kBroken, {});
+    return;
+  }
+  pause_timer_.expires_after(kPauseInterval);
+  pause_timer_.async_wait(
+      [self = shared_from_this()](const beast::error_code& error) {
+        if (!error && !self->closed_ && self->handler_) {
+          self->Parse();
+        }
+      });
+}
+
 bool ServerConnection::HandleMessage() {
-  http::response<http::string_body>& message = parser_->get();
+  http::response<BufferedBody>& message = parser_->get();
   if (IsOfTwoAnswers(message.base())) {
     FinishExchange(ExchangeResult::kBroken, {});
     return true;
@@ -263,8 +317,6 @@
   Handler handler = std::move(handler_);
   handler_ = nullptr;
   parser_.reset();
-  ReturnBytes();
-  output_buffer_.clear();
   idle_since_ = Now();
   if (result != ExchangeResult::kAnswered || !reusable_) {
     reusable_ = false;
@@ -277,7 +329,9 @@
 
 void ServerConnection::Abort() {
   handler_ = nullptr;
-  ReturnBytes();
+  if (!preparing_) {
+    parser_.reset();
+  }
   Reset();
 }
 
@@ -287,6 +341,7 @@
   }
   closed_ = true;
   reusable_ = false;
+  pause_timer_.cancel();
   beast::error_code ignored;
   if (connected_) {
     socket_.set_option(asio::socket_base::linger(true, 0), ignored);
--- a/src/transport/server_connection.h
+++ b/src/transport/server_connection.h
@@ -12,7 +12,8 @@
 #include "state/document.h"
 #include "state/time.h"
 #include "transport/asio.h"
-#include "transport/byte_budget.h"
+#include "transport/body_buffer.h"
+#include "transport/memory_account.h"
 
 namespace mustardflow::transport {
 
@@ -21,7 +22,7 @@
   int status = 0;
   std::string reason;
   http::fields fields;
-  std::string body;
+  BodyBuffer body;
 };
 
 // How a request on a connection has ended.
@@ -40,23 +41,25 @@
  public:
   using Handler = std::function<void(ExchangeResult, ServerAnswer)>;
 
-  // The bytes of answers that are being received count towards `budget`, which
-  // must outlive the connection.
+  // Answers draw from `memory`. `open_connections` counts the connections.
   ServerConnection(asio::io_context& context,
                    const state::Address& address,
-                   ByteBudget& budget);
-  ~ServerConnection() { ReturnBytes(); }
+                   MemoryAccountPtr memory,
+                   std::shared_ptr<std::size_t> open_connections);
+  ~ServerConnection() { --*open_connections_; }
   ServerConnection(const ServerConnection&) = delete;
   ServerConnection& operator=(const ServerConnection&) = delete;
 
-  // Sends the bytes of a request, after connecting if necessary. Calls
+  // Sends a request, after connecting if necessary; `head` ends with the empty
+  // line, and `body` is not changed until the request ends. Calls
   // `handler` once, unless Abort() is called first. `request_id` is the
   // X-Attempt-Id of the request. Answers with another X-Attempt-Id belong to an
   // earlier request and are dropped; on a connection that is used again, an
   // answer without one may belong to any request and breaks the connection.
   // `answer_has_no_body` is set for HEAD requests, whose answers end with the
   // header.
-  void Send(std::string bytes,
+  void Send(std::string head,
+            std::shared_ptr<const BodyBuffer> body,
             std::string request_id,
             bool answer_has_no_body,
             Handler handler);
@@ -78,7 +81,7 @@
   state::Instant idle_since() const { return idle_since_; }
 
  private:
-  using Parser = http::response_parser<http::string_body>;
+  using Parser = http::response_parser<BufferedBody>;
 
   void Connect();
   void Write();
@@ -86,7 +89,12 @@
   void HandleRead(const beast::error_code& error, std::size_t size);
   void Parse();
   void ResetParser();
-  void ReturnBytes();
+  // Draws memory for the answer's bytes that have been received. Returns
+  // whether the account allows it.
+  bool PrepareBody();
+  // Pauses reading until the account allows more; the server is held back by
+  // TCP flow control. Breaks the connection if that takes too long.
+  void PauseReading();
   // Handles a complete message. Returns whether it was the final answer to the
   // request, rather than an interim (1xx) answer or one to an earlier request.
   bool HandleMessage();
@@ -103,9 +111,13 @@
 
   tcp::socket socket_;
   const tcp::endpoint endpoint_;
-  ByteBudget& budget_;
-  // The bytes taken from the budget.
-  std::size_t taken_bytes_ = 0;
+  const MemoryAccountPtr memory_;
+  const std::shared_ptr<std::size_t> open_connections_;
+  // The memory of the connection itself.
+  MemoryDraw own_draw_;
+  asio::steady_timer pause_timer_;
+  // Since when reading has been paused for memory.
+  std::optional<state::Instant> paused_since_;
   // The number of requests sent on the connection.
   int requests_ = 0;
   // The messages skipped since the request was sent.
@@ -116,8 +128,9 @@
   bool reusable_ = false;
   bool reading_ = false;
   bool writing_ = false;
-  // The request that is being written.
-  std::string output_buffer_;
+  // The request that is being written; null without one.
+  std::string output_head_;
+  std::shared_ptr<const BodyBuffer> output_body_;
   // Received bytes that have not been parsed yet.
   std::string input_buffer_;
   std::string request_id_;
@@ -126,6 +139,8 @@
   Handler handler_;
   std::function<void()> idle_closed_handler_;
   std::unique_ptr<Parser> parser_;
+  // Whether memory is being drawn for the body of the parser.
+  bool preparing_ = false;
   std::array<char, 16 << 10> read_chunk_{};
   std::optional<state::Duration> keep_alive_;
   state::Instant idle_since_{};
--- a/src/transport/server_links.cc
+++ b/src/transport/server_links.cc
@@ -63,7 +63,8 @@
     }
   }
   ++opened_;
-  return std::make_shared<ServerConnection>(context_, server.address, budget_);
+  return std::make_shared<ServerConnection>(context_, server.address, memory_,
+                                            open_);
 }
 
 void ServerConnectionPool::Return(
@@ -87,6 +88,32 @@
   }
 }
 
+bool ServerConnectionPool::HasIdle() const {
+  return std::any_of(idle_.begin(), idle_.end(),
+                     [](const auto& entry) { return !entry.second.empty(); });
+}
+
+bool ServerConnectionPool::CloseIdle() {
+  auto oldest = idle_.end();
+  std::size_t index = 0;
+  for (auto entry = idle_.begin(); entry != idle_.end(); ++entry) {
+    for (std::size_t i = 0; i < entry->second.size(); ++i) {
+      if (oldest == idle_.end() || entry->second[i]->idle_since() <
+                                       oldest->second[index]->idle_since()) {
+        oldest = entry;
+        index = i;
+      }
+    }
+  }
+  if (oldest == idle_.end()) {
+    return false;
+  }
+  oldest->second[index]->Abort();
+  oldest->second.erase(oldest->second.begin() +
+                       static_cast<std::ptrdiff_t>(index));
+  return true;
+}
+
 void ServerConnectionPool::Tick(Instant now) {
   for (auto entry = idle_.begin(); entry != idle_.end();) {
     std::erase_if(entry->second, [now](const auto& connection) {
--- a/src/transport/server_links.h
+++ b/src/transport/server_links.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <utility>
 #include <vector>
 
 #include "state/server_record.h"
@@ -22,9 +23,12 @@
 // only as long as the server is unlikely to be closing them.
 class ServerConnectionPool {
  public:
-  // The answers that the connections receive share `budget`.
-  ServerConnectionPool(asio::io_context& context, ByteBudget& budget)
-      : context_(context), budget_(budget) {}
+  // The answers that the connections receive draw from `memory`. `open` counts
+  // the connections of all pools with that counter.
+  ServerConnectionPool(asio::io_context& context,
+                       MemoryAccountPtr memory,
+                       std::shared_ptr<std::size_t> open)
+      : context_(context), memory_(std::move(memory)), open_(std::move(open)) {}
 
   // Returns an idle connection to this incarnation of the server, or a new one.
   // With `only_fresh`, connections that the server may be about to close are
@@ -42,6 +46,11 @@
   // Closes connections that have reached their maximum idle time.
   void Tick(state::Instant now);
 
+  bool HasIdle() const;
+  // Closes the connection that has been idle for longest. Returns whether there
+  // was one.
+  bool CloseIdle();
+
   // Connections opened since the process started.
   std::uint64_t opened() const { return opened_; }
 
@@ -51,7 +60,8 @@
               const ServerConnection* connection);
 
   asio::io_context& context_;
-  ByteBudget& budget_;
+  const MemoryAccountPtr memory_;
+  const std::shared_ptr<std::size_t> open_;
   std::map<state::ServerIncarnation,
            std::vector<std::shared_ptr<ServerConnection>>>
       idle_;
--- a/tests/transport/relay_fixture.h
+++ b/tests/transport/relay_fixture.h
@@ -132,6 +132,11 @@
     return socket;
   }
 
+  void Run(std::chrono::milliseconds time) {
+    context_.restart();
+    context_.run_for(time);
+  }
+
   // Runs the event loop for `time` and returns the bytes received on `socket`.
   std::string Receive(
       tcp::socket& socket,
