transport: Exempt a name that Beast prescribes from the naming check

clang-tidy reported the class reader of BufferedBody, whose name Beast's body types prescribe. The check is off for this line only. clang-tidy reports nothing else in the changed sources.

--- a/src/transport/body_buffer.h
+++ b/src/transport/body_buffer.h
@@ -78,7 +78,8 @@
 
   static std::uint64_t size(const value_type& body) { return body.size(); }
 
-  class reader {
+  // Beast prescribes the name.
+  class reader {  // NOLINT(readability-identifier-naming)
    public:
     template <bool is_request, class Fields>
     explicit reader(http::header<is_request, Fields>&, value_type& body)
