--- a/src/platform/operator_config.cc
+++ b/src/platform/operator_config.cc
@@ -174,6 +174,25 @@
   return readable;
 }
 
+// Marks the organisations with the highest limits. They have metrics of their
+// own, whose number must not grow with the organisations.
+void MarkLargest(state::Organisations* organisations) {
+  constexpr std::size_t kLargest = 8;
+  std::vector<state::Organisation*> limited;
+  for (auto& [name, organisation] : *organisations) {
+    if (organisation.limited()) {
+      limited.push_back(&organisation);
+    }
+  }
+  std::stable_sort(limited.begin(), limited.end(),
+                   [](const auto* left, const auto* right) {
+                     return left->rate > right->rate;
+                   });
+  for (std::size_t i = 0; i < std::min(kLargest, limited.size()); ++i) {
+    limited[i]->largest = true;
+  }
+}
+
 // Returns nullopt if requests need no key. Sets `complete` to false if an
 // organisation or a key cannot be read, and omits it. Findings contain no keys.
 std::optional<state::Organisations> ReadOrganisations(
@@ -223,6 +242,7 @@
                                     0.0, kMaxOrganisationRate);
     organisations.emplace(organisation.name, std::move(organisation));
   }
+  MarkLargest(&organisations);
   return organisations;
 }
 
--- a/src/state/routing_config.h
+++ b/src/state/routing_config.h
@@ -88,6 +88,9 @@
   double rate = 0;
   double burst = 0;
 
+  // Whether this is one of the few organisations with the highest limits.
+  bool largest = false;
+
   bool limited() const { return rate > 0; }
 };
 
--- a/src/transport/entry_metrics.cc
+++ b/src/transport/entry_metrics.cc
@@ -70,7 +70,12 @@
       callers_left_(prometheus::BuildCounter()
                         .Name("mustardflow_callers_left_total")
                         .Help("Requests whose callers left.")
-                        .Register(*registry_)) {
+                        .Register(*registry_)),
+      organisation_requests_(
+          prometheus::BuildCounter()
+              .Name("mustardflow_organisation_requests_total")
+              .Help("Requests of organisations that have a limit.")
+              .Register(*registry_)) {
   for (const auto& [name, help] : kGauges) {
     gauges_[name] = &prometheus::BuildGauge()
                          .Name(name)
@@ -130,6 +135,22 @@
   found->second->Increment();
 }
 
+void EntryMetrics::CountOrganisationRequest(std::string_view organisation,
+                                            bool admitted) {
+  const std::pair key(std::string(organisation), admitted);
+  auto found = organisation_counters_.find(key);
+  if (found == organisation_counters_.end()) {
+    found =
+        organisation_counters_
+            .emplace(key,
+                     &organisation_requests_.Add(
+                         {{"organisation", key.first},
+                          {"outcome", admitted ? "admitted" : "over-limit"}}))
+            .first;
+  }
+  found->second->Increment();
+}
+
 void EntryMetrics::Set(const std::string& name, double value) {
   if (const auto counter = counters_.find(name); counter != counters_.end()) {
     counter->second->Increment(value - counter->second->Value());
--- a/src/transport/entry_metrics.h
+++ b/src/transport/entry_metrics.h
@@ -45,6 +45,10 @@
   // where the request was, as in the log.
   void CountCallerLeft(std::string_view place, bool continues);
 
+  // Counts a request of an organisation that has a limit. `organisation` is its
+  // name, or "other" for all but the largest.
+  void CountOrganisationRequest(std::string_view organisation, bool admitted);
+
   // Sets a gauge or a counter, which must not decrease. Throws
   // std::out_of_range for a name that is neither.
   void Set(const std::string& name, double value);
@@ -65,6 +69,10 @@
   prometheus::Family<prometheus::Counter>& callers_left_;
   // By place and whether the request continues.
   std::map<std::pair<std::string, bool>, prometheus::Counter*> left_counters_;
+  prometheus::Family<prometheus::Counter>& organisation_requests_;
+  // By organisation and whether the requests were admitted.
+  std::map<std::pair<std::string, bool>, prometheus::Counter*>
+      organisation_counters_;
   std::map<std::string, prometheus::Gauge*> gauges_;
   std::map<std::string, prometheus::Counter*> counters_;
 };
--- a/src/transport/request_relay.cc
+++ b/src/transport/request_relay.cc
@@ -31,6 +31,8 @@
 // Retry-After for requests that come too late in a stop. Other hosts can serve
 // them at once.
 constexpr Duration kStoppingRetryAfter = std::chrono::milliseconds(50);
+// In the metrics, all organisations but the largest.
+constexpr std::string_view kOtherOrganisations = "other";
 // Retry-After for requests over the limit of their organisation, and the time
 // over which it is spread. A bucket recovers from a debt in about 2 s.
 constexpr Duration kOverLimitRetryAfter = std::chrono::milliseconds(1000);
@@ -442,8 +444,12 @@
   }
   const state::Organisation* organisation =
       request->config->FindOrganisation(request->organisation);
-  if (organisation_limits_.Admit(request->terms.received, *organisation,
-                                 view_.hosts, random_())) {
+  const bool admitted = organisation_limits_.Admit(
+      request->terms.received, *organisation, view_.hosts, random_());
+  const std::string_view label =
+      organisation->largest ? organisation->name : kOtherOrganisations;
+  metrics_.CountOrganisationRequest(label, admitted);
+  if (admitted) {
     request->has_unused_admission = true;
     return true;
   }
--- a/tests/admission/organisation_limits_test.cc
+++ b/tests/admission/organisation_limits_test.cc
@@ -120,7 +120,9 @@
     }
     deployment.SetDemand(large.name, large.rate / 1.6);
     deployment.Run(seconds(8));
-    CHECK(OverBound(deployment, all) == "");
+    const std::string over_bound = OverBound(deployment, all);
+    INFO(over_bound);
+    CHECK(over_bound.empty());
   }
 }
 
--- a/tests/logs/trace_test.cc
+++ b/tests/logs/trace_test.cc
@@ -96,6 +96,7 @@
   metrics.ObserveRequest("r", "answered", std::chrono::milliseconds(5));
   metrics.CountAnswer(200, "server", "");
   metrics.CountCallerLeft("waiting", false);
+  metrics.CountOrganisationRequest("other", true);
   const std::string served = metrics.Page();
   const std::regex type("# TYPE (mustardflow_\\w+)");
   const std::regex listed("\\| `(mustardflow_\\w+)` \\|");
--- a/tests/platform/operator_config_test.cc
+++ b/tests/platform/operator_config_test.cc
@@ -157,6 +157,8 @@
   CHECK(state::PriorityOf(*closed, one) == 1);
   CHECK(state::PriorityOf(*closed, two) == 2);
   CHECK_FALSE(two->limited());
+  CHECK(one->largest);
+  CHECK_FALSE(two->largest);
   CHECK(config->FindKey("") == nullptr);
   CHECK(config->FindKey("k") == nullptr);
 }
--- a/tests/transport/organisations_test.cc
+++ b/tests/transport/organisations_test.cc
@@ -225,6 +225,11 @@
   host.ReceiveUntil(server, "\r\n\r\n");
   Send(server, kAnswer);
   CHECK(host.ReceiveUntil(caller, "\r\n\r\n").starts_with("HTTP/1.1 200"));
+  const std::string metric =
+      "mustardflow_organisation_requests_total{"
+      "organisation=\"other\",outcome=";
+  CHECK(Count(host.MetricsPage(), metric + "\"admitted\"} 1\n") == 1);
+  CHECK(Count(host.MetricsPage(), metric + "\"over-limit\"} 1\n") == 1);
   const auto report = limits.TakeCounts(transport::Now());
   REQUIRE(report.counts.size() == 1);
   CHECK(report.counts[0].at("first").offered == 2);
