--- a/src/coordination/request_admission.cc
+++ b/src/coordination/request_admission.cc
@@ -27,13 +27,13 @@
 // exceed a third.
 constexpr double kFinalDelayFraction = 0.7;
 // No capacity is expected for a priority if the work that arrives with it and
-// with more urgent ones exceeds this fraction of the capacity.
-// In tests/load, 0.9 let more frame-fetch and lot-hold requests be refused in
-// the bursts (0.12) than 0.6 did (0.09).
+// with more urgent ones exceeds this fraction of the capacity. At 0.9, requests
+// of the middle priority were refused more often in bursts (0.12 of them, 0.09
+// at 0.6), since more of the refused ones came back.
 constexpr double kSaturation = 0.6;
 // Less urgent requests may cause at most this part of the wait with which more
-// urgent ones meet their targets: half of it left 0.12 of batch-verdict refused
-// in its burst in tests/load, a quarter 0.10.
+// urgent ones meet their targets. Half of the wait left 0.12 of the most urgent
+// requests refused in a burst of theirs, a quarter 0.10.
 constexpr int kLessUrgentDivisor = 4;
 // The shortest delay. A slot becomes free about as often.
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(50);
