coordination: A request that goes to its gate waits no longer

A request that began to wait while its gate was bypassed stayed in the waiting queue when the gate was used again.

It now leaves the queue when it goes to its gate or waits for an owner. The new case of requests_test fails without the change. requests and load tests pass.

--- a/src/coordination/request_flow.cc
+++ b/src/coordination/request_flow.cc
@@ -195,6 +195,11 @@
                              const state::Address& gate,
                              FlowActions* actions) {
   request->waiting_since.reset();
+  if (admission_) {
+    // A request that waits is refused at the end of its wait, which would be
+    // false once a gate has it.
+    admission_->Leave(request->id);
+  }
   Attempt attempt;
   attempt.id = ++last_attempt_;
   attempt.server = server;
@@ -447,6 +452,9 @@
 void RequestFlow::WaitForOwner(Instant now,
                                Request* request,
                                FlowActions* actions) {
+  if (admission_) {
+    admission_->Leave(request->id);
+  }
   if (!request->waiting_since) {
     request->waiting_since = now;
   }
--- a/tests/requests/waiting_cases_test.cc
+++ b/tests/requests/waiting_cases_test.cc
@@ -134,6 +134,42 @@
   CHECK(server.fixture().flow().PlaceOf(99) == RequestPlace::kEnded);
 }
 
+// Guards against a refusal of a request that its gate has sent on: the gate was
+// bypassed when the request began to wait, and is used again meanwhile.
+TEST_CASE("a request that goes to its gate waits no longer", "[A1][L7]") {
+  FullServer server("shelf");
+  FlowFixture& fixture = server.fixture();
+  fixture.view().table.gates["s1"] = {"10.0.0.1", 7201};
+  const FlowActions first = server.Start(0);
+  const auto* lost = FlowFixture::FindAction<SendAttempt>(first);
+  REQUIRE(lost);
+  REQUIRE(lost->gate);
+  fixture.flow().HandleResult(fixture.now(), lost->request, lost->attempt,
+                              SendResult::kNotConnected);
+  fixture.flow().HandleCallerDisconnect(fixture.now(), lost->request);
+  fixture.now() += milliseconds(50);
+  for (std::size_t i = 0; i < kMaxInFlight; ++i) {
+    server.Answer(i);
+  }
+  fixture.now() += milliseconds(850);
+  // Requests are sent directly until the server is full; the next one waits.
+  while (FlowFixture::FindAction<SendAttempt>(server.Start(0))) {
+  }
+  const RequestId id = server.last_id();
+  REQUIRE(fixture.flow().PlaceOf(id) == RequestPlace::kWaiting);
+  fixture.now() += milliseconds(110);
+  const FlowActions sent = fixture.flow().Tick(fixture.now());
+  const auto* attempt = FlowFixture::FindAction<SendAttempt>(sent);
+  REQUIRE(attempt);
+  REQUIRE(attempt->gate);
+  CHECK(attempt->request == id);
+  CHECK(fixture.flow().waiting_for_capacity() == 0);
+  fixture.flow().HandleConnected(id, attempt->attempt);
+  fixture.now() += milliseconds(100);
+  fixture.flow().Tick(fixture.now());
+  CHECK(fixture.flow().PlaceOf(id) == RequestPlace::kAtGate);
+}
+
 TEST_CASE("waiting requests end as not run when the host stops", "[L7]") {
   FullServer server("shelf");
   CHECK(server.Start(1).empty());
