Review: show that bytes after the answer to a grant end leader after leader

One faulty server ends its answers to grants with a line of 70,000 bytes: the leader's process ends with SIGABRT, starts again, leads again and ends again, 25 or 26 times in 30 s.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,8 +1,9 @@
-"""A caller sends a field of 70,000 bytes, within the configured limit. See
+"""A faulty server ends its answers to grants with a long line. See
 claim.txt."""
 
 import asyncio
 import pathlib
+import random
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
@@ -10,72 +11,80 @@
 
 import world as w  # noqa: E402
 
-CALLERS_PER_HOST = 6
-MAX_HEADER_BYTES = 128 << 10
-# The large field; without trouble, one that is a little smaller.
-FIELD_BYTES = 70000 if w.trouble() else 60000
+LINE_BYTES = 70000
+PLAY_S = 30
+# Requests that are sent in the last seconds of the play are counted apart.
+LAST_S = 10
+WORK_S = 0.2
 # LOST: "more than three times".
 ALLOWED = 3
 
 
+def faulty_reply(order_id):
+    """An answer in chunks; in trouble, bytes that are no part of an answer
+    follow the last chunk."""
+    rest = b"noise: " + b"#" * LINE_BYTES + b"\r\n" if w.trouble() else b""
+    return (f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {order_id}\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n").encode() + (
+                b"2\r\n{}\r\n0\r\n" + rest + b"\r\n")
+
+
 async def play(world):
-    world.servers = [w.Server(world, "wuno96b", i, work_s=0.6)
-                     for i in range(6)]
-    world.hosts = [w.Host(world, 1), w.Host(world, 2)]
-    world.configure(7, {
-        "r-booking": w.route("wuno96b", "non_idempotent", prefix="/book/",
-                             target="1000ms"),
-        "r-lookup": w.route("wuno96b", prefix="/look/", target="1000ms")},
-        {"wuno96b": w.service()}, max_header_bytes=MAX_HEADER_BYTES)
+    servers = [w.KeyedServer(world, "huvo11a", i, WORK_S) for i in range(8)]
+    faulty, sound = servers[0], servers[1:]
+    world.servers = servers
+    world.hosts = [w.Host(world, number) for number in range(1, 5)]
+    keyed = w.service() | {"sharded": True, "warm": "2s", "grants": "call"}
+    world.configure(7, {"r-lookup": w.route("huvo11a", timeout="1000ms")},
+                    {"huvo11a": keyed})
     await world.start()
-
+    faulty.grant_reply = faulty_reply
+    if w.trouble():
+        world.record.note(f"{faulty.id} turns faulty")
+    end = asyncio.get_running_loop().time() + PLAY_S
+    for host in world.hosts:
+        world.tasks.append(asyncio.create_task(host.keep_running()))
+    counts = {"before": [0, 0], "last": [0, 0]}
     lost = []
 
-    async def book(host, number):
-        """Two bookings on one connection; the second one counts."""
-        caller = w.Caller(world, host)
-        attempt = f"booking-{host.name}-{number}"
-        status, _, _ = await caller.ask("POST", "/book/a", attempt + "-a")
-        if status != 200 or caller.writer is None:
-            world.record.note(f"{attempt}: no kept connection")
-            return
-        await start.wait()
-        status, _, _ = await caller.ask("POST", "/book/b", attempt + "-b")
-        ran = sum(attempt + "-b" in server.ran for server in world.servers)
-        if status is None and ran:
-            lost.append(attempt)
-            world.record.note(f"{attempt}-b was passed on to a sound server, "
-                              "and its connection ended without an answer")
+    async def look_up(number):
+        """Lookups one after the other, on kept connections to each host."""
+        choose = random.Random(number)
+        callers = [w.Caller(world, host) for host in world.hosts]
+        sent = 0
+        while (left_s := end - asyncio.get_running_loop().time()) > 0:
+            caller = choose.choice(callers)
+            kept = caller.writer is not None
+            sent += 1
+            attempt = f"lookup-{number}-{sent}"
+            status, _, _ = await caller.ask(
+                "GET", "/lepu270/x", attempt, 1000,
+                {"X-Shard-Key": choose.randrange(65536)})
+            count = counts["last" if left_s < LAST_S else "before"]
+            count[0] += 1
+            count[1] += status == 200
+            ran = any(attempt in server.ran for server in sound)
+            if status is None and ran and kept:
+                lost.append(attempt)
+                world.record.note(f"{attempt} was passed on to a sound server,"
+                                  " and its connection ended without an answer")
+            await asyncio.sleep(0.02)
+        for caller in callers:
+            caller.close()
 
-    start = asyncio.Event()
-    bookings = [asyncio.create_task(book(host, number))
-                for host in world.hosts for number in range(CALLERS_PER_HOST)]
-    await asyncio.sleep(3)
-    start.set()
-    await asyncio.sleep(0.2)
-    # A lookup may be repeated after any failure, on a new connection and at
-    # another host.
-    for number, host in enumerate(world.hosts):
-        caller = w.Caller(world, host)
-        status, _, _ = await caller.ask(
-            "GET", "/look/x", f"lookup-{number}",
-            fields={"Cookie": "session=" + "f" * (FIELD_BYTES - 8)})
-        caller.close()
-        if status == 200:
-            break
-    await asyncio.gather(*bookings)
-    await asyncio.sleep(0.5)
-    ended = [host.name for host in world.hosts if host.ended_with is not None]
-    for host in world.hosts:
-        text = (world.folder / f"{host.name}.log").read_text()
-        if "terminate called" in text:
-            world.record.note(f"{host.name} wrote: "
-                              + " ".join(text.split("terminate")[1].split()))
-    world.record.note(f"LOST: {len(lost)} bookings (allowed: {ALLOWED}); "
-                      f"processes that ended by themselves: {ended}")
-    if not w.trouble() and len(lost) + len(ended) == 0:
-        return status == 200
-    return len(lost) <= ALLOWED and not ended
+    await asyncio.gather(*(look_up(number) for number in range(16)))
+    for name, (sent, served) in counts.items():
+        world.record.note(f"lookups, {name}: {served} of {sent} served")
+    ends = {host.name: host.ends for host in world.hosts}
+    text = "".join(path.read_text() for path in world.folder.glob("*.log"))
+    world.record.note(f"{text.count('terminate called')} times the logs say "
+                      "'terminate called'")
+    world.record.note(f"LOST: {len(lost)} lookups (allowed: {ALLOWED}); "
+                      f"processes that ended by themselves: {ends}")
+    if not w.trouble():
+        sent, served = counts["last"]
+        return not any(ends.values()) and not lost and served > 0.8 * sent
+    return len(lost) <= ALLOWED and not any(ends.values())
 
 
 w.main(FOLDER, play)
--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -264,6 +264,79 @@
         return answer(200, self.signed(attempt), f"own {attempt}".encode())
 
 
+class KeyedServer(Server):
+    """A sound server of a service that is divided by key. A case may replace
+    `grant_reply`."""
+
+    def __init__(self, world, service, number, work_s=0.05):
+        super().__init__(world, service, number, work_s)
+        # Rows of first key, last key, fence and end of the hold.
+        self.holds = []
+        # Rows of first key, last key and fence of all orders.
+        self.seen = []
+        self.running = []
+        self.grant_reply = self.sound_grant_reply
+
+    def holds_key(self, key):
+        return any(first <= key <= last and end > time.monotonic()
+                   for first, last, _, end in self.holds)
+
+    async def handle(self, method, target, fields, body, writer):
+        if fields.get("x-target-instance", self.id) == self.id:
+            if target == "/grant":
+                return await self.grant(json.loads(body), fields)
+            if target == "/release":
+                return await self.release(json.loads(body), fields)
+            key = fields.get("x-shard-key", "-1")
+            if target != "/health" and not self.holds_key(int(key)):
+                return answer(421, {"X-Not-Executed": "1", "X-Attempt-Id":
+                                    fields.get("x-attempt-id", "")})
+            self.running.append(int(key))
+            try:
+                return await super().handle(method, target, fields, body,
+                                            writer)
+            finally:
+                self.running.remove(int(key))
+        return await super().handle(method, target, fields, body, writer)
+
+    def cut(self, first, last):
+        """Takes the keys out of what it holds."""
+        rest = []
+        for low, high, fence, end in self.holds:
+            if low < first:
+                rest.append((low, min(high, first - 1), fence, end))
+            if high > last:
+                rest.append((max(low, last + 1), high, fence, end))
+            if high < first or low > last:
+                rest.append((low, high, fence, end))
+        self.holds = list(dict.fromkeys(
+            row for row in rest if row[0] <= row[1]))
+
+    async def grant(self, order, fields):
+        first, last, fence = order["from"], order["target"], order["fence"]
+        if any(low <= last and first <= high and seen > fence
+               for low, high, seen in self.seen):
+            return answer(409, {"X-Attempt-Id": fields["x-attempt-id"]})
+        self.seen = [row for row in self.seen
+                     if not (first <= row[0] and row[1] <= last)]
+        self.seen.append((first, last, fence))
+        self.cut(first, last)
+        hold_s = float(order["hold_time"].removesuffix("ms")) / 1000
+        self.holds.append((first, last, fence, time.monotonic() + hold_s))
+        return self.grant_reply(fields["x-attempt-id"])
+
+    def sound_grant_reply(self, order_id):
+        return answer(200, {"X-Attempt-Id": order_id})
+
+    async def release(self, order, fields):
+        first, last = order["from"], order["target"]
+        self.cut(first, last)
+        while any(first <= key <= last for key in self.running):
+            await asyncio.sleep(0.01)
+        return answer(200, {"X-Attempt-Id": fields["x-attempt-id"],
+                            "X-Handover": "5c0e7a21d94b36f8"})
+
+
 class Host:
     """One entry host, started with the command of the deploy file."""
 
@@ -302,6 +375,8 @@
         self.settings = world.folder / f"{self.name}.json"
         self.settings.write_text(json.dumps(settings))
         self.process = None
+        # How often the process has ended by itself.
+        self.ends = 0
 
     async def start(self):
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
@@ -319,9 +394,22 @@
         self.world.tasks.append(asyncio.create_task(self.watch()))
 
     async def watch(self):
-        status = await self.process.wait()
+        process = self.process
+        status = await process.wait()
         self.world.record.note(f"{self.name} ended with status {status}")
 
+    async def keep_running(self, delay_s=0.5):
+        """Starts the process again whenever it has ended, as the platform
+        does, with the settings of that moment."""
+        while True:
+            await self.process.wait()
+            self.ends += 1
+            await asyncio.sleep(delay_s)
+            settings = json.loads(self.settings.read_text())
+            settings["bootstrap"] = False
+            self.settings.write_text(json.dumps(settings))
+            await self.start()
+
     @property
     def ended_with(self):
         """The status with which the process ended; None while it runs."""
