--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -541,14 +541,15 @@
         self.record.note("all hosts ready")
 
     async def stop(self):
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
         for host in self.hosts:
             if host.process is not None and host.process.returncode is None:
                 with contextlib.suppress(ProcessLookupError):
                     host.process.send_signal(signal.SIGCONT)
                     host.process.kill()
                 await host.process.wait()
-        for task in self.tasks:
-            task.cancel()
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
