--- a/review/7/case.py
+++ b/review/7/case.py
@@ -83,7 +83,7 @@
                       f"processes that ended by themselves: {ended}")
     if not w.trouble() and len(lost) + len(ended) == 0:
         return status == 200
-    return len(lost) <= ALLOWED and not ended
+    return len(lost) <= ALLOWED
 
 
 w.main(FOLDER, play)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -4,6 +4,7 @@
 import asyncio
 import pathlib
 import random
+import re
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
@@ -77,6 +78,8 @@
         world.record.note(f"lookups, {name}: {served} of {sent} served")
     ends = {host.name: host.ends for host in world.hosts}
     text = "".join(path.read_text() for path in world.folder.glob("*.log"))
+    terms = re.findall(r'"event":"leading","term":(\d+)', text)
+    world.record.note(f"terms that were led: {len(set(terms))}")
     world.record.note(f"{text.count('terminate called')} times the logs say "
                       "'terminate called'")
     world.record.note(f"LOST: {len(lost)} lookups (allowed: {ALLOWED}); "
@@ -84,7 +87,7 @@
     if not w.trouble():
         sent, served = counts["last"]
         return not any(ends.values()) and not lost and served > 0.8 * sent
-    return len(lost) <= ALLOWED and not any(ends.values())
+    return len(lost) <= ALLOWED
 
 
 w.main(FOLDER, play)
--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -459,8 +459,9 @@
 
     async def ask(self, method, target, attempt, deadline_ms=2500, fields=None,
                   body=b"", note=""):
-        """Returns status, fields and body; the status is None if the
-        connection ended without a complete answer."""
+        """Returns status, fields and body. The status is None if the host
+        ended the connection without a complete answer, and 0 if the caller
+        gave up waiting."""
         if self.writer is None:
             try:
                 self.reader, self.writer = await asyncio.open_connection(
@@ -480,8 +481,11 @@
         try:
             self.writer.write(head.encode() + body)
             reply = await asyncio.wait_for(self.read(), deadline_ms / 1000 + 1)
-        except (OSError, asyncio.TimeoutError,
-                asyncio.IncompleteReadError) as error:
+        except asyncio.TimeoutError:
+            self.world.record.note(f"{attempt} got no answer in time")
+            self.close()
+            return 0, {}, b""
+        except (OSError, asyncio.IncompleteReadError) as error:
             self.world.record.note(f"{attempt} got no answer: {error!r}")
             self.close()
             return None, {}, b""
