transport: An answer cut by a reset during an upload is no answer

Callers got a part of an answer as the whole of it: a server answered an upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. The next upload to that server was written to the dead connection and ended as 504 at its deadline.

Cause: the kernel reports a reset to one call. A write that was under way took it, so that the read after it found an ordinary end of the stream, which ends a body without a length. Such a connection also counted as reusable: the fields of the answer were asked, which do not tell that its end is the close. After an end of the stream Asio waits for an event that never comes again, so the idle connection was not found closed, and a failed write leaves the report to the read.

Change: at the end of the stream the write is cancelled, and its result decides: after a reset the answer is lost. A server that ends its answer in the ordinary way before it resets is told from that by the error of the write (broken pipe). A connection whose answer ended with the stream, or whose write failed, is not used again.

--- a/src/transport/server_connection.cc
+++ b/src/transport/server_connection.cc
@@ -69,6 +69,14 @@
          (length != head.end() && length->value() != "0");
 }
 
+// Whether a write that ended with this error may have met a reset, which no
+// later read reports. A reset after the server's ordinary end of the stream is
+// reported as a broken pipe.
+bool IsReset(const beast::error_code& write_error) {
+  return write_error && write_error != asio::error::broken_pipe &&
+         write_error != asio::error::operation_aborted;
+}
+
 }  // namespace
 
 ServerConnection::ServerConnection(
@@ -147,19 +155,36 @@
   writing_ = true;
   std::vector<asio::const_buffer> buffers{asio::buffer(output_head_)};
   output_body_->AppendTo(&buffers, std::numeric_limits<std::size_t>::max());
+  const auto bytes_to_write = [self = shared_from_this()](
+                                  const beast::error_code& error,
+                                  std::size_t written) -> std::size_t {
+    return self->read_end_ ? 0 : asio::transfer_all()(error, written);
+  };
   asio::async_write(
-      socket_, buffers,
+      socket_, buffers, bytes_to_write,
       [self = shared_from_this()](const beast::error_code& error, std::size_t) {
-        self->writing_ = false;
-        self->output_body_.reset();
-        // While a read is pending, the read reports the failure. The server may
-        // have sent an answer before it closed, and the read delivers it first.
-        if (error && !self->closed_ && !self->reading_) {
-          self->FinishExchange(ExchangeResult::kBroken, {});
-        }
+        self->HandleWritten(error);
       });
 }
 
+void ServerConnection::HandleWritten(const beast::error_code& error) {
+  writing_ = false;
+  write_error_ = error;
+  output_body_.reset();
+  if (closed_) {
+    return;
+  }
+  if (read_end_) {
+    FinishAtReadEnd();
+    return;
+  }
+  // While a read is pending, the read reports the failure. The server may have
+  // sent an answer before it closed, and the read delivers it first.
+  if (error && !reading_) {
+    FinishExchange(ExchangeResult::kBroken, {});
+  }
+}
+
 void ServerConnection::Read() {
   if (reading_ || closed_) {
     return;
@@ -189,14 +214,11 @@
     }
     return;
   }
+  if (error == asio::error::eof) {
+    HandleReadEnd();
+    return;
+  }
   if (error) {
-    if (error == asio::error::eof && parser_->got_some()) {
-      beast::error_code eof_error;
-      parser_->put_eof(eof_error);
-      if (!eof_error && parser_->is_done() && HandleMessage()) {
-        return;
-      }
-    }
     FinishExchange(ExchangeResult::kBroken, {});
     return;
   }
@@ -204,6 +226,27 @@
   Parse();
 }
 
+void ServerConnection::HandleReadEnd() {
+  read_end_ = true;
+  if (!writing_) {
+    FinishAtReadEnd();
+    return;
+  }
+  beast::error_code ignored;
+  socket_.cancel(ignored);
+}
+
+void ServerConnection::FinishAtReadEnd() {
+  if (!IsReset(write_error_) && parser_->got_some()) {
+    beast::error_code error;
+    parser_->put_eof(error);
+    if (!error && parser_->is_done() && HandleMessage()) {
+      return;
+    }
+  }
+  FinishExchange(ExchangeResult::kBroken, {});
+}
+
 void ServerConnection::Parse() {
   while (!input_buffer_.empty()) {
     // To free memory, the account may end the request itself.
@@ -288,7 +331,8 @@
     FinishExchange(ExchangeResult::kBroken, {});
     return true;
   }
-  reusable_ = message.keep_alive() && input_buffer_.empty() && !writing_;
+  reusable_ = parser_->keep_alive() && input_buffer_.empty() && !writing_ &&
+              !write_error_;
   RecordKeepAlive(message.base());
   ServerAnswer answer;
   answer.status = static_cast<int>(message.result_int());
--- a/src/transport/server_connection.h
+++ b/src/transport/server_connection.h
@@ -87,6 +87,14 @@
   void Write();
   void Read();
   void HandleRead(const beast::error_code& error, std::size_t size);
+  void HandleWritten(const beast::error_code& error);
+  // The server has closed the connection, or has reset it and the write of the
+  // request has taken the error. Waits for the end of that write.
+  void HandleReadEnd();
+  // Ends the request after the end of the stream, when nothing is being
+  // written. An answer without a length is whole unless the connection was
+  // reset.
+  void FinishAtReadEnd();
   void Parse();
   void ResetParser();
   // Draws memory for the answer's bytes that have been received. Returns
@@ -128,6 +136,10 @@
   bool reusable_ = false;
   bool reading_ = false;
   bool writing_ = false;
+  // Whether reading has reached the end of the stream.
+  bool read_end_ = false;
+  // How the last write has ended.
+  beast::error_code write_error_;
   // The request that is being written; null without one.
   std::string output_head_;
   std::shared_ptr<const BodyBuffer> output_body_;
--- a/tests/transport/relay_fixture.h
+++ b/tests/transport/relay_fixture.h
@@ -31,10 +31,15 @@
  public:
   using tcp = transport::asio::ip::tcp;
 
+  // The memory of a host that handles small requests only.
+  static constexpr std::size_t kSmallMemoryBytes = 8 << 20;
+
   explicit RelayFixture(
-      state::RequestKind kind = state::RequestKind::kNonIdempotent)
+      state::RequestKind kind = state::RequestKind::kNonIdempotent,
+      std::size_t memory_bytes = kSmallMemoryBytes)
       : server_(context_, {transport::asio::ip::make_address("127.0.0.1"), 0}),
         gate_(context_, {transport::asio::ip::make_address("127.0.0.1"), 0}),
+        profile_(ProfileOf(memory_bytes)),
         pool_("near", {}, [] { return 0.5; }),
         log_(log_pipe_.writer(), "test"),
         relay_(
@@ -226,9 +231,9 @@
   state::HostProfile& profile() { return profile_; }
 
  private:
-  static state::HostProfile SmallHost() {
+  static state::HostProfile ProfileOf(std::size_t memory_bytes) {
     state::HostProfile profile;
-    profile.memory_bytes = 8 << 20;
+    profile.memory_bytes = memory_bytes;
     return profile;
   }
 
@@ -255,7 +260,7 @@
   transport::asio::io_context context_;
   tcp::acceptor server_;
   tcp::acceptor gate_;
-  state::HostProfile profile_ = SmallHost();
+  state::HostProfile profile_;
   state::RoutingView view_;
   coordination::ServerPool pool_;
   LogPipe log_pipe_;
