transport: One reader decides what a valid answer is, for all clients

A server's answer with status 000 never reached a caller of mustardflow-entry (tests/transport/invalid_status_test.cc shows it), since ServerConnection checked it. The client for orders, probes, the store, peers and operators (HttpClient) and that of the first version's exchanges (UpstreamPool) checked nothing: 000, 001, 099, 101 and 600 to 999 counted as answers, callers of the first version got them, and an interim answer (100, 103) was taken for the final one, so that the final one was left to the next request on the connection.

Cause: each client had its own parser and its own rules.

All three clients read with it. They pass over 16 interim answers at most. Whether a connection is kept is asked of the parser, which knows of answers up to the close.

--- a/src/transport/http_client.cc
+++ b/src/transport/http_client.cc
@@ -3,9 +3,9 @@
 #include "transport/http_client.h"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
+#include "transport/answer_reader.h"
 #include "transport/clocks.h"
 
 namespace mustardflow::transport {
@@ -162,31 +162,27 @@
     co_return write_error;
   }
   beast::flat_buffer buffer;
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(max_reply_bytes_);
-  auto [read_error, read] =
-      co_await http::async_read_header(stream, buffer, parser, kNoThrow);
-  parser.eager(true);
-  while (!read_error && !parser.is_done()) {
+  AnswerReader<http::string_body> reader({false, max_reply_bytes_});
+  beast::error_code read_error = co_await ReadFinalHead(stream, buffer, reader);
+  while (!read_error && !reader.is_done()) {
     stream.expires_at(
         std::min(times.end, std::chrono::steady_clock::now() + times.silence));
-    std::tie(read_error, read) =
-        co_await http::async_read_some(stream, buffer, parser, kNoThrow);
+    read_error = co_await ReadPart(stream, buffer, reader);
   }
   if (read_error) {
     co_return read_error;
   }
   HttpReply reply;
-  reply.status = static_cast<int>(parser.get().result_int());
-  reply.body = std::move(parser.get().body());
-  for (const auto& field : parser.get().base()) {
+  reply.status = static_cast<int>(reader.message().result_int());
+  reply.body = std::move(reader.message().body());
+  for (const auto& field : reader.message().base()) {
     reply.fields.emplace_back(std::string(field.name_string()),
                               std::string(field.value()));
   }
   if (options.is_own_reply && !options.is_own_reply(reply)) {
     co_return make_error_code(boost::system::errc::bad_message);
   }
-  *keep = parser.get().keep_alive() && buffer.size() == 0 &&
+  *keep = reader.keep_alive() && buffer.size() == 0 &&
           (!options.may_keep || options.may_keep(reply));
   co_return reply;
 }
--- a/src/transport/server_connection.cc
+++ b/src/transport/server_connection.cc
@@ -17,57 +17,13 @@
 
 // Limits the memory for an answer, which is buffered until it is complete.
 constexpr std::size_t kMaxAnswerBytes = 32 << 20;
-constexpr std::size_t kMaxHeaderBytes = 64 << 10;
 // How often, and for how long, an answer waits for memory. Servers cut off an
 // answer that stays unread for some seconds.
 constexpr auto kPauseInterval = std::chrono::milliseconds(20);
 constexpr state::Duration kMaxPause = std::chrono::seconds(1);
 // Interim answers and late answers to earlier requests that may precede the
 // answer to a request. A server in trouble may send them without end.
-constexpr int kMaxSkippedMessages = 16;
-
-bool IsDigit(char character) {
-  return character >= '0' && character <= '9';
-}
-
-// Whether the text contains the begin of a status line, "HTTP/1.1 200".
-bool ContainsStatusLine(beast::string_view text) {
-  constexpr beast::string_view kProtocol = "HTTP/1.";
-  // The minor version, a space and the status.
-  constexpr std::size_t kRestBytes = 5;
-  for (std::size_t at = text.find(kProtocol); at != beast::string_view::npos;
-       at = text.find(kProtocol, at + 1)) {
-    const beast::string_view rest = text.substr(at + kProtocol.size());
-    if (rest.size() >= kRestBytes && IsDigit(rest[0]) && rest[1] == ' ' &&
-        std::all_of(rest.begin() + 2, rest.begin() + kRestBytes, IsDigit)) {
-      return true;
-    }
-  }
-  return false;
-}
-
-// Whether the server broke off in the head of one answer and sent another, so
-// that status and fields may belong to either.
-bool IsOfTwoAnswers(const http::response_header<>& head) {
-  return head.count(platform::kAttemptIdField) > 1 ||
-         ContainsStatusLine(head.reason()) ||
-         std::any_of(head.begin(), head.end(), [](const auto& field) {
-           return ContainsStatusLine(field.value());
-         });
-}
-
-// Whether the head has a status that HTTP does not have or that was not asked
-// for, as 101, or is an interim answer that announces a body.
-bool IsInvalid(const http::response_header<>& head) {
-  const unsigned status = head.result_int();
-  if (status >= 200) {
-    return false;
-  }
-  const auto length = head.find(http::field::content_length);
-  return status < 100 || status == 101 ||
-         head.find(http::field::transfer_encoding) != head.end() ||
-         (length != head.end() && length->value() != "0");
-}
+constexpr int kMaxSkippedMessages = kMaxInterimAnswers;
 
 // Whether a write that ended with this error may have met a reset, which no
 // later read reports. A reset after the server's ordinary end of the stream is
@@ -108,7 +64,7 @@
   reusable_ = false;
   ++requests_;
   skipped_messages_ = 0;
-  ResetParser();
+  ResetReader();
   if (connected_) {
     Write();
     Read();
@@ -117,18 +73,11 @@
   }
 }
 
-void ServerConnection::ResetParser() {
-  parser_ = std::make_unique<Parser>();
-  parser_->get().body().Bind(memory_, nullptr);
+void ServerConnection::ResetReader() {
+  reader_ = std::make_unique<Reader>(
+      AnswerTerms{answer_has_no_body_, kMaxAnswerBytes});
+  reader_->message().body().Bind(memory_, nullptr);
   paused_since_.reset();
-  parser_->body_limit(kMaxAnswerBytes);
-  parser_->header_limit(kMaxHeaderBytes);
-  // The parser stops after the header, so that memory can be drawn for the
-  // body.
-  parser_->eager(false);
-  if (answer_has_no_body_) {
-    parser_->skip(true);
-  }
 }
 
 void ServerConnection::Connect() {
@@ -237,10 +186,10 @@
 }
 
 void ServerConnection::FinishAtReadEnd() {
-  if (!IsReset(write_error_) && parser_->got_some()) {
+  if (!IsReset(write_error_)) {
     beast::error_code error;
-    parser_->put_eof(error);
-    if (!error && parser_->is_done() && HandleMessage()) {
+    reader_->PutEnd(&error);
+    if (!error && HandleMessage()) {
       return;
     }
   }
@@ -254,7 +203,7 @@
     const bool prepared = PrepareBody();
     preparing_ = false;
     if (closed_) {
-      parser_.reset();
+      reader_.reset();
       return;
     }
     if (!prepared) {
@@ -263,19 +212,19 @@
     }
     paused_since_.reset();
     beast::error_code error;
-    const std::size_t used = parser_->put(asio::buffer(input_buffer_), error);
+    const std::size_t used = reader_->Put(asio::buffer(input_buffer_), &error);
     input_buffer_.erase(0, used);
     if (error && error != http::error::need_more) {
       FinishExchange(ExchangeResult::kBroken, {});
       return;
     }
-    if (parser_->is_done()) {
+    if (reader_->is_done()) {
       if (HandleMessage()) {
         return;
       }
       continue;
     }
-    if (error == http::error::need_more || used == 0) {
+    if (error == http::error::need_more) {
       break;
     }
   }
@@ -283,13 +232,12 @@
 }
 
 bool ServerConnection::PrepareBody() {
-  if (!parser_->is_header_done()) {
+  if (!reader_->has_head()) {
     return true;
   }
-  parser_->eager(true);
   // What is announced is not reserved: a server in trouble may announce what it
   // never sends.
-  return parser_->get().body().Prepare(input_buffer_.size());
+  return reader_->message().body().Prepare(input_buffer_.size());
 }
 
 void ServerConnection::PauseReading() {
@@ -311,27 +259,18 @@
 }
 
 bool ServerConnection::HandleMessage() {
-  http::response<BufferedBody>& message = parser_->get();
-  if (IsOfTwoAnswers(message.base())) {
-    FinishExchange(ExchangeResult::kBroken, {});
-    return true;
-  }
+  http::response<BufferedBody>& message = reader_->message();
   const auto id = message.find(platform::kAttemptIdField);
-  if (IsInvalid(message.base())) {
-    FinishExchange(ExchangeResult::kBroken, {});
-    return true;
-  }
-  const bool interim = message.result_int() < 200;
   const bool of_earlier_request =
       id != message.end() && id->value() != request_id_;
-  if (interim || of_earlier_request) {
+  if (reader_->is_interim() || of_earlier_request) {
     return SkipMessage();
   }
   if (id == message.end() && !request_id_.empty() && requests_ > 1) {
     FinishExchange(ExchangeResult::kBroken, {});
     return true;
   }
-  reusable_ = parser_->keep_alive() && input_buffer_.empty() && !writing_ &&
+  reusable_ = reader_->keep_alive() && input_buffer_.empty() && !writing_ &&
               !write_error_;
   RecordKeepAlive(message.base());
   ServerAnswer answer;
@@ -344,7 +283,7 @@
 }
 
 bool ServerConnection::SkipMessage() {
-  ResetParser();
+  ResetReader();
   if (++skipped_messages_ <= kMaxSkippedMessages) {
     return false;
   }
@@ -377,7 +316,7 @@
   const auto self = shared_from_this();
   Handler handler = std::move(handler_);
   handler_ = nullptr;
-  parser_.reset();
+  reader_.reset();
   idle_since_ = Now();
   if (result != ExchangeResult::kAnswered || !reusable_) {
     reusable_ = false;
@@ -391,7 +330,7 @@
 void ServerConnection::Abort() {
   handler_ = nullptr;
   if (!preparing_) {
-    parser_.reset();
+    reader_.reset();
   }
   Reset();
 }
--- a/src/transport/server_connection.h
+++ b/src/transport/server_connection.h
@@ -11,6 +11,7 @@
 
 #include "state/document.h"
 #include "state/time.h"
+#include "transport/answer_reader.h"
 #include "transport/asio.h"
 #include "transport/body_buffer.h"
 #include "transport/memory_account.h"
@@ -81,7 +82,7 @@
   state::Instant idle_since() const { return idle_since_; }
 
  private:
-  using Parser = http::response_parser<BufferedBody>;
+  using Reader = AnswerReader<BufferedBody>;
 
   void Connect();
   void Write();
@@ -96,7 +97,7 @@
   // reset.
   void FinishAtReadEnd();
   void Parse();
-  void ResetParser();
+  void ResetReader();
   // Draws memory for the answer's bytes that have been received. Returns
   // whether the account allows it.
   bool PrepareBody();
@@ -150,8 +151,8 @@
   // Null while no request is under way.
   Handler handler_;
   std::function<void()> idle_closed_handler_;
-  std::unique_ptr<Parser> parser_;
-  // Whether memory is being drawn for the body of the parser.
+  std::unique_ptr<Reader> reader_;
+  // Whether memory is being drawn for the body of the reader.
   bool preparing_ = false;
   std::array<char, 16 << 10> read_chunk_{};
   std::optional<state::Duration> keep_alive_;
--- a/src/transport/upstream.cc
+++ b/src/transport/upstream.cc
@@ -60,16 +60,16 @@
 UpstreamAnswer::UpstreamAnswer(UpstreamPool* pool,
                                state::Address address,
                                std::unique_ptr<UpstreamConnection> connection,
-                               std::unique_ptr<Parser> parser)
+                               std::unique_ptr<Reader> reader)
     : pool_(pool),
       address_(std::move(address)),
       connection_(std::move(connection)),
-      parser_(std::move(parser)) {}
+      reader_(std::move(reader)) {}
 
 UpstreamAnswer::~UpstreamAnswer() {
   const bool body_complete = complete();
-  const bool reusable = body_complete && parser_->get().keep_alive() &&
-                        connection_->buffer.size() == 0;
+  const bool reusable =
+      body_complete && reader_->keep_alive() && connection_->buffer.size() == 0;
   if (reusable) {
     pool_->Return(address_, std::move(connection_));
   }
@@ -78,25 +78,17 @@
   }
 }
 
-std::optional<std::uint64_t> UpstreamAnswer::content_length() const {
-  const auto length = parser_->content_length();
-  if (!length) {
-    return std::nullopt;
-  }
-  return *length;
-}
-
 awaitable<std::optional<std::size_t>> UpstreamAnswer::Read(char* data,
                                                            std::size_t size) {
   std::size_t filled = 0;
-  while (filled < size && !parser_->is_done()) {
-    auto& body = parser_->get().body();
+  while (filled < size && !complete()) {
+    auto& body = reader_->message().body();
     body.data = data + filled;
     body.size = size - filled;
     connection_->stream.expires_after(kBodyTimeout);
-    const auto [error, read] = co_await http::async_read_some(
-        connection_->stream, connection_->buffer, *parser_, kNoThrow);
-    filled = size - parser_->get().body().size;
+    const beast::error_code error =
+        co_await ReadPart(connection_->stream, connection_->buffer, *reader_);
+    filled = size - reader_->message().body().size;
     if (error && error != http::error::need_buffer) {
       co_return std::nullopt;
     }
@@ -140,19 +132,16 @@
     // The server cannot run a request that it received only in part.
     co_return Failed(AttemptOutcome::kNotRun, AttemptReason::kConnectFailed);
   }
-  auto parser = std::make_unique<UpstreamAnswer::Parser>();
-  parser->body_limit(boost::none);
-  if (request.method() == http::verb::head) {
-    parser->skip(true);
-  }
+  auto reader = std::make_unique<UpstreamAnswer::Reader>(
+      AnswerTerms{request.method() == http::verb::head, std::nullopt});
   auto cancellable = cancellable_exchanges_.end();
   if (is_cancelled) {
     cancellable = cancellable_exchanges_.insert(
         cancellable_exchanges_.end(),
         {connection.get(), std::move(is_cancelled)});
   }
-  const auto [read_error, read] = co_await http::async_read_header(
-      connection->stream, connection->buffer, *parser, kNoThrow);
+  const beast::error_code read_error =
+      co_await ReadFinalHead(connection->stream, connection->buffer, *reader);
   if (cancellable != cancellable_exchanges_.end()) {
     cancellable_exchanges_.erase(cancellable);
   }
@@ -162,7 +151,7 @@
   AttemptResult result{AttemptOutcome::kAnswered, AttemptReason::kNone,
                        nullptr};
   result.answer = std::make_unique<UpstreamAnswer>(
-      this, std::move(address), std::move(connection), std::move(parser));
+      this, std::move(address), std::move(connection), std::move(reader));
   co_return result;
 }
 
--- a/src/transport/upstream.h
+++ b/src/transport/upstream.h
@@ -16,6 +16,7 @@
 #include "coordination/attempt.h"
 #include "state/document.h"
 #include "state/time.h"
+#include "transport/answer_reader.h"
 #include "transport/asio.h"
 
 namespace mustardflow::transport {
@@ -36,22 +37,24 @@
 // stays bounded and a slow reader slows the sender down.
 class UpstreamAnswer {
  public:
-  using Parser = http::response_parser<http::buffer_body>;
+  using Reader = AnswerReader<http::buffer_body>;
 
   UpstreamAnswer(UpstreamPool* pool,
                  state::Address address,
                  std::unique_ptr<UpstreamConnection> connection,
-                 std::unique_ptr<Parser> parser);
+                 std::unique_ptr<Reader> reader);
   ~UpstreamAnswer();
 
   UpstreamAnswer(const UpstreamAnswer&) = delete;
   UpstreamAnswer& operator=(const UpstreamAnswer&) = delete;
 
-  http::response_header<>& header() { return parser_->get(); }
+  http::response_header<>& header() { return reader_->message(); }
   // The length of the body in bytes, if the header gives it.
-  std::optional<std::uint64_t> content_length() const;
+  std::optional<std::uint64_t> content_length() const {
+    return reader_->content_length();
+  }
   // Whether the last byte of the body has been read.
-  bool complete() const { return parser_->is_done(); }
+  bool complete() const { return reader_->is_done(); }
 
   // Reads the next part of the body, at most `size` bytes. Returns the number
   // of bytes read, 0 at the end, or nothing if the connection failed before the
@@ -66,7 +69,7 @@
   UpstreamPool* const pool_;
   const state::Address address_;
   std::unique_ptr<UpstreamConnection> connection_;
-  std::unique_ptr<Parser> parser_;
+  std::unique_ptr<Reader> reader_;
   std::function<void(bool)> on_close_;
 };
 
