transport: A line of a head that begins with a blank makes it no answer

A server's answer in whose head a line began with a blank or a tab reached callers: the line was joined to the field before it. With " Content-Length: 4" the length did not count, and the body was all that followed up to the close; a line with another name was passed on inside of a foreign field. The client for orders and that of the first version read such answers as well.

Cause: the parser supports line folding, which RFC 9112 (section 5.2) lets a gateway refuse. Other blanks and control bytes in names, and those before the colon, were refused already.

Change: AnswerReader refuses a folded line in a head and in the fields after the last chunk, before the parser joins it.

--- a/src/transport/answer_reader.cc
+++ b/src/transport/answer_reader.cc
@@ -60,4 +60,18 @@
   return {};
 }
 
+bool HasFoldedLine(std::string_view lines) {
+  while (!lines.empty() && !lines.starts_with(kLineBreak)) {
+    if (lines.front() == ' ' || lines.front() == '\t') {
+      return true;
+    }
+    const std::size_t end = lines.find(kLineBreak);
+    if (end == std::string_view::npos) {
+      return false;
+    }
+    lines.remove_prefix(end + kLineBreak.size());
+  }
+  return false;
+}
+
 }  // namespace mustardflow::transport
--- a/src/transport/answer_reader.h
+++ b/src/transport/answer_reader.h
@@ -7,12 +7,16 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
+#include <string_view>
 
 #include "transport/asio.h"
 
 namespace mustardflow::transport {
 
+inline constexpr std::string_view kLineBreak = "\r\n";
+
 // Interim answers (1xx) that may precede the answer to a request. A server in
 // trouble may send them without end.
 inline constexpr int kMaxInterimAnswers = 16;
@@ -25,6 +29,11 @@
 //   in the first: status and fields may belong to either.
 beast::error_code CheckAnswerHead(const http::response_header<>& head);
 
+// Whether a line of `lines`, up to the empty line or the end, begins with a
+// blank. The parser would join it to the field before (obs-fold), but a server
+// in trouble may mean a field of its own, as Content-Length.
+bool HasFoldedLine(std::string_view lines);
+
 // What is known of an answer before it arrives.
 struct AnswerTerms {
   // Set for answers to HEAD requests, which end with the head.
@@ -39,6 +48,7 @@
   using Parser = http::response_parser<Body>;
 
   explicit AnswerReader(const AnswerTerms& terms) : terms_(terms) { Restart(); }
+  // The parser refers to this object.
   AnswerReader(const AnswerReader&) = delete;
   AnswerReader& operator=(const AnswerReader&) = delete;
 
@@ -67,7 +77,23 @@
   const http::response<Body>& message() const { return parser_->get(); }
 
  private:
+  using ChunkHandler = std::function<
+      void(std::uint64_t, beast::string_view, beast::error_code&)>;
+
+  // Checks the fields after the last chunk, before the parser reads them.
+  // `extensions` lies within `input_`.
+  void HandleChunk(std::uint64_t size,
+                   beast::string_view extensions,
+                   beast::error_code& error);
+
   const AnswerTerms terms_;
+  ChunkHandler handle_chunk_ = [this](std::uint64_t size,
+                                      beast::string_view extensions,
+                                      beast::error_code& error) {
+    HandleChunk(size, extensions, error);
+  };
+  // The bytes that are being parsed.
+  std::string_view input_;
   // Never empty.
   std::optional<Parser> parser_;
 };
@@ -96,12 +122,19 @@
                                             : boost::none);
   parser_->skip(terms_.has_no_body);
   parser_->eager(false);
+  parser_->on_chunk_header(handle_chunk_);
 }
 
 template <class Body>
 std::size_t AnswerReader<Body>::Put(asio::const_buffer bytes,
                                     beast::error_code* error) {
   const bool in_head = !has_head();
+  input_ = {static_cast<const char*>(bytes.data()), bytes.size()};
+  // Begins with a line, since the parser uses up whole lines.
+  if (in_head && HasFoldedLine(input_)) {
+    *error = http::error::bad_field;
+    return 0;
+  }
   const std::size_t used = parser_->put(bytes, *error);
   if (in_head && !*error && has_head()) {
     *error = CheckAnswerHead(parser_->get().base());
@@ -110,6 +143,22 @@
   return used;
 }
 
+template <class Body>
+void AnswerReader<Body>::HandleChunk(std::uint64_t size,
+                                     beast::string_view extensions,
+                                     beast::error_code& error) {
+  if (size > 0) {
+    return;
+  }
+  const char* const end = extensions.data() + extensions.size();
+  std::string_view trailer =
+      input_.substr(static_cast<std::size_t>(end - input_.data()));
+  trailer.remove_prefix(std::min(kLineBreak.size(), trailer.size()));
+  if (HasFoldedLine(trailer)) {
+    error = http::error::bad_field;
+  }
+}
+
 template <class Body>
 void AnswerReader<Body>::PutEnd(beast::error_code* error) {
   if (!parser_->got_some()) {
--- a/tests/transport/internal_answers_test.cc
+++ b/tests/transport/internal_answers_test.cc
@@ -180,6 +180,19 @@
   CHECK_FALSE(ClientFixture(client).Exchange({Answer(status), "", false}));
 }
 
+TEST_CASE("an invalid name of a field is no answer to a client", "[fields]") {
+  const Client client = AnyClient();
+  const std::string line =
+      GENERATE(" X-Any: 1\r\n", "\tContent-Length: 2\r\n", "X Any: 1\r\n",
+               "X-Any : 1\r\n", "X\x01y: 1\r\n", " \r\n");
+  const std::size_t part_bytes = GENERATE(0, 1, 7);
+  CAPTURE(static_cast<int>(client), line, part_bytes);
+  CHECK_FALSE(ClientFixture(client).Exchange(
+      {"HTTP/1.1 200 OK\r\nX-First: 1\r\n" + line +
+           "Content-Length: 4\r\n\r\nbody",
+       "", false, part_bytes}));
+}
+
 TEST_CASE("a client waits for the answer after interim ones", "[answers]") {
   const Client client = AnyClient();
   const std::string interim =
