transport: Bound the lines between chunks and the fields after the last one

A server that sent bytes without end where the size of a chunk, its extension or the fields after the last chunk should stand took the memory of the host: 2 GB within 4 s in answers to grants, 101 MB of 96 in answers to requests. A field of 65,534 bytes there ended the process (uncaught length_error), also in answers to grants. Noise, heads, bodies and interim answers without end were bounded already.

Cause: the parser has limits for a line of the head and for the body, none for what is between and after chunks, and keeps what it cannot use yet. It throws for a field that is longer than it can hold.

Change: AnswerReader passes the parser 64 KiB at most at a time; if it can use none of them, the answer is refused. So no field reaches the length at which it throws, and readers keep 64 KiB and what one read brings. The head as a whole, not just each line, is held to 64 KiB.

--- a/src/transport/answer_reader.h
+++ b/src/transport/answer_reader.h
@@ -5,6 +5,7 @@
 #define MUSTARDFLOW_TRANSPORT_ANSWER_READER_H_
 
 #include <algorithm>
+#include <boost/optional.hpp>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -15,6 +16,11 @@
 
 namespace mustardflow::transport {
 
+// The longest head of an answer, the longest line with the size of a chunk, and
+// the longest last chunk with the fields after it. The parser throws if a value
+// has 65,534 bytes or more; no such value fits into these sizes with its name
+// and the lines around it.
+inline constexpr std::size_t kMaxAnswerHeadBytes = 64 << 10;
 inline constexpr std::string_view kLineBreak = "\r\n";
 
 // Interim answers (1xx) that may precede the answer to a request. A server in
@@ -39,14 +45,12 @@
   // Set for answers to HEAD requests, which end with the head.
   bool has_no_body = false;
   // The longest body in bytes; nothing for a body that is not held.
-  std::optional<std::uint64_t> max_body_bytes;
+  boost::optional<std::uint64_t> max_body_bytes;
 };
 
 template <class Body>
 class AnswerReader {
  public:
-  using Parser = http::response_parser<Body>;
-
   explicit AnswerReader(const AnswerTerms& terms) : terms_(terms) { Restart(); }
   // The parser refers to this object.
   AnswerReader(const AnswerReader&) = delete;
@@ -58,11 +62,13 @@
   // Parses received bytes, which begin where the last call ended. Returns the
   // number of bytes that are used up. `error` becomes http::error::need_more if
   // more bytes are needed to go on, and tells otherwise why this is no answer.
-  // Stops after the head, so that the caller can prepare for the body.
+  // Stops after the head, so that the caller can prepare for the body. The
+  // bytes that are not used up are never more than kMaxAnswerHeadBytes where
+  // more are needed.
   std::size_t Put(asio::const_buffer bytes, beast::error_code* error);
 
-  // The server has ended the stream in the ordinary way, not by a reset. Sets
-  // `error` unless that completes the answer.
+  // The server has closed its side of the connection (FIN). Sets `error` unless
+  // that completes the answer. Not to be called after a reset.
   void PutEnd(beast::error_code* error);
 
   bool has_head() const { return parser_->is_header_done(); }
@@ -74,9 +80,9 @@
   std::optional<std::uint64_t> content_length() const;
 
   http::response<Body>& message() { return parser_->get(); }
-  const http::response<Body>& message() const { return parser_->get(); }
 
  private:
+  using Parser = http::response_parser<Body>;
   using ChunkHandler = std::function<
       void(std::uint64_t, beast::string_view, beast::error_code&)>;
 
@@ -92,6 +98,8 @@
                                       beast::error_code& error) {
     HandleChunk(size, extensions, error);
   };
+  // The bytes of the head that are used up.
+  std::size_t head_bytes_ = 0;
   // The bytes that are being parsed.
   std::string_view input_;
   // Never empty.
@@ -114,12 +122,10 @@
 
 template <class Body>
 void AnswerReader<Body>::Restart() {
-  constexpr std::uint32_t kMaxHeadBytes = 64 << 10;
+  head_bytes_ = 0;
   parser_.emplace();
-  parser_->header_limit(kMaxHeadBytes);
-  parser_->body_limit(terms_.max_body_bytes ? boost::optional<std::uint64_t>(
-                                                  *terms_.max_body_bytes)
-                                            : boost::none);
+  parser_->header_limit(kMaxAnswerHeadBytes);
+  parser_->body_limit(terms_.max_body_bytes);
   parser_->skip(terms_.has_no_body);
   parser_->eager(false);
   parser_->on_chunk_header(handle_chunk_);
@@ -129,13 +135,24 @@
 std::size_t AnswerReader<Body>::Put(asio::const_buffer bytes,
                                     beast::error_code* error) {
   const bool in_head = !has_head();
-  input_ = {static_cast<const char*>(bytes.data()), bytes.size()};
+  // The parser itself limits each line of a head, not their sum, and no line of
+  // a body in chunks.
+  const std::size_t limit =
+      kMaxAnswerHeadBytes - (in_head ? head_bytes_ : std::size_t{0});
+  input_ = {static_cast<const char*>(bytes.data()),
+            std::min(bytes.size(), limit)};
   // Begins with a line, since the parser uses up whole lines.
   if (in_head && HasFoldedLine(input_)) {
     *error = http::error::bad_field;
     return 0;
   }
-  const std::size_t used = parser_->put(bytes, *error);
+  const std::size_t used = parser_->put(asio::buffer(input_), *error);
+  if (*error == http::error::need_more && input_.size() == limit) {
+    *error = used > 0 ? beast::error_code() : http::error::header_limit;
+  }
+  if (in_head) {
+    head_bytes_ += used;
+  }
   // The parser adds the fields after the last chunk to the head.
   if (!*error && (in_head ? has_head() : is_done())) {
     *error = CheckAnswerHead(parser_->get().base());
--- a/src/transport/server_connection.cc
+++ b/src/transport/server_connection.cc
@@ -25,9 +25,9 @@
 // answer to a request. A server in trouble may send them without end.
 constexpr int kMaxSkippedMessages = kMaxInterimAnswers;
 
-// Whether a write that ended with this error may have met a reset, which no
-// later read reports. A reset after the server's ordinary end of the stream is
-// reported as a broken pipe.
+// Whether a write that ended with this error may have met a reset. The kernel
+// reports a reset only once, so reads after it find the end of the stream as
+// after a FIN. A reset after a FIN is reported as a broken pipe.
 bool IsReset(const beast::error_code& write_error) {
   return write_error && write_error != asio::error::broken_pipe &&
          write_error != asio::error::operation_aborted;
--- a/src/transport/server_connection.h
+++ b/src/transport/server_connection.h
@@ -89,12 +89,12 @@
   void Read();
   void HandleRead(const beast::error_code& error, std::size_t size);
   void HandleWritten(const beast::error_code& error);
-  // The server has closed the connection, or has reset it and the write of the
-  // request has taken the error. Waits for the end of that write.
+  // Reading has reached the end of the stream: the server has sent a FIN, or a
+  // reset that was reported to the write of the request. Cancels that write;
+  // its result tells which.
   void HandleReadEnd();
   // Ends the request after the end of the stream, when nothing is being
-  // written. An answer without a length is whole unless the connection was
-  // reset.
+  // written. An answer without a length is whole only after a FIN.
   void FinishAtReadEnd();
   void Parse();
   void ResetReader();
--- a/src/transport/upstream.cc
+++ b/src/transport/upstream.cc
@@ -133,7 +133,7 @@
     co_return Failed(AttemptOutcome::kNotRun, AttemptReason::kConnectFailed);
   }
   auto reader = std::make_unique<UpstreamAnswer::Reader>(
-      AnswerTerms{request.method() == http::verb::head, std::nullopt});
+      AnswerTerms{request.method() == http::verb::head, boost::none});
   auto cancellable = cancellable_exchanges_.end();
   if (is_cancelled) {
     cancellable = cancellable_exchanges_.insert(
--- a/tests/crowd/crowd.py
+++ b/tests/crowd/crowd.py
@@ -98,6 +98,7 @@
         self.store = Store(random.Random(1))
         self.store_address = (ip, store_port)
         self.server = Server((ip, server_port), "desk-0", "desk")
+        self.servers = [self.server]
         self.body_bytes = body_bytes
         self.memory_mb = memory_mb
         self.host = Host(program, folder, 0, self.store_address)
@@ -111,9 +112,17 @@
 
     async def start(self):
         await self.store.start(self.store_address)
-        await self.server.start()
-        self.store.put("keyed.servers", self.server.id, self.server.entry())
-        self.store.put("keyed.op", "config", {
+        for server in self.servers:
+            await server.start()
+            self.store.put("keyed.servers", server.id, server.entry())
+        self.store.put("keyed.op", "config", self.config())
+        await self.host.start()
+        asyncio.create_task(self.watch())
+        asyncio.create_task(self.keep_registered())
+        await self.ordinary()
+
+    def config(self):
+        return {
             "version": 1,
             "routes": {"desk": {
                 "hostname": "a.example", "path_prefix": "/desk/",
@@ -126,18 +135,15 @@
                 "warmup_per_s": 1000.0}},
             "limits": {"max_header_bytes": 16384,
                        "max_body_bytes": self.body_bytes,
-                       "header_timeout": "3s", "idle_timeout": "15s"}})
-        await self.host.start()
-        asyncio.create_task(self.watch())
-        asyncio.create_task(self.keep_registered())
-        await self.ordinary()
+                       "header_timeout": "3s", "idle_timeout": "15s"}}
 
     async def keep_registered(self):
         while True:
             await asyncio.sleep(0.4)
-            entry = self.server.entry()
-            entry["status"]["seq"] = int(time.monotonic() * 10)
-            self.store.put("keyed.servers", self.server.id, entry)
+            for server in self.servers:
+                entry = server.entry()
+                entry["status"]["seq"] = int(time.monotonic() * 10)
+                self.store.put("keyed.servers", server.id, entry)
 
     def measure(self):
         process = pathlib.Path(f"/proc/{self.host.process.pid}")
@@ -359,11 +365,8 @@
 GROUPS = {group.__name__.replace("_", "-"): group for group in CROWDS + LARGE}
 
 
-async def play(program, folder, group):
+async def play(world, group):
     """What does not hold, as texts."""
-    large = group in LARGE
-    world = World(program, folder, LARGE_MEMORY_MB if large else MEMORY_MB,
-                  LARGE_BODY_BYTES if large else BODY_BYTES)
     await world.start()
     failures = []
     try:
@@ -388,19 +391,31 @@
     return failures
 
 
-def main():
-    parser = argparse.ArgumentParser(description=__doc__)
+def crowd_world(program, folder, group):
+    if group in LARGE:
+        return World(program, folder, LARGE_MEMORY_MB, LARGE_BODY_BYTES)
+    return World(program, folder, MEMORY_MB, BODY_BYTES)
+
+
+def play_all(groups, make_world, description):
+    """Plays the groups that the command line asks for, each against a new
+    process, and exits."""
+    parser = argparse.ArgumentParser(description=description)
     parser.add_argument("--program", default="build/apps/mustardflow-entry")
-    parser.add_argument("--group", choices=GROUPS, help="play only this one")
+    parser.add_argument("--group", choices=groups, help="play only this one")
     options = parser.parse_args()
     failed = 0
-    for name, group in GROUPS.items():
+    for name, group in groups.items():
         if options.group not in (None, name):
             continue
         print(f"{name}: {group.__doc__}", flush=True)
         folder = pathlib.Path(tempfile.mkdtemp(prefix="mustardflow-crowd-"))
-        failures = asyncio.run(asyncio.wait_for(
-            play(options.program, folder, group), 60))
+
+        async def run():
+            world = make_world(options.program, folder, group)
+            return await asyncio.wait_for(play(world, group), 60)
+
+        failures = asyncio.run(run())
         for failure in failures:
             print(f"  FAILED: {failure}", flush=True)
         failed += bool(failures)
@@ -413,4 +428,4 @@
 
 
 if __name__ == "__main__":
-    main()
+    play_all(GROUPS, crowd_world, __doc__)
--- a/tests/transport/early_answers_test.cc
+++ b/tests/transport/early_answers_test.cc
@@ -171,7 +171,7 @@
   tcp::socket server = uploads.AcceptUpload();
   Send(server, text);
   EndConnection(server, end);
-  REQUIRE(uploads.host().ReceiveUntil(first, kHeadEnd).size() > 0);
+  REQUIRE_FALSE(uploads.host().ReceiveUntil(first, kHeadEnd).empty());
   tcp::socket second = uploads.Upload("2");
   tcp::socket next = uploads.AcceptUpload();
   uploads.ReadUpload(next);
--- a/tests/transport/internal_answers_test.cc
+++ b/tests/transport/internal_answers_test.cc
@@ -23,6 +23,9 @@
 constexpr milliseconds kTimeout(500);
 constexpr std::size_t kMaxReplyBytes = 64 << 10;
 
+// More than a client may take of any one answer.
+constexpr std::size_t kEndlessBytes = 64 << 20;
+
 enum class Client { kHttpClient, kUpstream };
 
 struct Received {
@@ -32,9 +35,9 @@
 
 // What the peer of a test sends after it has read the request.
 struct PeerBytes {
-  std::string text;
+  std::string text = {};
   // Sent again and again afterwards, until the client closes.
-  std::string endless;
+  std::string endless = {};
   bool closes = false;
   // The size of the parts that are sent one by one; 0 for all at once.
   std::size_t part_bytes = 0;
@@ -79,7 +82,6 @@
         co_await asio::post(context_, asio::use_awaitable);
       }
     }
-    constexpr std::size_t kEndlessBytes = 64 << 20;
     while (!bytes.endless.empty() && sent_ < kEndlessBytes) {
       const bool written = co_await Write(peer, bytes.endless);
       if (!written) {
@@ -215,4 +217,53 @@
       fixture.Exchange({"", "HTTP/1.1 103 Early\r\nLink: <x>\r\n\r\n", false}));
 }
 
+TEST_CASE("a client keeps no bytes without end", "[answers]") {
+  const Client client = AnyClient();
+  const std::string noise(4096, '#');
+  std::string fields;
+  while (fields.size() < noise.size()) {
+    fields += "X-Any: 1\r\n";
+  }
+  const std::string head = "HTTP/1.1 200 OK\r\nX-Any: ";
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string last_chunk = "3\r\nown\r\n0\r\nX-Any: 1\r\n";
+  const auto bytes = GENERATE_COPY(
+      PeerBytes{"", noise}, PeerBytes{head, noise},
+      PeerBytes{head + "1\r\n", fields}, PeerBytes{chunked, noise},
+      PeerBytes{chunked + "3;", noise}, PeerBytes{chunked + "3;x=\"", noise},
+      PeerBytes{chunked + last_chunk + "X-Long: ", noise},
+      PeerBytes{chunked + last_chunk, fields});
+  CAPTURE(static_cast<int>(client), bytes.text, bytes.endless);
+  ClientFixture fixture(client);
+  CHECK_FALSE(fixture.Exchange(bytes));
+  // A part of it fills the buffers of the sockets.
+  CHECK(fixture.sent() < kEndlessBytes / 4);
+}
+
+TEST_CASE("a client keeps no body without end", "[answers]") {
+  const std::string part(4096, '#');
+  const std::string chunk = "1000\r\n" + part + "\r\n";
+  const auto bytes = GENERATE_COPY(
+      PeerBytes{"HTTP/1.1 200 OK\r\n\r\n", part},
+      PeerBytes{"HTTP/1.1 200 OK\r\nContent-Length: 9999999\r\n\r\n", part},
+      PeerBytes{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                chunk});
+  CAPTURE(bytes.text);
+  ClientFixture fixture(Client::kHttpClient);
+  CHECK_FALSE(fixture.Exchange(bytes));
+  CHECK(fixture.sent() < kEndlessBytes / 4);
+}
+
+TEST_CASE("a long line after the chunks is no answer to a client",
+          "[answers]") {
+  const Client client = AnyClient();
+  const std::size_t size = GENERATE(65534, 70000);
+  CAPTURE(static_cast<int>(client), size);
+  CHECK_FALSE(ClientFixture(client).Exchange(
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+       "3\r\nown\r\n0\r\nnoise: " +
+       std::string(size, '#') + "\r\n\r\n"}));
+}
+
 }  // namespace mustardflow::tests
--- a/tests/transport/server_answers_test.cc
+++ b/tests/transport/server_answers_test.cc
@@ -26,6 +26,10 @@
 
 constexpr std::string_view kSuccess = "HTTP/1.1 200";
 
+const std::string kChunkedHead =
+    "HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\nX-Server-Signature: s\r\n"
+    "X-Mustardflow-Outcome: answered\r\nTransfer-Encoding: chunked\r\n\r\n";
+
 std::string KeyedRequest() {
   return "POST /desk/1 HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: 1\r\n"
          "X-Shard-Key: 5\r\nContent-Length: 2\r\n\r\nhi";
@@ -48,6 +52,15 @@
   return fresh;
 }
 
+// Returns the text again and again, about 4 KB in all.
+std::string Repeated(std::string_view text) {
+  std::string repeated;
+  while (repeated.size() < 4096) {
+    repeated += text;
+  }
+  return repeated;
+}
+
 // Enough to exceed any limit on one answer of the host in the fixture.
 constexpr std::size_t kEndless = 64 << 20;
 
@@ -169,6 +182,23 @@
          "Transfer-Encoding: chunked\r\n\r\n");
     endless = "1000\r\n" + chunk + "\r\n";
   }
+  SECTION("in the fields of a head") {
+    Send(server, "HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\n");
+    endless = Repeated("X-Any: 1\r\n");
+  }
+  SECTION("in the size of a chunk") {
+    Send(server, kChunkedHead + "3;");
+  }
+  SECTION("in the extension of a chunk") {
+    Send(server, kChunkedHead + "3;x=\"");
+  }
+  SECTION("in a field after the chunks") {
+    Send(server, kChunkedHead + "3\r\nown\r\n0\r\nX-Long: ");
+  }
+  SECTION("in the fields after the chunks") {
+    Send(server, kChunkedHead + "3\r\nown\r\n0\r\n");
+    endless = Repeated("X-Any: 1\r\n");
+  }
   SECTION("in interim answers") {
     endless = "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n";
   }
@@ -180,6 +210,26 @@
   CHECK(Count(host.Receive(caller), "HTTP/1.1 502") == 1);
 }
 
+// The parser throws if a field is longer than it can hold.
+TEST_CASE("a long line after the chunks is no answer", "[S5]") {
+  const std::size_t size = GENERATE(65000, 65534, 65536, 70000, 1 << 20);
+  const bool at_gate = GENERATE(false, true);
+  CAPTURE(size, at_gate);
+  RelayFixture host;
+  if (at_gate) {
+    host.UseGate(RequestKind::kNonIdempotent);
+  }
+  tcp::socket caller = host.ConnectCaller();
+  Send(caller, KeyedRequest());
+  tcp::socket server = at_gate ? host.AcceptAtGate() : host.AcceptFromRelay();
+  host.ReceiveUntil(server, "hi");
+  Send(server, kChunkedHead + "3\r\nown\r\n0\r\nnoise: ");
+  host.SendUntilClosed(server, std::string(size, '#') + "\r\n\r\n", size);
+  const std::string answer = host.ReceiveUntil(caller, "\r\n\r\n");
+  constexpr std::size_t kLongestLine = 65000;
+  CHECK(answer.starts_with(size > kLongestLine ? "HTTP/1.1 502" : kSuccess));
+}
+
 TEST_CASE("an idempotent request is sent again after bytes without end",
           "[S5]") {
   RelayFixture host(RequestKind::kIdempotent);
