transport: Serve requests with fields of 64 KiB and more

A lookup with a Cookie field of 70,000 bytes, within the operator's max_header_bytes of 131,072, ended the process (uncaught std::length_error). All bookings that the host had passed on were cut off; the caller repeated its lookup, and the next host ended as well.

Cause: http::fields keeps the sizes of a field in 16 bits and throws for a name or a value of more than 65,533 bytes. CallerConnection gives its parser any limit that the operator sets, so that such fields reach it; the exception leaves the event loop. The port for forwarded requests (1 MB) and the trailers of requests were affected as well.

Change: RequestParser keeps long fields beside http::fields, and the relay passes them on. Lines with the name of a long field stay behind it, in their order. Those that hosts read themselves are rejected with 431, since they cannot be held where the hosts look for them. Trailer fields are dropped as they are parsed; until now the header was copied before the trailer and restored after it.

Rejecting all long fields was considered: the request is within the limits that the operator has set, and other fields are to be forwarded.

--- a/src/transport/caller_connection.cc
+++ b/src/transport/caller_connection.cc
@@ -118,13 +118,12 @@
   // The parser counts the limit for a body in chunks down, so it could not be
   // raised; see CheckBodySize().
   parser_->body_limit(boost::none);
-  // The parser stops after the header, which then can be told apart from the
-  // trailer; see AcceptHeader().
+  // The parser stops after the header, so that it is checked and memory is
+  // drawn before the body is kept; see AcceptHeader().
   parser_->eager(false);
   parser_->get().body().Bind(memory_, this);
   header_accepted_ = false;
   header_bytes_ = 0;
-  header_before_trailer_.reset();
   header_limit_ = 0;
   body_limit_ = 0;
   request_started_at_.reset();
@@ -301,9 +300,6 @@
     return rejection;
   }
   header_accepted_ = true;
-  if (parser_->chunked()) {
-    header_before_trailer_ = parser_->get().base();
-  }
   parser_->eager(true);
   return std::nullopt;
 }
@@ -350,6 +346,10 @@
   if (message.version() != 11 && message.version() != 10) {
     return Rejection{505, "HTTP version"};
   }
+  const LongFields& long_fields = parser_->long_fields();
+  if (std::any_of(long_fields.begin(), long_fields.end(), IsInterpreted)) {
+    return Rejection{431, "long field that hosts interpret"};
+  }
   if (message.count(http::field::host) > 1 ||
       (message.version() == 11 && message.count(http::field::host) == 0)) {
     return Rejection{400, "not one Host field"};
@@ -396,12 +396,7 @@
 }
 
 void CallerConnection::Dispatch() {
-  CallerMessage message = parser_->release();
-  if (header_before_trailer_) {
-    // The parser has added the trailer's fields, which nothing may depend on:
-    // the request was checked without them.
-    message.base() = *std::move(header_before_trailer_);
-  }
+  CallerMessage message{parser_->release(), parser_->ReleaseLongFields()};
   ResetParser();
   // A busy host may read a request long after its caller has given up.
   if (CallerHasLeft()) {
--- a/src/transport/caller_connection.h
+++ b/src/transport/caller_connection.h
@@ -20,6 +20,7 @@
 #include "transport/body_buffer.h"
 #include "transport/event_log.h"
 #include "transport/memory_account.h"
+#include "transport/request_parser.h"
 #include "transport/request_relay.h"
 
 namespace mustardflow::transport {
@@ -69,7 +70,7 @@
   void EndTransfer() override;
 
  private:
-  using Parser = http::request_parser<BufferedBody>;
+  using Parser = RequestParser<BufferedBody>;
 
   // A request that has been read and whose answer is not being written yet.
   struct Exchange {
@@ -164,9 +165,6 @@
   bool header_accepted_ = false;
   // The size of the arriving request's header, as far as it was parsed.
   std::size_t header_bytes_ = 0;
-  // The header of a request with a body in chunks, as it was before the
-  // trailer.
-  std::optional<CallerMessage::header_type> header_before_trailer_;
   // The sizes in bytes that the arriving request may have.
   std::size_t header_limit_ = 0;
   std::size_t body_limit_ = 0;
--- a/src/transport/header_fields.cc
+++ b/src/transport/header_fields.cc
@@ -12,9 +12,12 @@
 
 namespace {
 
+// Here, `Field` is http::fields::value_type or LongField.
+
 // Whether the field concerns only this connection. Content-Length and Expect
 // count as such, since the relay buffers bodies and handles Expect itself.
-bool IsHopByHop(const http::fields::value_type& field) {
+template <class Field>
+bool IsHopByHop(const Field& field) {
   switch (field.name()) {
     case http::field::connection:
     case http::field::keep_alive:
@@ -31,26 +34,30 @@
   }
 }
 
-bool HasName(const http::fields::value_type& field, std::string_view name) {
+template <class Field>
+bool HasName(const Field& field, std::string_view name) {
   return beast::iequals(field.name_string(),
                         beast::string_view(name.data(), name.size()));
 }
 
 // Whether the relay sets this field of a request itself.
-bool IsSetByRelay(const http::fields::value_type& field) {
+template <class Field>
+bool IsSetByRelay(const Field& field) {
   return HasName(field, platform::kDeadlineField) ||
          HasName(field, platform::kServerIdField);
 }
 
 // Whether the field holds the key or the name of an organisation.
-bool IsCredential(const http::fields::value_type& field) {
+template <class Field>
+bool IsCredential(const Field& field) {
   return HasName(field, platform::kCredentialField) ||
          HasName(field, platform::kOrganisationField);
 }
 
 // Whether servers or callers depend on this field, so that it is forwarded even
 // if the Connection field lists it.
-bool IsAlwaysEndToEnd(const http::fields::value_type& field) {
+template <class Field>
+bool IsAlwaysEndToEnd(const Field& field) {
   constexpr std::array<std::string_view, 5> kNames = {
       "Host", platform::kAttemptIdField, platform::kShardKeyField,
       platform::kSignatureField, platform::kNotExecutedField};
@@ -63,8 +70,8 @@
 }
 
 // Whether the Connection field lists this field as hop-by-hop.
-bool IsListedInConnection(const http::fields& fields,
-                          const http::fields::value_type& field) {
+template <class Field>
+bool IsListedInConnection(const http::fields& fields, const Field& field) {
   const auto connection = fields.find(http::field::connection);
   return connection != fields.end() &&
          http::token_list(connection->value()).exists(field.name_string());
@@ -72,7 +79,8 @@
 
 // Whether only hosts use this field between one another. Callers and servers
 // neither set nor see such fields.
-bool IsForwardingField(const http::fields::value_type& field) {
+template <class Field>
+bool IsForwardingField(const Field& field) {
   const beast::string_view name = field.name_string();
   return name.size() > kForwardingFieldPrefix.size() &&
          beast::iequals(name.substr(0, kForwardingFieldPrefix.size()),
@@ -80,12 +88,18 @@
                                            kForwardingFieldPrefix.size()));
 }
 
-bool IsEndToEnd(const http::fields& fields,
-                const http::fields::value_type& field) {
+template <class Field>
+bool IsEndToEnd(const http::fields& fields, const Field& field) {
   return !IsHopByHop(field) && !IsForwardingField(field) &&
          (IsAlwaysEndToEnd(field) || !IsListedInConnection(fields, field));
 }
 
+template <class Field>
+void AppendUnchanged(const Field& field, std::string* bytes) {
+  AppendField({field.name_string().data(), field.name_string().size()},
+              {field.value().data(), field.value().size()}, bytes);
+}
+
 }  // namespace
 
 std::string HostnameOf(std::string_view host_field) {
@@ -109,14 +123,24 @@
   bytes->append("\r\n");
 }
 
+bool IsInterpreted(const LongField& field) {
+  return IsHopByHop(field) || IsForwardingField(field) ||
+         IsAlwaysEndToEnd(field) || IsSetByRelay(field) || IsCredential(field);
+}
+
 void AppendEndToEndFields(const http::fields& fields,
+                          const LongFields& long_fields,
                           bool drop_credentials,
                           std::string* bytes) {
   for (const auto& field : fields) {
     if (IsEndToEnd(fields, field) && !IsSetByRelay(field) &&
         !(drop_credentials && IsCredential(field))) {
-      AppendField({field.name_string().data(), field.name_string().size()},
-                  {field.value().data(), field.value().size()}, bytes);
+      AppendUnchanged(field, bytes);
+    }
+  }
+  for (const LongField& field : long_fields) {
+    if (!IsListedInConnection(fields, field)) {
+      AppendUnchanged(field, bytes);
     }
   }
 }
--- a/src/transport/header_fields.h
+++ b/src/transport/header_fields.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "transport/asio.h"
+#include "transport/request_parser.h"
 
 namespace mustardflow::transport {
 
@@ -56,11 +57,17 @@
                  std::string_view value,
                  std::string* bytes);
 
+// Whether hosts read the field of a request or replace it, rather than just
+// pass it on.
+bool IsInterpreted(const LongField& field);
+
 // Appends the request's end-to-end fields, which the next hop gets unchanged.
 // Leaves out hop-by-hop fields, Content-Length, Expect, the fields that only
 // hosts exchange, and the fields that the relay sets itself; with
-// `drop_credentials` also an organisation's key and name.
+// `drop_credentials` also an organisation's key and name. None of `long_fields`
+// may be one that hosts interpret.
 void AppendEndToEndFields(const http::fields& fields,
+                          const LongFields& long_fields,
                           bool drop_credentials,
                           std::string* bytes);
 
--- /dev/null
+++ b/src/transport/request_parser.h
@@ -0,0 +1,85 @@
+// Parses requests whose fields may be longer than http::fields can hold.
+
+#ifndef MUSTARDFLOW_TRANSPORT_REQUEST_PARSER_H_
+#define MUSTARDFLOW_TRANSPORT_REQUEST_PARSER_H_
+
+#include <algorithm>
+#include <cstddef>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "transport/asio.h"
+
+namespace mustardflow::transport {
+
+// The longest name and the longest value that http::fields can hold. It throws
+// std::length_error for longer ones.
+inline constexpr std::size_t kMaxHeldFieldBytes = 65'533;
+
+// A field that is kept beside http::fields. Has the accessors of
+// http::fields::value_type.
+class LongField {
+ public:
+  LongField(http::field name,
+            beast::string_view name_string,
+            beast::string_view value)
+      : name_(name), name_string_(name_string), value_(value) {}
+
+  http::field name() const { return name_; }
+  beast::string_view name_string() const { return name_string_; }
+  beast::string_view value() const { return value_; }
+
+ private:
+  // http::field::unknown if Beast has no constant for the name.
+  http::field name_;
+  std::string name_string_;
+  std::string value_;
+};
+
+// In the order in which the fields arrived.
+using LongFields = std::vector<LongField>;
+
+// Keeps long fields of the header apart, and drops the fields of the trailer:
+// a request is judged by its header, before the trailer arrives.
+template <class Body>
+class RequestParser : public http::request_parser<Body> {
+ public:
+  // The fields of the header that are too long for get(), and those that follow
+  // one of them with its name, so that lines with the same name keep their
+  // order.
+  const LongFields& long_fields() const { return long_fields_; }
+  LongFields ReleaseLongFields() { return std::move(long_fields_); }
+
+ private:
+  // Beast prescribes the name.
+  void on_field_impl(  // NOLINT(readability-identifier-naming)
+      http::field name,
+      beast::string_view name_string,
+      beast::string_view value,
+      beast::error_code& error) override {
+    error = {};
+    if (this->is_header_done()) {
+      return;
+    }
+    if (std::max(name_string.size(), value.size()) > kMaxHeldFieldBytes ||
+        HasLongField(name_string)) {
+      long_fields_.emplace_back(name, name_string, value);
+    } else {
+      this->get().insert(name, name_string, value);
+    }
+  }
+
+  bool HasLongField(beast::string_view name_string) const {
+    return std::any_of(
+        long_fields_.begin(), long_fields_.end(), [&](const LongField& field) {
+          return beast::iequals(field.name_string(), name_string);
+        });
+  }
+
+  LongFields long_fields_;
+};
+
+}  // namespace mustardflow::transport
+
+#endif  // MUSTARDFLOW_TRANSPORT_REQUEST_PARSER_H_
--- a/src/transport/request_relay.cc
+++ b/src/transport/request_relay.cc
@@ -668,7 +668,8 @@
   bytes += ' ';
   AppendText(message.target(), &bytes);
   bytes += " HTTP/1.1\r\n";
-  AppendEndToEndFields(message.base(), request.drop_credentials, &bytes);
+  AppendEndToEndFields(message.base(), message.long_fields,
+                       request.drop_credentials, &bytes);
   if (!message.body().empty() ||
       message.find(http::field::content_length) != message.end() ||
       message.find(http::field::transfer_encoding) != message.end()) {
--- a/src/transport/request_relay.h
+++ b/src/transport/request_relay.h
@@ -27,11 +27,17 @@
 #include "transport/entry_metrics.h"
 #include "transport/event_log.h"
 #include "transport/memory_account.h"
+#include "transport/request_parser.h"
 #include "transport/server_links.h"
 
 namespace mustardflow::transport {
 
-using CallerMessage = http::request<BufferedBody>;
+// A request that has been read in full.
+struct CallerMessage : http::request<BufferedBody> {
+  // The fields that are not among those of the base, which cannot hold them.
+  // Invariant: hosts interpret none of them; see IsInterpreted().
+  LongFields long_fields;
+};
 
 // The final answer to a caller.
 struct CallerAnswer {
