transport: Reject a target whose host is too long for the Host field

A request with a target in absolute form, "http://HOST/path", whose host had 65,534 bytes or more ended the process where max_header_bytes is above that (uncaught std::length_error).

Change: such a target counts as no web address and gets 400 at once.

Evidence: long_fields_test.cc, "a target with a long host is rejected".

--- a/src/transport/caller_connection.cc
+++ b/src/transport/caller_connection.cc
@@ -52,7 +52,8 @@
   std::string origin_form;
 };
 
-// Returns nullopt if the target is not an http or https URI with a host.
+// Returns nullopt if the target is not an http or https URI with a host that
+// the Host field can hold.
 std::optional<AbsoluteTarget> ParseAbsoluteTarget(std::string_view target) {
   const std::size_t scheme_end = target.find("://");
   if (scheme_end == std::string_view::npos) {
@@ -65,7 +66,7 @@
   target.remove_prefix(scheme_end + 3);
   const std::size_t authority_end =
       std::min(target.find_first_of("/?"), target.size());
-  if (authority_end == 0) {
+  if (authority_end == 0 || authority_end > kMaxHeldFieldBytes) {
     return std::nullopt;
   }
   AbsoluteTarget parsed{std::string(target.substr(0, authority_end)),
--- a/tests/transport/long_fields_test.cc
+++ b/tests/transport/long_fields_test.cc
@@ -189,6 +189,19 @@
             .starts_with("HTTP/1.1 4"));
 }
 
+// Guards against the end of the process by such a target: its host, which
+// replaces the Host field, made http::fields throw.
+TEST_CASE("a target with a long host is rejected", "[fields]") {
+  const std::string host_name =
+      GENERATE(std::string(65'534, 'h'), std::string(kLongBytes, 'h') + ":80");
+  RelayFixture host;
+  AllowLargeHeaders(host);
+  CHECK(RejectionOf(host, "GET http://" + host_name +
+                              "/desk/1 HTTP/1.1\r\nHost: a.example\r\n"
+                              "X-Attempt-Id: 1\r\n\r\n")
+            .starts_with("HTTP/1.1 400"));
+}
+
 TEST_CASE("a field above the limit is rejected", "[fields]") {
   RelayFixture host;
   AllowLargeHeaders(host);
