transport: Drop trailers in the listeners for hosts, operators and readiness

One request in chunks with a trailer field of 65,534 bytes or more ended the process of a host, sent to its port for readiness, operators or other hosts; with it, the requests of callers. mustardflowd ended as well, on its port for callers.

Cause: these listeners limit headers to 16 KiB, but the parser does not limit trailers, and http::fields throws for such a field.

Change: HttpListener and the first version read with RequestParser, which drops trailers. The first version took a limits.header_bytes of up to 1 MB, with which a long field of a header would throw; the setting ends at 65,533 now.

--- a/src/protocol/settings_codec.cc
+++ b/src/protocol/settings_codec.cc
@@ -16,6 +16,8 @@
 constexpr std::array<std::string_view, 6> kLogLevels = {
     "trace", "debug", "info", "warning", "error", "fatal"};
 constexpr std::array<std::string_view, 2> kLogFormats = {"text", "json"};
+// A longer header may have a field that http::fields cannot hold.
+constexpr std::int64_t kMaxHeaderBytes = 65'533;
 
 // Reads an optional string field that must be one of `choices`.
 template <std::size_t kSize>
@@ -86,7 +88,7 @@
   settings->max_body_bytes = static_cast<std::size_t>(
       limits->Integer("body_bytes", 0, 1 << 30, 1 << 20));
   settings->max_header_bytes = static_cast<std::size_t>(
-      limits->Integer("header_bytes", 1024, 1 << 20, 16 << 10));
+      limits->Integer("header_bytes", 1024, kMaxHeaderBytes, 16 << 10));
   settings->max_caller_connections = static_cast<std::size_t>(
       limits->Integer("caller_connections", 1, 1'000'000, 2000));
   limits->ReportUnknownFields();
--- a/src/transport/http_listener.cc
+++ b/src/transport/http_listener.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "protocol/url.h"
+#include "transport/request_parser.h"
 
 namespace mustardflow::transport {
 
@@ -64,7 +65,7 @@
   beast::flat_buffer buffer;
   bool keep = true;
   while (keep && !stopping_) {
-    http::request_parser<http::string_body> parser;
+    RequestParser<http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(limits_.max_header_bytes));
     parser.body_limit(limits_.max_body_bytes);
     stream.expires_after(limits_.read_timeout);
--- a/src/transport/traffic_duty.cc
+++ b/src/transport/traffic_duty.cc
@@ -12,6 +12,7 @@
 #include "protocol/peer_protocol.h"
 #include "transport/answer_writer.h"
 #include "transport/clocks.h"
+#include "transport/request_parser.h"
 
 namespace mustardflow::transport {
 
@@ -245,7 +246,7 @@
 awaitable<bool> TrafficDuty::ServeOne(beast::tcp_stream& stream,
                                       beast::flat_buffer& buffer,
                                       PeerKind peer_kind) {
-  http::request_parser<http::string_body> parser;
+  RequestParser<http::string_body> parser;
   parser.header_limit(static_cast<std::uint32_t>(settings_.max_header_bytes));
   parser.body_limit(settings_.max_body_bytes);
   stream.expires_after(kIdleTimeout);
--- a/tests/integration/requests_test.cc
+++ b/tests/integration/requests_test.cc
@@ -120,6 +120,19 @@
   return cuts;
 }
 
+// Sends `text` on a new connection and returns the status line of the answer.
+std::string StatusLineFor(const state::Address& callers,
+                          const std::string& text) {
+  transport::asio::io_context context;
+  transport::tcp::socket socket(context);
+  socket.connect(transport::ToEndpoint(callers));
+  transport::asio::write(socket, transport::asio::buffer(text));
+  std::string answer(4096, '\0');
+  boost::system::error_code error;
+  answer.resize(socket.read_some(transport::asio::buffer(answer), error));
+  return answer.substr(0, answer.find('\r'));
+}
+
 }  // namespace
 
 TEST_CASE("a cut connection neither runs a booking twice nor tells untruths",
@@ -201,14 +214,7 @@
   ProxiedCluster world("malformed");
   const auto& host = world.cluster().hosts()[0];
   const auto talk = [&](const std::string& text) {
-    transport::asio::io_context context;
-    transport::tcp::socket socket(context);
-    socket.connect(transport::ToEndpoint(host.callers));
-    transport::asio::write(socket, transport::asio::buffer(text));
-    std::string answer(4096, '\0');
-    boost::system::error_code error;
-    answer.resize(socket.read_some(transport::asio::buffer(answer), error));
-    return answer.substr(0, answer.find('\r'));
+    return StatusLineFor(host.callers, text);
   };
   CHECK(talk("nonsense\r\n\r\n") == "HTTP/1.1 400 Bad Request");
   CHECK(talk("POST /bookings/a HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n"
@@ -239,4 +245,19 @@
              "Content-Length: 0\r\n\r\n") == "HTTP/1.1 404 Not Found");
 }
 
+// Guards against a host that ends by such a request: the parser threw
+// std::length_error.
+TEST_CASE("a long field after the chunks ends no host", "[S1]") {
+  ProxiedCluster world("long-trailer");
+  const auto& host = world.cluster().hosts()[0];
+  CHECK(StatusLineFor(host.callers,
+                      "POST /nothing HTTP/1.1\r\nHost: x\r\n"
+                      "Transfer-Encoding: chunked\r\n\r\n0\r\nX-Long: " +
+                          std::string(70'000, 'l') + "\r\n\r\n") ==
+        "HTTP/1.1 404 Not Found");
+  CHECK(
+      StatusLineFor(host.callers, "GET /nothing HTTP/1.1\r\nHost: x\r\n\r\n") ==
+      "HTTP/1.1 404 Not Found");
+}
+
 }  // namespace mustardflow::tests
--- /dev/null
+++ b/tests/transport/http_listener_test.cc
@@ -0,0 +1,115 @@
+// Tests the HTTP server for internal requests with bytes that no client of this
+// system sends.
+
+#include <algorithm>
+#include <array>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <cstddef>
+#include <string>
+
+#include "transport/http_listener.h"
+
+namespace mustardflow::tests {
+
+namespace {
+
+using transport::asio::ip::tcp;
+namespace asio = transport::asio;
+using std::chrono::milliseconds;
+
+constexpr std::string_view kBegin =
+    "POST /echo HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "2\r\nhi\r\n";
+
+// A listener that answers with the body and the number of fields of a request.
+class ListenerFixture {
+ public:
+  ListenerFixture()
+      : address_{"127.0.0.1", FreePort(context_)},
+        listener_(context_.get_executor(),
+                  address_,
+                  {},
+                  [](transport::HttpRequest request)
+                      -> transport::awaitable<transport::HttpReply> {
+                    transport::HttpReply reply;
+                    reply.body =
+                        request.body + '/' +
+                        std::to_string(std::distance(request.fields.begin(),
+                                                     request.fields.end()));
+                    co_return reply;
+                  }) {
+    listener_.Start();
+  }
+
+  tcp::socket Connect() {
+    tcp::socket socket(context_);
+    socket.connect({asio::ip::make_address(address_.ip), address_.port});
+    socket.non_blocking(true);
+    return socket;
+  }
+
+  void Run(milliseconds time) {
+    context_.restart();
+    context_.run_for(time);
+  }
+
+  // Sends `part` until `max_bytes` are sent, or the listener closes the
+  // connection or reads no more for a second. Returns the bytes sent.
+  std::size_t Send(tcp::socket& socket,
+                   std::string_view part,
+                   std::size_t max_bytes) {
+    constexpr int kMaxTurns = 1000;
+    std::size_t sent = 0;
+    for (int turn = 0; sent < max_bytes && turn < kMaxTurns; ++turn) {
+      boost::system::error_code error;
+      const std::size_t begin = sent % part.size();
+      sent += socket.write_some(
+          asio::buffer(part.substr(begin, max_bytes - sent)), error);
+      if (error && error != asio::error::would_block) {
+        break;
+      }
+      if (!error) {
+        turn = 0;
+      }
+      Run(milliseconds(1));
+    }
+    return sent;
+  }
+
+  std::string Receive(tcp::socket& socket) {
+    Run(milliseconds(60));
+    std::string received(4096, '\0');
+    boost::system::error_code error;
+    received.resize(socket.read_some(asio::buffer(received), error));
+    return received;
+  }
+
+ private:
+  static std::uint16_t FreePort(asio::io_context& context) {
+    tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+    return acceptor.local_endpoint().port();
+  }
+
+  asio::io_context context_;
+  const state::Address address_;
+  transport::HttpListener listener_;
+};
+
+}  // namespace
+
+// Guards against a process that ends by such a request: the parser threw
+// std::length_error out of the event loop.
+TEST_CASE("a listener drops a long field after the chunks", "[fields]") {
+  const std::size_t value_bytes = GENERATE(10, 65'533, 65'534);
+  CAPTURE(value_bytes);
+  ListenerFixture fixture;
+  tcp::socket client = fixture.Connect();
+  const std::string request = std::string(kBegin) +
+                              "0\r\nX-Long: " + std::string(value_bytes, 'l') +
+                              "\r\n\r\n";
+  CHECK(fixture.Send(client, request, request.size()) == request.size());
+  CHECK(fixture.Receive(client).ends_with("\r\n\r\nhi/2"));
+}
+
+}  // namespace mustardflow::tests
