transport: Bound the lines between chunks in the listeners for hosts and operators

A client that sent the size of a chunk, its extension or a trailer without end to the port of a host for readiness, operators or other hosts could take the memory of the process; the same held for mustardflowd.

Cause: the parser limits headers and bodies, not these lines, and keeps their bytes until they are complete; the buffer for received bytes had no bound.

Change: the buffer holds the largest header and 64 KiB. Reading a longer line fails, and the connection ends.

Evidence: http_listener_test.cc, "a listener keeps no line without end". Before: the listener took all of 64 MB in each of 3 cases; now less than the bound of 16 MB, and the next request is answered.

--- a/src/transport/http_listener.cc
+++ b/src/transport/http_listener.cc
@@ -62,7 +62,7 @@
   beast::tcp_stream stream(std::move(socket));
   beast::error_code ignored;
   stream.socket().set_option(tcp::no_delay(true), ignored);
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer(limits_.max_header_bytes + kMaxChunkLineBytes);
   bool keep = true;
   while (keep && !stopping_) {
     RequestParser<http::string_body> parser;
--- a/src/transport/request_parser.h
+++ b/src/transport/request_parser.h
@@ -17,6 +17,11 @@
 // std::length_error for longer ones.
 inline constexpr std::size_t kMaxHeldFieldBytes = 65'533;
 
+// The parser limits neither the lines between the chunks of a body nor the
+// trailer, and reads them only once they are complete. A buffer for received
+// bytes that is this much larger than the longest header bounds them.
+inline constexpr std::size_t kMaxChunkLineBytes = 64 << 10;
+
 // A field that is kept beside http::fields. Has the accessors of
 // http::fields::value_type.
 class LongField {
--- a/src/transport/traffic_duty.cc
+++ b/src/transport/traffic_duty.cc
@@ -236,7 +236,7 @@
   beast::tcp_stream stream(std::move(socket));
   beast::error_code ignored;
   stream.socket().set_option(tcp::no_delay(true), ignored);
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer(settings_.max_header_bytes + kMaxChunkLineBytes);
   while (co_await ServeOne(stream, buffer, peer_kind)) {
   }
   stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
--- a/tests/transport/http_listener_test.cc
+++ b/tests/transport/http_listener_test.cc
@@ -112,4 +112,25 @@
   CHECK(fixture.Receive(client).ends_with("\r\n\r\nhi/2"));
 }
 
+// Guards against memory that grows with what a client sends: the parser keeps a
+// line between chunks, and the fields after them, until they are complete.
+TEST_CASE("a listener keeps no line without end", "[fields]") {
+  constexpr std::size_t kMaxSentBytes = 64 << 20;
+  // What the listener may hold, and what the sockets' buffers may.
+  constexpr std::size_t kMaxTakenBytes = 16 << 20;
+  const std::string begin = GENERATE("0\r\nX-Long: ", "3;", "3;x=\"");
+  CAPTURE(begin);
+  ListenerFixture fixture;
+  tcp::socket client = fixture.Connect();
+  const std::string head = std::string(kBegin) + begin;
+  fixture.Send(client, head, head.size());
+  CHECK(fixture.Send(client, std::string(64 << 10, 'l'), kMaxSentBytes) <
+        kMaxTakenBytes);
+
+  tcp::socket other = fixture.Connect();
+  const std::string request = std::string(kBegin) + "0\r\n\r\n";
+  fixture.Send(other, request, request.size());
+  CHECK(fixture.Receive(other).ends_with("\r\n\r\nhi/2"));
+}
+
 }  // namespace mustardflow::tests
