transport: Find the names of long fields in logarithmic time

RequestParser compared each field after a long one with all fields that it had kept beside http::fields. A caller with a header limit of 1 MB could send many of both, whose comparison takes time by the product of their numbers (found by reading, not measured). The names are in a set now, and only those of fields that are too long.

--- a/src/transport/http_listener.h
+++ b/src/transport/http_listener.h
@@ -29,6 +29,7 @@
 
 // Limits on connections and requests.
 struct ListenerLimits {
+  // Invariant: at most kMaxHeldFieldBytes, since handlers get no longer fields.
   std::size_t max_header_bytes = 16 << 10;
   std::size_t max_body_bytes = 16 << 20;
   std::size_t max_connections = 1000;
--- a/src/transport/request_parser.h
+++ b/src/transport/request_parser.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -62,26 +63,22 @@
       http::field name,
       beast::string_view name_string,
       beast::string_view value,
-      beast::error_code& error) override {
-    error = {};
+      beast::error_code&) override {
     if (this->is_header_done()) {
       return;
     }
-    if (std::max(name_string.size(), value.size()) > kMaxHeldFieldBytes ||
-        HasLongField(name_string)) {
+    if (std::max(name_string.size(), value.size()) > kMaxHeldFieldBytes) {
+      long_names_.emplace(name_string);
+    }
+    if (long_names_.contains(name_string)) {
       long_fields_.emplace_back(name, name_string, value);
     } else {
       this->get().insert(name, name_string, value);
     }
   }
 
-  bool HasLongField(beast::string_view name_string) const {
-    return std::any_of(
-        long_fields_.begin(), long_fields_.end(), [&](const LongField& field) {
-          return beast::iequals(field.name_string(), name_string);
-        });
-  }
-
+  // The names of the fields that are too long for get().
+  std::set<std::string, beast::iless> long_names_;
   LongFields long_fields_;
 };
 
