--- a/tests/transport/internal_answers_test.cc
+++ b/tests/transport/internal_answers_test.cc
@@ -217,6 +217,7 @@
       fixture.Exchange({"", "HTTP/1.1 103 Early\r\nLink: <x>\r\n\r\n", false}));
 }
 
+// Guards against memory that grows with what a server or a host sends.
 TEST_CASE("a client keeps no bytes without end", "[answers]") {
   const Client client = AnyClient();
   const std::string noise(4096, '#');
@@ -255,6 +256,8 @@
   CHECK(fixture.sent() < kEndlessBytes / 4);
 }
 
+// Guards against leaders that end, one after the other, by a server's answer to
+// a grant.
 TEST_CASE("a long line after the chunks is no answer to a client",
           "[answers]") {
   const Client client = AnyClient();
--- a/tests/transport/server_answers_test.cc
+++ b/tests/transport/server_answers_test.cc
@@ -210,7 +210,8 @@
   CHECK(Count(host.Receive(caller), "HTTP/1.1 502") == 1);
 }
 
-// The parser throws if a field is longer than it can hold.
+// Guards against a process that ends by such an answer: the parser throws if a
+// field is longer than it can hold.
 TEST_CASE("a long line after the chunks is no answer", "[S5]") {
   const std::size_t size = GENERATE(65000, 65534, 65536, 70000, 1 << 20);
   const bool at_gate = GENERATE(false, true);
