--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,6 +1,6 @@
-"""A request that crashes each endpoint that begins to run it comes again, with
-the same path, caller and body. RULES.md, BUDGET: later than `contact` after
-the third crash, it may reach endpoints in no more than three retries."""
+"""Some time after the store was down, a service's endpoints are replaced in
+four releases. RULES.md, DRAIN: later than `drain` after its entry is gone, no
+request may reach an endpoint that leaves."""
 
 import asyncio
 import os
@@ -15,104 +15,133 @@
 from lab import CONTACT_S, Lab, route  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-PATH = "/desk/diagram-771"
-# "The endpoint is back after some seconds."
-BACK_AFTER_S = 3.0
-RETRY_EVERY_S = 2.5
-LENGTH_S = 30
-MAX_RETRIES = 3
+DOWN_S = 8.0
+DRAIN_S = 2.0
+# "It continues serving for `drain` ... and a little longer (at times many
+# seconds), and then exits."
+LONGER_S = 4.0
+PER_S = 100
 
 
-class Poison(Lab):
+# "release": 0.45 of a service's endpoints are replaced, one each second; the new
+# one starts first. 3 of 7.
+RELEASES = 4
+RELEASED = 3
+GAP_S = 1.0
+PAUSE_S = 4.0
+
+
+class Drain(Lab):
     def __init__(self):
         super().__init__(
-            FOLDER, 8, {"workshop-desk": 6, "callouts": 7},
-            {"diagrams": route("/desk/", "idempotent", "workshop-desk"),
-             "deposits": route("/deposit/", "non_idempotent",
-                               "workshop-desk"),
-             "bookings": route("/booking/", "non_idempotent", "callouts")})
-        self.crashes = []
-        # Retries of the request that reached an endpoint: by id, the time.
-        self.reached = {}
-        self.deposits_at_work = {}
-        self.lost_deposits = 0
+            FOLDER, 8, {"callouts": 7},
+            {"bookings": route("/booking/", "non_idempotent", "callouts",
+                               attempts=2)})
+        # By id of an endpoint that leaves: when its entry was removed.
+        self.removed = {}
+        self.sent = {}
+        self.senders = {}
+        self.late = []
+        self.at_work = {}
+        self.lost = []
         self.statuses = {}
+        self.releasing = set()
 
     def note_arrival(self, endpoint, request, attempt):
-        if request.start.split(" ")[1] == PATH:
-            self.reached.setdefault(attempt, time.monotonic())
-            self.record.say(f"{attempt} GET {PATH} reaches {endpoint.id}")
+        removed = self.removed.get(endpoint.id)
+        if removed is None or time.monotonic() - removed <= DRAIN_S:
+            return
+        after_s = time.monotonic() - removed
+        sent_s = self.sent[attempt] - removed
+        self.record.say(
+            f"{attempt}, sent to {self.senders[attempt]} at {sent_s:.2f} s, "
+            f"reaches {endpoint.id} {after_s:.2f} s after its entry was "
+            f"removed")
+        # Counted only if its requester sent it after the bound, too.
+        if sent_s > DRAIN_S:
+            self.late.append(attempt)
 
     def note_run(self, endpoint, request, attempt):
-        target = request.start.split(" ")[1]
-        if target == PATH and TROUBLE:
-            self.crashes.append(time.monotonic())
-            lost = [a for a, id in self.deposits_at_work.items()
-                    if id == endpoint.id]
-            self.lost_deposits += len(lost)
-            self.record.say(f"{endpoint.id} runs {attempt}, crash number "
-                            f"{len(self.crashes)}; with it end {len(lost)} "
-                            f"deposits of other callers: {' '.join(lost)}")
-            endpoint.crash(BACK_AFTER_S)
-            return "crash"
-        if target.startswith("/deposit/"):
-            self.deposits_at_work[attempt] = endpoint.id
-        return None
+        if endpoint.id in self.removed:
+            self.at_work[attempt] = endpoint.id
 
     def note_end(self, endpoint, attempt):
-        self.deposits_at_work.pop(attempt, None)
+        self.at_work.pop(attempt, None)
 
-    async def call(self, method, path):
+    async def call(self, number):
         host = self.random.choice(self.hosts)
-        attempt, status = await self.ask(host, method, path, 1000)
+        attempt = self.new_attempt()
+        self.sent[attempt] = time.monotonic()
+        self.senders[attempt] = host.name
+        _, status = await self.ask(host, "POST", f"/booking/{number}", 1000,
+                                   attempt, b"booking")
         self.statuses[status] = self.statuses.get(status, 0) + 1
-        self.record.say(f"{attempt} {method} {path} at {host.name}: {status}")
+        self.record.say(f"{attempt} POST at {host.name}: {status}")
 
-    async def call_often(self, method, prefix, per_s):
+    async def call_often(self):
         number = 0
         while True:
             number += 1
-            self.spawn(self.call(method, f"{prefix}{number}"))
-            await asyncio.sleep(self.random.expovariate(per_s))
+            self.spawn(self.call(number))
+            await asyncio.sleep(self.random.expovariate(PER_S))
+
+    async def replace(self, old):
+        """A new endpoint starts; then the old one's entry is removed, it
+        serves on for a while and exits."""
+        new = self.add_endpoint(old.service, old.zone)
+        await new.start()
+        self.spawn(new.keep_registered())
+        await asyncio.sleep(GAP_S)
+        old.leave()
+        self.removed[old.id] = time.monotonic()
+        self.record.say(f"{old.id} leaves, replaced by {new.id}")
+        await asyncio.sleep(DRAIN_S + LONGER_S)
+        lost = sorted(a for a, id in self.at_work.items() if id == old.id)
+        self.lost += lost
+        self.record.say(f"{old.id} exits, at work on {len(lost)} bookings: "
+                        f"{' '.join(lost)}")
+        old.end()
 
     async def play(self):
         if not await self.start():
             return 2
-        self.spawn(self.call_often("POST", "/deposit/", 30))
-        self.spawn(self.call_often("GET", "/desk/other-", 30))
-        await asyncio.sleep(2)
-        end = time.monotonic() + LENGTH_S
-        while time.monotonic() < end:
-            host = self.random.choice(self.hosts)
-            attempt, status = await self.ask(host, "GET", PATH, 1000)
-            self.record.say(f"{attempt} GET {PATH} at {host.name}: {status}")
-            await asyncio.sleep(RETRY_EVERY_S)
-        return self.judge()
-
-    def judge(self):
-        late = []
-        if len(self.crashes) >= 3:
-            since = self.crashes[2] + CONTACT_S
-            late = [a for a, at in self.reached.items() if at > since]
-        self.record.say(f"crashes: {len(self.crashes)}; deposits of other "
-                        f"callers that ended with them: {self.lost_deposits}; "
-                        f"answers to other callers: {self.statuses}")
-        self.record.say(f"retries that reached endpoints later than contact "
-                        f"after the third crash: {len(late)}, allowed "
-                        f"{MAX_RETRIES}: {' '.join(late)}")
-        broken = len(late) > MAX_RETRIES
-        if not TROUBLE and (self.crashes or not self.reached):
-            return 2
-        self.record.say("BUDGET is broken" if broken else "the rule held")
-        return 1 if broken else 0
+        self.spawn(self.call_often())
+        await asyncio.sleep(3)
+        if TROUBLE:
+            self.store.down = True
+            self.record.say("the store is down: it does not answer")
+        await asyncio.sleep(DOWN_S)
+        self.store.down = False
+        self.record.say("the store is up")
+        await asyncio.sleep(CONTACT_S + 3)
+        for _ in range(RELEASES):
+            for _ in range(RELEASED):
+                old = next(e for e in self.endpoints
+                           if e.up and e.id not in self.removed
+                           and e not in self.releasing)
+                self.releasing.add(old)
+                self.spawn(self.replace(old))
+                await asyncio.sleep(GAP_S)
+            await asyncio.sleep(PAUSE_S)
+        await asyncio.sleep(DRAIN_S + LONGER_S)
+        self.record.say(f"answers: {self.statuses}")
+        self.record.say(f"requests that were sent and reached endpoints later "
+                        f"than drain: {len(self.late)}; bookings lost when "
+                        f"they exited: {len(self.lost)}")
+        self.record.say("DRAIN is broken" if self.late else "the rule held")
+        return 1 if self.late else 0
 
 
 async def main():
-    poison = Poison()
+    drain = Drain()
     try:
-        return await poison.play()
+        return await drain.play()
     finally:
-        await poison.stop()
+        if os.environ.get("KEEP_LOGS"):
+            import shutil
+            shutil.copytree(drain.folder, os.environ["KEEP_LOGS"],
+                            dirs_exist_ok=True)
+        await drain.stop()
 
 
 sys.exit(asyncio.run(main()))
--- a/review/standins-3/lab.py
+++ b/review/standins-3/lab.py
@@ -108,6 +108,8 @@
 
     def __init__(self):
         self.topics = {}
+        # While it is down, calls get no answer, nor does anything further on
+        # their connections.
         self.down = False
         self.server = None
         # The open connections; those in `silent` get no answer any more.
@@ -136,6 +138,8 @@
             while True:
                 request = await read_message(reader)
                 await asyncio.sleep(0.004)
+                if self.down:
+                    self.silent.add(writer)
                 if writer in self.silent:
                     continue
                 answer = await self.answer(request)
@@ -150,8 +154,6 @@
             self.silent.discard(writer)
 
     async def answer(self, request):
-        if self.down:
-            return format_answer(503, {})
         path, _, query = request.start.split(" ")[1].partition("?")
         arguments = dict(urllib.parse.parse_qsl(query))
         topic = self.topic(arguments.get("topic", ""))
@@ -274,7 +276,7 @@
         """An entry is removed after three check-in intervals of silence."""
         while True:
             await asyncio.sleep(HEARTBEAT_S)
-            if self.up:
+            if self.up and not self.lab.store.down and self.state != "left":
                 self.register()
 
     def crash(self, back_after_s):
@@ -286,6 +288,25 @@
         self.lab.record.say(f"endpoint {self.id} ({self.service}) crashes")
         self.lab.spawn(self.return_later(self.id, back_after_s))
 
+    def leave(self):
+        """Its entry is removed, without a report that it is draining. It
+        serves on for a while."""
+        self.state = "left"
+        self.lab.store.put("keyed.servers", self.id, None)
+
+    def lose(self):
+        """Crashes and does not come back."""
+        self.up = False
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+        self.lab.record.say(f"endpoint {self.id} ({self.service}) is lost")
+
+        async def expire(id):
+            await asyncio.sleep(3 * HEARTBEAT_S)
+            self.lab.store.put("keyed.servers", id, None)
+        self.lab.spawn(expire(self.id))
+
     def end(self):
         """Exits after it has left."""
         self.up = False
@@ -463,6 +484,13 @@
         self.tasks = []
         self.attempts = 0
 
+    def add_endpoint(self, service, zone):
+        endpoint = Endpoint(self, service, len(self.endpoints), zone)
+        ip = run_ip(1)
+        endpoint.address = (ip, free_ports(ip, 1)[0])
+        self.endpoints.append(endpoint)
+        return endpoint
+
     def spawn(self, work):
         self.tasks.append(asyncio.create_task(work))
 
