--- a/review/11/case.py
+++ b/review/11/case.py
@@ -12,7 +12,7 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins-3"))
 
-from lab import CONTACT_S, Lab, route  # noqa: E402
+from lab import CONTACT_S, Lab, play, route  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 DOWN_S = 8.0
@@ -132,16 +132,4 @@
         return 1 if self.late else 0
 
 
-async def main():
-    drain = Drain()
-    try:
-        return await drain.play()
-    finally:
-        if os.environ.get("KEEP_LOGS"):
-            import shutil
-            shutil.copytree(drain.folder, os.environ["KEEP_LOGS"],
-                            dirs_exist_ok=True)
-        await drain.stop()
-
-
-sys.exit(asyncio.run(main()))
+sys.exit(play(Drain))
--- a/review/standins-3/lab.py
+++ b/review/standins-3/lab.py
@@ -560,3 +560,28 @@
             if writer is not None:
                 writer.close()
         return attempt, status
+
+
+# A script has 120 s in all.
+LONGEST_S = 105
+
+
+def play(make):
+    """Plays the case and returns the status of its script: 1 if the rule was
+    broken, 0 if it held, 2 if the case could not run."""
+
+    async def run():
+        lab = make()
+        task = asyncio.create_task(asyncio.wait_for(lab.play(), LONGEST_S))
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
+        try:
+            return await task
+        except (Exception, asyncio.CancelledError) as error:
+            lab.record.say(f"the case could not run: {error!r}")
+            return 2
+        finally:
+            await lab.stop()
+
+    return asyncio.run(run())
