coordination: Count servers as gone by the leader's reads after an outage

Cause: a host that follows a leader reads the store each 120 s. If its own last read had failed, MissingEntries took no server for gone until the next one, while the leader read the store well. The servers stayed unconfirmed, and ServerPool::Choose() uses those once more are unconfirmed than listed. Related: the host also judged the length of an outage by its own reads alone. A host that made none, as it relied on the leader, gave live servers no grace period; one that failed again within a grace period ended it at the old time; and an entry that was restored within the last 350 ms of the grace period counted as gone before any host had read it. A new leader told the age of its own last read, so that all hosts read the store.

Change: MissingEntries gets the times at which the host knew all entries, by its own reads or the leader's. A read after the last failure ends the outage. Reads more than 1.7 s apart count as an outage: an entry expires after three check-in intervals. A server is gone only if a read after the grace period shows no entry; a host that reads for itself makes that read when it is due. Followers confirm the servers' topic as of the leader's last read, as they do for the operators' topic.

The log event "gone" tells the age of what decided it.

--- a/src/coordination/missing_entries.cc
+++ b/src/coordination/missing_entries.cc
@@ -22,44 +22,57 @@
 // is really gone fail at once meanwhile and go to others.
 constexpr Duration kLostEntriesGracePeriod = std::chrono::seconds(5);
 
-}  // namespace
+// Between two reads that are farther apart, there may have been an outage that
+// made entries expire. An entry expires after three check-in intervals, of
+// which the outage covers at least two. A host that loses its leader reads the
+// store 1.5 s after the leader's last read.
+constexpr Duration kMaxReadGap = std::chrono::milliseconds(1700);
 
-void MissingEntries::HandleFailedRead(Instant /*now*/) {
-  failing_ = true;
-}
+}  // namespace
 
 void MissingEntries::HandleLostEntries(Instant now) {
-  failing_ = false;
-  recovered_at_ = now + kLostEntriesGracePeriod - kGracePeriod;
+  failed_at_.reset();
+  grace_end_ = now + kLostEntriesGracePeriod;
 }
 
-void MissingEntries::HandleRead(Instant now) {
-  if (failing_) {
-    failing_ = false;
-    recovered_at_ = now;
+void MissingEntries::HandleRead(Instant time) {
+  if (time <= read_at_) {
+    return;
+  }
+  const bool after_gap = read_at_ && time - *read_at_ > kMaxReadGap;
+  const bool after_failure = failed_at_ && time > *failed_at_;
+  if (after_gap || after_failure) {
+    grace_end_ = std::max(grace_end_, std::optional(time + kGracePeriod));
   }
+  if (after_failure) {
+    failed_at_.reset();
+  }
+  read_at_ = time;
 }
 
-void MissingEntries::HandleMissing(Instant now, const std::string& id) {
-  const Instant due =
-      recovered_at_ ? std::max(now, *recovered_at_ + kGracePeriod) : now;
-  due_.try_emplace(id, due);
+Instant MissingEntries::DueAt(Instant missing_since) const {
+  return std::max(missing_since, grace_end_.value_or(missing_since));
 }
 
-std::vector<std::string> MissingEntries::TakeGone(Instant now) {
+std::vector<std::string> MissingEntries::TakeGone(Instant known_at) {
   std::vector<std::string> gone;
-  if (failing_) {
+  if (failed_at_) {
     return gone;
   }
-  for (auto entry = due_.begin(); entry != due_.end();) {
-    if (now < entry->second) {
+  for (auto entry = missing_since_.begin(); entry != missing_since_.end();) {
+    if (known_at < DueAt(entry->second)) {
       ++entry;
       continue;
     }
     gone.push_back(entry->first);
-    entry = due_.erase(entry);
+    entry = missing_since_.erase(entry);
   }
   return gone;
 }
 
+bool MissingEntries::NeedsRead(Instant now) const {
+  return !missing_since_.empty() && grace_end_ && *grace_end_ <= now &&
+         read_at_ < *grace_end_;
+}
+
 }  // namespace mustardflow::coordination
--- a/src/transport/store_watch.cc
+++ b/src/transport/store_watch.cc
@@ -112,13 +112,14 @@
 void StoreWatch::HandleProgress(Instant now,
                                 const protocol::LeaderHeartbeat& heartbeat) {
   const protocol::ReadProgress& progress = heartbeat.progress;
+  const Instant servers_as_of = now - progress.age;
   HandleEra(progress.era);
   if (progress.era < era_) {
     // The leader does not know the era yet.
     return;
   }
   if (heartbeat.update && heartbeat.update->entry_parts > 0) {
-    HandleEntries(now, *heartbeat.update, progress.servers);
+    HandleEntries({now, servers_as_of}, *heartbeat.update, progress.servers);
   }
   const std::pair heartbeat_id(heartbeat.term, heartbeat.number);
   if (heartbeat_id < last_heartbeat_) {
@@ -127,6 +128,7 @@
   }
   last_heartbeat_ = heartbeat_id;
   operator_reader_.announced_at = now - progress.operators_age;
+  server_reader_.announced_at = servers_as_of;
   RecordAnnounced(now, progress.operators, &operator_reader_);
   RecordAnnounced(now, progress.servers, &server_reader_);
   RelyOnLeader(now, progress.operators_age, &operator_reader_);
@@ -140,7 +142,7 @@
       std::max(reader->relied_until.value_or(Instant()), now + left);
 }
 
-void StoreWatch::HandleEntries(Instant now,
+void StoreWatch::HandleEntries(const EntryTimes& times,
                                const protocol::HeartbeatUpdate& update,
                                std::int64_t end) {
   if (!server_reader_.next ||
@@ -157,7 +159,7 @@
     return;
   }
   for (const auto& [id, entry] : update.entries) {
-    ApplyEntry(now, id, entry);
+    ApplyEntry(times, id, entry);
     arriving_update_.entries.emplace_back(id, entry);
   }
   ++next_update_part_;
@@ -206,8 +208,12 @@
         update.end <= *server_reader_.next) {
       continue;
     }
+    // Another host may know more than the leader has announced to this one.
+    const bool announced = update.end <= server_reader_.announced;
+    const EntryTimes times{
+        now, announced ? server_reader_.announced_at.value_or(now) : now};
     for (const auto& [id, entry] : update.entries) {
-      ApplyEntry(now, id, entry);
+      ApplyEntry(times, id, entry);
     }
     server_reader_.next = update.end;
     RememberEntries(update);
@@ -329,7 +335,12 @@
   }
   // A leader's progress replaces this host's own reads, even if the store
   // refuses the reads of this host.
-  if (ReliesOnLeader(now, reader)) {
+  const bool relies_on_leader = ReliesOnLeader(now, reader);
+  if (&reader == &server_reader_ && !relies_on_leader && !reader.failing &&
+      missing_entries_.NeedsRead(now)) {
+    return true;
+  }
+  if (relies_on_leader) {
     return since >= kFollowerReadInterval ||
            (reader.behind_since &&
             now - *reader.behind_since >= kPeerFetchTimeout);
@@ -575,15 +586,12 @@
       page = co_await store_.ReadNewest(topic);
     }
     const bool usable = RecordRead(&server_reader_, started, page);
-    const Instant now = server_reader_.read_at;
-    if (page) {
-      missing_entries_.HandleRead(now);
-    } else {
-      missing_entries_.HandleFailedRead(now);
+    if (!page) {
+      missing_entries_.HandleFailedRead(server_reader_.read_at);
     }
     if (usable) {
       const std::uint64_t change = pool_.change();
-      ApplyServers(now, *page);
+      ApplyServers(server_reader_.read_at, *page);
       servers_known_ = true;
       if (pool_.change() != change) {
         server_reader_.relevant_end = page->next;
@@ -595,13 +603,14 @@
 }
 
 void StoreWatch::ApplyServers(Instant now, const TopicPage& page) {
+  const EntryTimes times{now, page.as_of};
   std::set<std::string> listed;
   for (const platform::KeyedRecord& record : page.records) {
     listed.insert(record.key);
     if (server_reader_.enters_era && IsOfGoneServer(record)) {
       continue;
     }
-    if (ApplyEntry(now, record.key, record.value)) {
+    if (ApplyEntry(times, record.key, record.value)) {
       unpublished_entries_.emplace_back(record.key, record.value);
     }
   }
@@ -620,7 +629,7 @@
     }
   }
   for (const std::string& id : missing) {
-    if (ApplyEntry(now, id, std::nullopt)) {
+    if (ApplyEntry(times, id, std::nullopt)) {
       unpublished_entries_.emplace_back(id, std::nullopt);
     }
   }
@@ -640,14 +649,14 @@
          entry->sequence <= last.sequence;
 }
 
-bool StoreWatch::ApplyEntry(Instant now,
+bool StoreWatch::ApplyEntry(const EntryTimes& times,
                             const std::string& id,
                             const std::optional<std::string>& entry) {
   const std::uint64_t change = pool_.change();
   if (!entry) {
     unreadable_.erase(id);
     if (pool_.servers().contains(id)) {
-      missing_entries_.HandleMissing(now, id);
+      missing_entries_.HandleMissing(times.as_of, id);
       pool_.SetUnconfirmed(id);
     }
     return pool_.change() != change;
@@ -661,7 +670,7 @@
   }
   unreadable_.erase(id);
   missing_entries_.HandlePresent(id);
-  pool_.Update(now, *record);
+  pool_.Update(times.now, *record);
   if (pool_.change() == change) {
     return false;
   }
@@ -697,8 +706,15 @@
 }
 
 void StoreWatch::RemoveGone(Instant now) {
-  for (const std::string& id : missing_entries_.TakeGone(now)) {
-    log_.Write(LogPart::kServers, "gone", {{"server", id}});
+  if (!server_reader_.confirmed_at) {
+    return;
+  }
+  const Instant known_at = *server_reader_.confirmed_at;
+  missing_entries_.HandleRead(known_at);
+  for (const std::string& id : missing_entries_.TakeGone(known_at)) {
+    log_.Write(
+        LogPart::kServers, "gone",
+        {{"server", id}, {"known_age_ms", (now - known_at).count() / 1000}});
     pool_.Remove(now, id);
   }
 }
--- a/src/transport/store_watch.h
+++ b/src/transport/store_watch.h
@@ -165,6 +165,13 @@
     bool relies_on_leader = false;
   };
 
+  // When a change of an entry is applied, and the time at which the store held
+  // what it says.
+  struct EntryTimes {
+    state::Instant now;
+    state::Instant as_of;
+  };
+
   // Forgets the offsets of the topic.
   static void ResetOffsets(TopicReader* reader);
   awaitable<void> FollowOperators();
@@ -198,7 +205,7 @@
                               TopicReader* reader);
   // Applies the server entries in one part of the leader's update. All parts
   // together reach up to offset `end`. A part out of order is ignored.
-  void HandleEntries(state::Instant now,
+  void HandleEntries(const EntryTimes& times,
                      const protocol::HeartbeatUpdate& update,
                      std::int64_t end);
   void RememberEntries(protocol::EntryUpdate update);
@@ -226,7 +233,7 @@
   bool IsOfGoneServer(const platform::KeyedRecord& record) const;
   // Applies the entry of server `id`, or its removal. Returns whether that
   // changed the server pool.
-  bool ApplyEntry(state::Instant now,
+  bool ApplyEntry(const EntryTimes& times,
                   const std::string& id,
                   const std::optional<std::string>& entry);
   // Logs why the entry cannot be read, once as long as the reason is the same.
--- a/tests/servers/missing_entries_test.cc
+++ b/tests/servers/missing_entries_test.cc
@@ -51,6 +51,69 @@
   CHECK(lapses.TakeGone(now + milliseconds(800)).size() == 1);
 }
 
+// Guards against live servers that count as gone, because the store was away
+// again before they could restore their entries.
+TEST_CASE("a second outage begins another grace period") {
+  MissingEntries lapses;
+  Instant now(seconds(10));
+  lapses.HandleFailedRead(now);
+  now += seconds(5);
+  lapses.HandleRead(now);
+  lapses.HandleMissing(now, "a");
+  lapses.HandleFailedRead(now + seconds(1));
+  CHECK(lapses.TakeGone(now + seconds(4)).empty());
+  now += seconds(8);
+  lapses.HandleRead(now);
+  CHECK(lapses.TakeGone(now + milliseconds(2000)).empty());
+  CHECK(lapses.TakeGone(now + milliseconds(2300)).size() == 1);
+}
+
+// Guards against live servers that count as gone at a host which made no read
+// during an outage, because it followed a leader or was cut off.
+TEST_CASE("a long time without reads counts as an outage") {
+  MissingEntries lapses;
+  Instant now(seconds(10));
+  lapses.HandleRead(now);
+  now += seconds(2);
+  lapses.HandleRead(now);
+  lapses.HandleMissing(now, "a");
+  CHECK(lapses.TakeGone(now).empty());
+  now += milliseconds(1500);
+  lapses.HandleRead(now);
+  CHECK(lapses.TakeGone(now).empty());
+  // Only a read after the grace period can tell.
+  CHECK_FALSE(lapses.NeedsRead(now + milliseconds(600)));
+  CHECK(lapses.NeedsRead(now + milliseconds(800)));
+  now += milliseconds(800);
+  lapses.HandleRead(now);
+  CHECK_FALSE(lapses.NeedsRead(now));
+  CHECK(lapses.TakeGone(now).size() == 1);
+}
+
+// Guards against a grace period for which no outage is the reason, in which
+// requests go to servers that have left.
+TEST_CASE("reads of the leader bridge the time between own reads") {
+  MissingEntries lapses;
+  Instant now(seconds(10));
+  for (int read = 0; read < 100; ++read) {
+    now += milliseconds(1500);
+    lapses.HandleRead(now);
+  }
+  lapses.HandleMissing(now, "a");
+  CHECK(lapses.TakeGone(now).size() == 1);
+}
+
+// Guards against an answer from before an outage that ends it.
+TEST_CASE("only a read after the failure ends an outage") {
+  MissingEntries lapses;
+  const Instant now(seconds(10));
+  lapses.HandleRead(now);
+  lapses.HandleMissing(now, "a");
+  lapses.HandleFailedRead(now + seconds(1));
+  lapses.HandleRead(now + milliseconds(900));
+  CHECK(lapses.TakeGone(now + seconds(4)).empty());
+}
+
 // Guards against shares that are too large after a change of leader: a new
 // leader knew only some of the hosts, and the hosts together exceeded the rate
 // limit of a cold server.
--- a/tests/transport/store_watch_test.cc
+++ b/tests/transport/store_watch_test.cc
@@ -96,11 +96,16 @@
   // Reads of the operators' topic that arrive from now on get no answer, or get
   // one again.
   void SetSilent(bool silent) { silent_ = silent; }
+  // The same for reads of the servers' topic.
+  void SetServersSilent(bool silent) { servers_silent_ = silent; }
   // The number of reads of the operators' topic that have arrived.
   int reads() const { return reads_; }
   std::int64_t end() const {
     return static_cast<std::int64_t>(records_.size());
   }
+  std::int64_t servers_end() const {
+    return static_cast<std::int64_t>(server_records_.size());
+  }
 
  private:
   // Keys and values.
@@ -120,7 +125,7 @@
     const bool of_operators =
         request.query.at("topic") == platform::kOperatorTopic;
     reads_ += of_operators ? 1 : 0;
-    if (of_operators && silent_) {
+    if (of_operators ? silent_ : servers_silent_) {
       co_await Delay(std::chrono::minutes(1));
     }
     const auto wait_end =
@@ -178,6 +183,7 @@
   std::string newest_ = R"({"items":[],"has_more":false,"end":0})";
   milliseconds delay_{0};
   bool silent_ = false;
+  bool servers_silent_ = false;
   int reads_ = 0;
   std::optional<std::int64_t> era_;
   std::size_t page_size_ = 1000;
@@ -232,6 +238,39 @@
     watch_.HandleProgress(transport::Now(), heartbeat);
   }
 
+  // A heartbeat of a leader that has read all entries of servers just now. It
+  // carries `entries`, which follow those that the host has read.
+  void HearServers(std::vector<protocol::ServerEntryChange> entries = {}) {
+    protocol::LeaderHeartbeat heartbeat;
+    heartbeat.number = ++heartbeats_;
+    heartbeat.progress.operators = store_.end();
+    heartbeat.progress.servers = store_.servers_end();
+    if (!entries.empty()) {
+      protocol::HeartbeatUpdate& update = heartbeat.update.emplace();
+      update.base_server_offset =
+          store_.servers_end() - static_cast<std::int64_t>(entries.size());
+      update.entries = std::move(entries);
+      update.entry_parts = 1;
+    }
+    watch_.HandleProgress(transport::Now(), heartbeat);
+  }
+  // Runs the host for `time`, in which it hears the leader each 100 ms.
+  void Follow(milliseconds time) {
+    const auto end = transport::Now() + time;
+    while (transport::Now() < end) {
+      HearServers();
+      Run(milliseconds(100));
+    }
+  }
+  // Runs the host, which hears no leader, until a read of its own has failed.
+  void RunUntilReadFails() {
+    store_.SetServersSilent(true);
+    while (LogText().find("\"read-failed\"") == std::string::npos) {
+      Run(milliseconds(20));
+    }
+    store_.SetServersSilent(false);
+  }
+
   // How long ago the host last knew that it had the newest configuration.
   std::optional<state::Duration> ConfigAge() const {
     const auto confirmed = watch_.ConfigConfirmedAt();
@@ -262,6 +301,7 @@
   transport::StoreClient client_;
   transport::StoreWatch watch_;
   std::int64_t version_ = 0;
+  std::int64_t heartbeats_ = 0;
   std::set<std::string> evacuated_;
 };
 
@@ -641,6 +681,61 @@
   CHECK(host.version() == 5);
 }
 
+// Guards against requests to servers that have left: a host whose own last read
+// had failed in an outage took no server for gone while it followed a leader.
+TEST_CASE("a host that follows a leader takes servers for gone after an outage",
+          "[S1]") {
+  WatchFixture host;
+  host.store().PutServer("s1", Entry("10.0.0.1:80", "1"));
+  host.store().PutServer("s2", Entry("10.0.0.2:80", "1"));
+  host.watch().Start();
+  host.Run(milliseconds(1700));
+  REQUIRE(host.pool().servers().size() == 2);
+  host.RunUntilReadFails();
+
+  SECTION("once the grace period has ended") {
+    host.store().PutServer("s1", "");
+    host.HearServers({{"s1", std::nullopt}});
+    host.Follow(milliseconds(1900));
+    CHECK_FALSE(host.pool().servers().at("s1").gone);
+    host.Follow(milliseconds(700));
+    CHECK(host.pool().servers().at("s1").gone);
+    CHECK_FALSE(host.pool().servers().at("s2").gone);
+  }
+  SECTION("at once after it") {
+    host.Follow(milliseconds(2500));
+    host.store().PutServer("s1", "");
+    host.HearServers({{"s1", std::nullopt}});
+    host.Run(milliseconds(30));
+    CHECK(host.pool().servers().at("s1").gone);
+  }
+  SECTION("but not one whose entry is back in time") {
+    host.store().PutServer("s1", "");
+    host.HearServers({{"s1", std::nullopt}});
+    host.Follow(milliseconds(1900));
+    host.store().PutServer("s1", Entry("10.0.0.1:80", "1"));
+    // The host hears of it only after the grace period.
+    host.Run(milliseconds(500));
+    CHECK_FALSE(host.pool().servers().at("s1").gone);
+    host.HearServers({{"s1", Entry("10.0.0.1:80", "1")}});
+    host.Follow(milliseconds(500));
+    CHECK_FALSE(host.pool().servers().at("s1").gone);
+    CHECK_FALSE(host.pool().servers().at("s1").unconfirmed);
+  }
+}
+
+// Guards against a new leader whose heartbeats tell the age of a read of its
+// own, so that all hosts read the store.
+TEST_CASE("a host vouches for the servers as of the leader's last read",
+          "[Z7]") {
+  WatchFixture host;
+  host.store().PutServer("s1", Entry("10.0.0.1:80", "1"));
+  host.watch().Start();
+  host.Run(milliseconds(1700));
+  host.Follow(milliseconds(2000));
+  CHECK(host.watch().Progress(transport::Now()).age < milliseconds(300));
+}
+
 TEST_CASE("offsets of two eras are not compared", "[Z7]") {
   WatchFixture host;
   host.store().GoBack(1, 0);
