transport: Measure the store's silence by the leader's reads as well

On a host that follows a leader, mustardflow_store_silence_seconds rose for up to 120 s after an outage of the store, above the level for alerts: the host makes no call in that time, and its last one had failed. It now counts from the last time at which this host, or the leader that it follows, had read a topic to its end.

store_watch_test, "a host that follows a leader takes servers for gone after an outage", has a section for it.

--- a/src/transport/entry_host.cc
+++ b/src/transport/entry_host.cc
@@ -635,7 +635,7 @@
   metrics_.Set("mustardflow_servers_leaving", static_cast<double>(leaving));
   metrics_.Set("mustardflow_servers_paused", static_cast<double>(paused));
   metrics_.Set("mustardflow_store_silence_seconds",
-               seconds(store_.OutageDuration(now)));
+               seconds(watch_.StoreSilence(now)));
   metrics_.Set("mustardflow_store_calls_total",
                static_cast<double>(store_.calls()));
   metrics_.Set("mustardflow_leading", leader_.leading() ? 1 : 0);
--- a/src/transport/store_watch.cc
+++ b/src/transport/store_watch.cc
@@ -250,6 +250,13 @@
                                       : operator_reader_.confirmed_at;
 }
 
+Duration StoreWatch::StoreSilence(Instant now) const {
+  const auto answered =
+      std::max(operator_reader_.confirmed_at, server_reader_.confirmed_at);
+  const Duration outage = store_.OutageDuration(now);
+  return answered ? std::min<Duration>(outage, now - *answered) : outage;
+}
+
 void StoreWatch::TakeEntryUpdates(protocol::HeartbeatUpdate* update) {
   update->base_server_offset = published_end_;
   update->entries = std::move(unpublished_entries_);
--- a/src/transport/store_watch.h
+++ b/src/transport/store_watch.h
@@ -84,6 +84,10 @@
   // it lacks records of operators or could not read the newest configuration.
   std::optional<state::Instant> ConfigConfirmedAt() const;
 
+  // Time since the store last answered this host or the leader; 0 while it
+  // answers this host.
+  state::Duration StoreSilence(state::Instant now) const;
+
   // Whether this host lacks records of operators that the leader has read. They
   // are then fetched from another host; if that fails, this host reads the
   // store.
--- a/tests/transport/store_watch_test.cc
+++ b/tests/transport/store_watch_test.cc
@@ -693,6 +693,11 @@
   REQUIRE(host.pool().servers().size() == 2);
   host.RunUntilReadFails();
 
+  SECTION("without an alert on the store, which answers the leader") {
+    CHECK(host.watch().StoreSilence(transport::Now()) > milliseconds(0));
+    host.Follow(milliseconds(2500));
+    CHECK(host.watch().StoreSilence(transport::Now()) < milliseconds(300));
+  }
   SECTION("once the grace period has ended") {
     host.store().PutServer("s1", "");
     host.HearServers({{"s1", std::nullopt}});
