coordination: Refuse requests that crash the servers that run them

Cause: no host remembered which requests had been at a server when it crashed.

Change: each host hashes method, host, target, body and caller of a request. An attempt that ends without an answer is evidence once the store shows that the server's incarnation has ended, and only if the server had not announced its leaving and its entry was still there when the connection was lost. Hosts report such crashes to the leader. It lists a request after two; hosts then report when a server last answered it, and an answer from 30 s before a crash on voids the crash. After three crashes all hosts refuse the request at once, with 503 and the time until the next trial: one request is let through after 15 s, 2 min and then each hour. An answer ends the refusal on all hosts. Gates get the hash from the forwarding host. The list has 8 entries at most, the leader's memory 512 requests for 10 min, a host's 64 crashes and a cache of answers of 256 KiB.

--- a/src/coordination/request_flow.cc
+++ b/src/coordination/request_flow.cc
@@ -146,7 +146,11 @@
                          ServerPool& pool,
                          const state::ServiceBounds& bounds,
                          std::function<double()> random)
-    : view_(view), pool_(pool), bounds_(bounds), random_(std::move(random)) {}
+    : view_(view),
+      pool_(pool),
+      bounds_(bounds),
+      random_(std::move(random)),
+      crash_watch_(pool) {}
 
 FlowActions RequestFlow::Start(Instant now, RequestId id, RequestTerms terms) {
   FlowActions actions;
@@ -207,12 +211,14 @@
   attempt.sent = now;
   ++request->sends;
   request->attempts.push_back(attempt);
+  RecordFirstSend(now, *request);
   SendAttempt send;
   send.request = request->id;
   send.attempt = attempt.id;
   send.server.incarnation = server;
   send.gate = gate;
   send.fresh_connection_only = !state::MayRetry(request->terms.kind);
+  send.trial = request->trial;
   actions->emplace_back(std::move(send));
 }
 
@@ -275,6 +281,14 @@
     HandleDeadline(now, request, actions);
     return;
   }
+  if (IsRefusedForCrashes(now, request)) {
+    crashing_refused_ += request->may_have_run ? 0 : 1;
+    Refuse(
+        now, request, kCrashesServersReason,
+        Scale(crash_watch_.RetryAfter(now, *terms.fingerprint), kPauseMargin),
+        actions);
+    return;
+  }
   std::variant<ServerChoice, NoServerReason> choice =
       NoServerReason::kLateWindow;
   std::string by = terms.service;
@@ -318,6 +332,37 @@
   }
 }
 
+bool RequestFlow::IsRefusedForCrashes(Instant now, Request* request) const {
+  const RequestTerms& terms = request->terms;
+  if (!terms.fingerprint || !crash_watch_.IsRefused(now, *terms.fingerprint)) {
+    return false;
+  }
+  // A trial has one attempt, or another one if no server got the first. The
+  // forwarding host has recorded its trial.
+  const bool goes_on = request->trial && request->failed_connections > 0;
+  request->trial = request->sends == 0 &&
+                   (goes_on || terms.trial ||
+                    crash_watch_.IsTrialOpen(now, *terms.fingerprint));
+  return !request->trial;
+}
+
+void RequestFlow::RecordFirstSend(Instant now, const Request& request) {
+  if (request.trial && request.sends == 1 && request.failed_connections == 0 &&
+      !request.terms.forwarded) {
+    crash_watch_.RecordTrial(now, *request.terms.fingerprint);
+  }
+}
+
+void RequestFlow::RecordUnanswered(Instant now,
+                                   const Request& request,
+                                   const Attempt& attempt,
+                                   CrashWatch::End end) {
+  if (request.terms.fingerprint && !attempt.gate) {
+    crash_watch_.RecordUnanswered(now, *request.terms.fingerprint,
+                                  attempt.server, end);
+  }
+}
+
 bool RequestFlow::HasRoom(const RequestTerms& terms) {
   const ServiceState& service = services_[terms.service];
   return admission_ ? service.priority_windows.HasRoom(PriorityOf(terms))
@@ -496,9 +541,10 @@
   pool_.RecordSent(now, choice.record.incarnation, request->terms.route,
                    choice.probe);
   request->attempts.push_back(attempt);
-  actions->emplace_back(
-      SendAttempt{request->id, attempt.id, choice.record, std::nullopt,
-                  !state::MayRetry(request->terms.kind), choice.expected});
+  RecordFirstSend(now, *request);
+  actions->emplace_back(SendAttempt{
+      request->id, attempt.id, choice.record, std::nullopt,
+      !state::MayRetry(request->terms.kind), choice.expected, request->trial});
 }
 
 void RequestFlow::HandleConnected(RequestId id, AttemptId attempt) {
@@ -537,6 +583,13 @@
   }
   const Attempt attempt = *position;
   request->attempts.erase(position);
+  const bool answered =
+      result == SendResult::kAnswered || result == SendResult::kFailed;
+  if (answered && request->terms.fingerprint) {
+    crash_watch_.RecordAnswered(now, *request->terms.fingerprint);
+  } else if (result == SendResult::kLost) {
+    RecordUnanswered(now, *request, attempt, CrashWatch::End::kLost);
+  }
   if (attempt.gate) {
     const std::string_view event = EventFor(result);
     if (!event.empty()) {
@@ -779,6 +832,7 @@
     next_prune_ = now + kPruneInterval;
     Prune(now);
   }
+  crash_watch_.Tick(now, view_.servers_confirmed_at);
   for (auto entry = requests_.begin(); entry != requests_.end();) {
     TickRequest(now, &(entry++)->second, &actions);
   }
@@ -825,7 +879,8 @@
   const RequestTerms& terms = request->terms;
   if (request->attempts.size() != 1 || terms.key ||
       request->caller_disconnected || !state::MayRetry(terms.kind) ||
-      request->sends >= terms.max_attempts) {
+      request->sends >= terms.max_attempts ||
+      (terms.fingerprint && crash_watch_.IsRefused(now, *terms.fingerprint))) {
     return;
   }
   const Attempt& first = request->attempts.front();
@@ -920,7 +975,12 @@
                       Request* request,
                       FinishRequest conclusion,
                       FlowActions* actions) {
+  const bool answered = conclusion.outcome == RequestOutcome::kAnswered ||
+                        conclusion.outcome == RequestOutcome::kFailed;
   for (const Attempt& attempt : request->attempts) {
+    if (!answered && attempt.connected) {
+      RecordUnanswered(now, *request, attempt, CrashWatch::End::kGivenUp);
+    }
     actions->emplace_back(AbortAttempt{request->id, attempt.id});
     if (!attempt.gate) {
       RecordEnd(now, *request, attempt, ServerResult::kCancelled);
--- a/src/coordination/request_flow.h
+++ b/src/coordination/request_flow.h
@@ -20,6 +20,8 @@
 #include <vector>
 
 #include "coordination/acceptance_rate.h"
+#include "coordination/crash_report.h"
+#include "coordination/crash_watch.h"
 #include "coordination/late_window.h"
 #include "coordination/priority_windows.h"
 #include "coordination/request_admission.h"
@@ -30,6 +32,10 @@
 
 namespace mustardflow::coordination {
 
+// The reason in the log and in the metrics of a request that is refused because
+// it crashes servers.
+inline constexpr std::string_view kCrashesServersReason = "crashes-servers";
+
 // Identifies a request until it ends.
 using RequestId = std::uint64_t;
 // Identifies an attempt; unique across all requests.
@@ -54,6 +60,11 @@
   // Another host has forwarded the request to this host, which is the gate of
   // the server that owns the key.
   bool forwarded = false;
+  // What makes the request the same when it comes again. Nullopt if a host of
+  // an earlier version has forwarded it.
+  std::optional<RequestFingerprint> fingerprint;
+  // The forwarding host sends the refused request as a trial.
+  bool trial = false;
   state::Instant received;
   // The deadline of the final response.
   state::Instant end;
@@ -97,6 +108,8 @@
   bool fresh_connection_only = false;
   // The expected latency; 0 for an attempt at a gate.
   state::Duration expected{0};
+  // Whether the refused request is sent as a trial.
+  bool trial = false;
 };
 
 // Cancels an attempt whose result is no longer needed, and closes its
@@ -217,6 +230,9 @@
   // Handles expired timeouts. Must be called about every 20 ms.
   FlowActions Tick(state::Instant now);
 
+  // What this host knows of requests that crash servers.
+  CrashWatch& crash_watch() { return crash_watch_; }
+
   // The number of requests that wait until their key has an owner.
   std::size_t waiting_for_owner() const;
   // The number of requests that wait at this host for capacity.
@@ -228,6 +244,8 @@
   std::uint64_t retries() const { return retries_; }
   // The lowest remaining retry budget of all services, in retries.
   double retries_left() const;
+  // The number of requests that were refused because they crash servers.
+  std::uint64_t crashing_refused() const { return crashing_refused_; }
   // The number of servers, services and gates with a recent refusal, request or
   // failure.
   std::size_t tracked_peers() const {
@@ -270,6 +288,8 @@
     // Attempts that were sent, less those that got no connection.
     int sends = 0;
     int failed_connections = 0;
+    // The request is sent as a trial, although it is refused otherwise.
+    bool trial = false;
     // Whether the request has been counted in the retry budget.
     bool deposited = false;
     // Whether the request has been counted as an arrival by admission_.
@@ -292,6 +312,16 @@
   // Each of the following functions may end the request, which invalidates
   // `request`.
   void TrySend(state::Instant now, Request* request, FlowActions* actions);
+  // Whether the request is refused because it crashes servers. Makes it a trial
+  // if one is open.
+  bool IsRefusedForCrashes(state::Instant now, Request* request) const;
+  // Records that the request is sent for the first time.
+  void RecordFirstSend(state::Instant now, const Request& request);
+  // Records how the request ended at a server that has not answered it.
+  void RecordUnanswered(state::Instant now,
+                        const Request& request,
+                        const Attempt& attempt,
+                        CrashWatch::End end);
   // Sends the request to `choice`, or ends it if there is none. `by` is the key
   // in acceptance_rates_.
   void SendOrRefuse(state::Instant now,
@@ -443,6 +473,8 @@
   // Set if requests are admitted by priority.
   std::optional<RequestAdmission> admission_;
   std::uint64_t retries_ = 0;
+  CrashWatch crash_watch_;
+  std::uint64_t crashing_refused_ = 0;
   state::Instant next_prune_{};
 };
 
--- a/src/protocol/host_messages.cc
+++ b/src/protocol/host_messages.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "protocol/announcement_codec.h"
+#include "protocol/crash_codec.h"
 #include "protocol/object_reader.h"
 
 namespace mustardflow::protocol {
@@ -355,6 +356,9 @@
     if (heartbeat.organisations) {
       object["organisations"] = EncodeFractions(*heartbeat.organisations);
     }
+    if (!heartbeat.crashing_requests.empty()) {
+      object["crashing"] = EncodeCrashingRequests(heartbeat.crashing_requests);
+    }
     if (heartbeat.update) {
       object["news"] = EncodeUpdate(*heartbeat.update);
     }
@@ -403,6 +407,9 @@
     if (report.organisations.interval > 0) {
       object["organisations"] = EncodeOrganisations(report.organisations);
     }
+    if (!report.crashes.empty()) {
+      object["crashes"] = EncodeCrashReport(report.crashes);
+    }
     return object;
   }
 };
@@ -440,6 +447,9 @@
     if (const json::value* value = object.if_contains("organisations")) {
       heartbeat.organisations = ReadFractions(*value);
     }
+    if (const json::value* value = object.if_contains("crashing")) {
+      heartbeat.crashing_requests = ReadCrashingRequests(*value);
+    }
     if (const json::value* update = object.if_contains("news")) {
       heartbeat.update = ReadUpdate(*update);
     }
@@ -499,6 +509,9 @@
   if (const json::value* value = object.if_contains("organisations")) {
     report.organisations = ReadOrganisations(*value);
   }
+  if (const json::value* value = object.if_contains("crashes")) {
+    report.crashes = ReadCrashReport(*value);
+  }
   return report;
 }
 
--- a/src/protocol/host_messages.h
+++ b/src/protocol/host_messages.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "admission/organisation_counts.h"
+#include "coordination/crash_report.h"
 #include "coordination/leader_election.h"
 #include "coordination/load_sampler.h"
 #include "coordination/reported_announcements.h"
@@ -96,6 +97,8 @@
   std::size_t hosts = 1;
   // Nullopt if there is nothing new; the fractions of before remain in force.
   std::optional<admission::OrganisationFractions> organisations;
+  // Requests that may crash servers. The list is complete.
+  std::vector<coordination::CrashingRequest> crashing_requests;
   // Sequence number of the heartbeat within the term. Host reports name the
   // latest number that they received.
   std::int64_t number = 0;
@@ -155,6 +158,8 @@
   std::vector<coordination::AnnouncementReport> announcements;
   // The requests of organisations that have a limit.
   admission::OrganisationReport organisations;
+  // Requests that have crashed servers, or that the leader's list has.
+  coordination::CrashReport crashes;
 };
 
 using HostMessage =
--- a/src/state/routing_view.h
+++ b/src/state/routing_view.h
@@ -23,6 +23,8 @@
   // When this host last knew that there was no newer configuration. Nothing if
   // it knows that there is one.
   std::optional<Instant> config_confirmed_at;
+  // The time as of which this host knows the entries of servers, if it does.
+  std::optional<Instant> servers_confirmed_at;
   OwnershipTable table;
   // The number of hosts that share the limits of a service or server, including
   // this host.
--- a/src/transport/caller_connection.cc
+++ b/src/transport/caller_connection.cc
@@ -77,6 +77,13 @@
   return parsed;
 }
 
+// Returns the IP address of the peer; empty if the connection has ended.
+std::string RemoteAddress(const tcp::socket& socket) {
+  beast::error_code error;
+  const tcp::endpoint peer = socket.remote_endpoint(error);
+  return error ? std::string() : peer.address().to_string();
+}
+
 }  // namespace
 
 CallerConnection::CallerConnection(tcp::socket socket,
@@ -91,6 +98,7 @@
       log_(log),
       source_(source),
       closed_handler_(std::move(closed)),
+      caller_(RemoteAddress(socket_)),
       memory_(relay.memory()),
       own_draw_(memory_),
       idle_since_(Now()) {
@@ -397,7 +405,8 @@
 }
 
 void CallerConnection::Dispatch() {
-  CallerMessage message{parser_->release(), parser_->ReleaseLongFields()};
+  CallerMessage message{parser_->release(), parser_->ReleaseLongFields(),
+                        caller_};
   ResetParser();
   // A busy host may read a request long after its caller has given up.
   if (CallerHasLeft()) {
--- a/src/transport/caller_connection.h
+++ b/src/transport/caller_connection.h
@@ -160,6 +160,8 @@
   EventLog& log_;
   const RequestSource source_;
   ClosedHandler closed_handler_;
+  // The IP address of the peer.
+  const std::string caller_;
   std::unique_ptr<Parser> parser_;
   // Whether AcceptHeader() has accepted the header of the arriving request.
   bool header_accepted_ = false;
--- a/src/transport/entry_host.cc
+++ b/src/transport/entry_host.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "platform/server_protocol.h"
+#include "protocol/crash_codec.h"
 #include "protocol/object_reader.h"
 #include "transport/clocks.h"
 
@@ -130,6 +131,7 @@
               log,
               {[this](protocol::LeaderHeartbeat heartbeat) {
                  HandleFractions(Now(), heartbeat);
+                 HandleCrashingRequests(Now(), heartbeat);
                  link_.Broadcast(Now(), std::move(heartbeat));
                },
                [this] { QueryHosts(); },
@@ -147,6 +149,7 @@
                [this](protocol::HeartbeatUpdate* update) {
                  watch_.TakeEntryUpdates(update);
                },
+               [this] { return relay_.crash_watch().List(Now()); },
                [this] { return view_.hosts; },
                [this] { return peers_.HasMuchStronger(Now()); }}),
       sync_(
@@ -351,11 +354,13 @@
     asio::co_spawn(context_.get_executor(), RegisterAgain(), asio::detached);
   }
   view_.config_confirmed_at = watch_.ConfigConfirmedAt();
+  view_.servers_confirmed_at = watch_.ServersConfirmedAt();
   relay_.Tick(now);
   const bool announced = reported_announcements_ != pool_.announcements();
-  const bool surging = relay_.organisation_limits().surging() &&
-                       now - last_report_ >= kMinReportGap;
-  if (now >= next_report_ || announced || surging) {
+  const bool urgent = (relay_.organisation_limits().surging() ||
+                       relay_.crash_watch().has_news()) &&
+                      now - last_report_ >= kMinReportGap;
+  if (now >= next_report_ || announced || urgent) {
     reported_announcements_ = pool_.announcements();
     next_report_ = now + kReportInterval;
     SendReport(now);
@@ -432,6 +437,7 @@
   }
   report.announcements = announcement_reporter_.Report(now, pool_);
   report.organisations = relay_.organisation_limits().TakeCounts(now);
+  report.crashes = relay_.crash_watch().MakeReport(now, report.term);
   last_report_ = now;
   if (leader_.leading()) {
     leader_.HandleReport(now, report);
@@ -503,8 +509,12 @@
   if (heartbeat.term < leader_.term() || leader_.leading()) {
     return;
   }
-  last_heartbeat_ =
-      std::max(last_heartbeat_, std::pair(heartbeat.term, heartbeat.number));
+  // Datagrams may overtake one another.
+  const std::pair heartbeat_id(heartbeat.term, heartbeat.number);
+  if (heartbeat_id >= last_heartbeat_) {
+    last_heartbeat_ = heartbeat_id;
+    HandleCrashingRequests(now, heartbeat);
+  }
   leader_address_ = heartbeat.address;
   sync_.HandleHeartbeat(from, heartbeat.address);
   if (!heartbeat.stepping_down) {
@@ -535,6 +545,23 @@
   }
 }
 
+void EntryHost::HandleCrashingRequests(
+    Instant now,
+    const protocol::LeaderHeartbeat& heartbeat) {
+  coordination::CrashWatch& watch = relay_.crash_watch();
+  watch.HandleList(now, heartbeat.crashing_requests);
+  for (const coordination::CrashingRequest& change : watch.TakeChanges()) {
+    log_.Write(LogPart::kRequest, "crashing-request-listed",
+               {{"fingerprint", protocol::FormatFingerprint(change.request)},
+                {"crashes", static_cast<std::int64_t>(change.crashes)},
+                {"refused", change.refused},
+                {"trials", static_cast<std::int64_t>(change.trials)},
+                {"next_trial_ms", change.retry_after.count() / 1000},
+                {"leader", heartbeat.host},
+                {"term", heartbeat.term}});
+  }
+}
+
 awaitable<void> EntryHost::FetchRecordedTable() {
   co_await ReadLedger();
   reading_table_ = false;
--- a/src/transport/entry_host.h
+++ b/src/transport/entry_host.h
@@ -92,6 +92,10 @@
   // limits of organisations.
   void HandleFractions(state::Instant now,
                        const protocol::LeaderHeartbeat& heartbeat);
+  // Takes the leader's list of requests that may crash servers, and logs what
+  // has changed in it.
+  void HandleCrashingRequests(state::Instant now,
+                              const protocol::LeaderHeartbeat& heartbeat);
   // Records a host count, either this host's own or that of the leader, and
   // applies the maximum over kHostCountWindow.
   void RecordHostCount(state::Instant now, std::size_t hosts);
--- a/src/transport/entry_metrics.cc
+++ b/src/transport/entry_metrics.cc
@@ -20,13 +20,15 @@
 
 using NameAndHelp = std::pair<const char*, const char*>;
 
-constexpr std::array<NameAndHelp, 16> kGauges = {{
+constexpr std::array<NameAndHelp, 17> kGauges = {{
     {"mustardflow_requests_under_way", "Requests that have no answer yet."},
     {"mustardflow_oldest_request_seconds", "Age of the oldest of them."},
     {"mustardflow_waiting_for_owner", "Requests whose key has no server."},
     {"mustardflow_waiting_for_capacity",
      "Requests that wait at this host until their server has capacity."},
     {"mustardflow_repeats_left", "Repeats left in the smallest budget."},
+    {"mustardflow_crashing_requests",
+     "Requests that are refused because they crash backend servers."},
     {"mustardflow_store_silence_seconds",
      "Time since the store last answered while it was asked."},
     {"mustardflow_servers_blocked",
@@ -49,8 +51,10 @@
 }};
 
 // Set from counts that other components keep.
-constexpr std::array<NameAndHelp, 6> kCounters = {{
+constexpr std::array<NameAndHelp, 7> kCounters = {{
     {"mustardflow_repeats_total", "Requests sent to a server once more."},
+    {"mustardflow_crashing_requests_refused_total",
+     "Requests refused because they crash backend servers."},
     {"mustardflow_store_calls_total", "Calls to the platform's store."},
     {"mustardflow_server_connections_total",
      "Connections opened to backend servers."},
--- a/src/transport/header_fields.h
+++ b/src/transport/header_fields.h
@@ -36,6 +36,12 @@
 inline constexpr std::string_view kForwardPriorityField =
     "X-Mustardflow-Priority";
 inline constexpr std::string_view kForwardRouteField = "X-Mustardflow-Route";
+// The fingerprint of the request, and the value of kForwardTrialField if the
+// forwarding host sends it as a trial.
+inline constexpr std::string_view kForwardFingerprintField =
+    "X-Mustardflow-Fingerprint";
+inline constexpr std::string_view kForwardTrialField = "X-Mustardflow-Trial";
+inline constexpr std::string_view kForwardTrialValue = "1";
 // The outcome of the request, as in the metrics' outcome label.
 inline constexpr std::string_view kOutcomeField = "X-Mustardflow-Outcome";
 // The server whose answer a gate passes on: its start time in milliseconds, a
--- a/src/transport/leader_duty.cc
+++ b/src/transport/leader_duty.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "platform/server_protocol.h"
+#include "protocol/crash_codec.h"
 #include "protocol/object_reader.h"
 #include "transport/clocks.h"
 
@@ -158,6 +159,9 @@
     next_gate_assignment_ = std::min(next_gate_assignment_, now);
   }
   organisations_.Record(now, report.host, report.organisations);
+  if (crash_tracker_.Record(now, report.crashes)) {
+    AnnounceProgress();
+  }
   for (const auto& [service, load] : report.load) {
     const auto found = keyspaces_.find(service);
     if (found == keyspaces_.end() || load.samples.empty()) {
@@ -572,6 +576,7 @@
   renewal_count_ = 0;
   next_heartbeat_ = now;
   organisations_.Begin(now);
+  crash_tracker_.Begin(now, hooks_.crashing_requests());
   gate_assignment_ = coordination::GateAssignment();
   next_gate_assignment_ = now + kInitialGateDelay;
   table_ = state::OwnershipTable();
@@ -916,9 +921,30 @@
   heartbeat.hosts = hooks_.host_count();
   heartbeat.number = proof_.RecordSentHeartbeat(now);
   heartbeat.organisations = std::exchange(fractions_, std::nullopt);
+  heartbeat.crashing_requests = UpdateCrashingRequests(now);
   return heartbeat;
 }
 
+std::vector<coordination::CrashingRequest> LeaderDuty::UpdateCrashingRequests(
+    Instant now) {
+  std::vector<coordination::CrashingRequest> list = crash_tracker_.Update(now);
+  for (const auto& decision : crash_tracker_.TakeDecisions()) {
+    std::string servers;
+    for (const state::ServerIncarnation& server : decision.servers) {
+      servers += (servers.empty() ? "" : ",") + server.id;
+    }
+    log_.Write(
+        LogPart::kLeader,
+        decision.refused ? "crashing-request" : "crashing-request-cleared",
+        {{"fingerprint", protocol::FormatFingerprint(decision.request)},
+         {"servers", servers},
+         {"first_crash_age_ms", decision.first_crash_age.count() / 1000},
+         {"answer_age_ms", decision.answer_age.count() / 1000},
+         {"trials", static_cast<std::int64_t>(decision.trials)}});
+  }
+  return list;
+}
+
 void LeaderDuty::SendUpdates(Instant now,
                              std::int64_t revision,
                              std::vector<protocol::HeartbeatUpdate> parts) {
--- a/src/transport/leader_duty.h
+++ b/src/transport/leader_duty.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "admission/organisation_demand.h"
+#include "coordination/crash_tracker.h"
 #include "coordination/gate_assignment.h"
 #include "coordination/keyspace_coordinator.h"
 #include "coordination/lead_proof.h"
@@ -61,6 +62,9 @@
     // Moves into the update the server entries that have changed the server
     // pool since the last call.
     std::function<void(protocol::HeartbeatUpdate*)> take_entries;
+    // Returns the list of requests that may crash servers, as last heard.
+    std::function<std::vector<coordination::CrashingRequest>()>
+        crashing_requests;
     // Returns the number of hosts that take part, this host included.
     std::function<std::size_t()> host_count;
     // Whether a host in contact is far better suited to lead than this host.
@@ -237,6 +241,10 @@
   std::optional<admission::OrganisationFractions> UpdateFractions(
       state::Instant now);
   protocol::LeaderHeartbeat MakeHeartbeat(state::Instant now);
+  // Returns the list of requests that may crash servers, and logs what was
+  // decided about them.
+  std::vector<coordination::CrashingRequest> UpdateCrashingRequests(
+      state::Instant now);
   // The table as the ledger has to hold it.
   state::OwnershipTable RecordedTable() const;
   // The last known record of this incarnation of a server, or null.
@@ -341,6 +349,7 @@
   // By service: the mean execution time of a request in seconds.
   coordination::ReportedAverages execution_seconds_;
   admission::OrganisationDemand organisations_;
+  coordination::CrashTracker crash_tracker_;
   // For the next heartbeat only.
   std::optional<admission::OrganisationFractions> fractions_;
   // What servers have announced. Kept across terms, as hosts report it again
--- a/src/transport/request_relay.cc
+++ b/src/transport/request_relay.cc
@@ -9,9 +9,11 @@
 
 #include "coordination/stop_schedule.h"
 #include "platform/server_protocol.h"
+#include "protocol/crash_codec.h"
 #include "protocol/object_reader.h"
 #include "transport/clocks.h"
 #include "transport/header_fields.h"
+#include "transport/request_fingerprint.h"
 
 namespace mustardflow::transport {
 
@@ -349,6 +351,7 @@
   terms.target_latency = request->route->target_latency;
   terms.max_attempts = request->route->max_attempts;
   terms.route = request->route->name;
+  terms.fingerprint = FingerprintOf(message);
   terms.end = terms.received + allowed;
   return ChooseService(request);
 }
@@ -572,6 +575,12 @@
     terms.priority = static_cast<int>(*priority);
   }
   terms.route = std::string(message[ToBeastView(kForwardRouteField)]);
+  const beast::string_view fingerprint =
+      message[ToBeastView(kForwardFingerprintField)];
+  terms.fingerprint =
+      protocol::ParseFingerprint({fingerprint.data(), fingerprint.size()});
+  terms.trial = message[ToBeastView(kForwardTrialField)] ==
+                ToBeastView(kForwardTrialValue);
   terms.end = terms.received + *deadline;
   const state::Organisation* known =
       request->config ? request->config->FindOrganisation(request->organisation)
@@ -688,6 +697,13 @@
                 std::to_string(Milliseconds(terms.target_latency)), &bytes);
     AppendField(kForwardMaxAttemptsField, std::to_string(terms.max_attempts),
                 &bytes);
+    if (terms.fingerprint) {
+      AppendField(kForwardFingerprintField,
+                  protocol::FormatFingerprint(*terms.fingerprint), &bytes);
+    }
+    if (send.trial) {
+      AppendField(kForwardTrialField, kForwardTrialValue, &bytes);
+    }
     if (request.drop_credentials) {
       AppendField(kForwardOrganisationField, request.organisation, &bytes);
     }
@@ -1044,6 +1060,10 @@
         static_cast<std::int64_t>(request.terms.priority.value_or(-1))},
        {"reason", reason},
        {"server", server},
+       {"fingerprint",
+        request.terms.fingerprint
+            ? protocol::FormatFingerprint(*request.terms.fingerprint)
+            : ""},
        {"age_ms", Milliseconds(Now() - request.terms.received)},
        {"left_ms", Milliseconds(request.terms.end - Now())},
        {"key",
@@ -1083,6 +1103,10 @@
   metrics_.Set("mustardflow_repeats_total",
                static_cast<double>(flow_.retries()));
   metrics_.Set("mustardflow_repeats_left", flow_.retries_left());
+  metrics_.Set("mustardflow_crashing_requests",
+               static_cast<double>(flow_.crash_watch().refused_count()));
+  metrics_.Set("mustardflow_crashing_requests_refused_total",
+               static_cast<double>(flow_.crashing_refused()));
   metrics_.Set("mustardflow_server_connections_total",
                static_cast<double>(server_connections_.opened()));
 }
--- a/src/transport/request_relay.h
+++ b/src/transport/request_relay.h
@@ -37,6 +37,8 @@
   // The fields that are not among those of the base, which cannot hold them.
   // Invariant: hosts interpret none of them; see IsInterpreted().
   LongFields long_fields;
+  // The IP address of the caller; empty if it is not known.
+  std::string caller;
 };
 
 // The final answer to a caller.
@@ -135,6 +137,7 @@
   admission::OrganisationLimits& organisation_limits() {
     return organisation_limits_;
   }
+  coordination::CrashWatch& crash_watch() { return flow_.crash_watch(); }
   // The account from which all bodies and answers of the process draw.
   const MemoryAccountPtr& memory() const { return memory_; }
   const admission::ConnectionLimits& connection_limits() const {
--- a/src/transport/store_watch.h
+++ b/src/transport/store_watch.h
@@ -84,6 +84,12 @@
   // it lacks records of operators or could not read the newest configuration.
   std::optional<state::Instant> ConfigConfirmedAt() const;
 
+  // The time as of which this host knows all entries of servers; nothing before
+  // the first read.
+  std::optional<state::Instant> ServersConfirmedAt() const {
+    return server_reader_.confirmed_at;
+  }
+
   // Time since the store last answered this host or the leader; 0 while it
   // answers this host.
   state::Duration StoreSilence(state::Instant now) const;
--- a/tests/protocol/host_messages_test.cc
+++ b/tests/protocol/host_messages_test.cc
@@ -49,7 +49,11 @@
   heartbeat.relay_to = {{"10.0.0.8", 7200}};
   heartbeat.update = LargeUpdate();
   heartbeat.organisations = {{{"first", 0.25}}, false};
+  heartbeat.crashing_requests = {{7, 3, true, 1, std::chrono::seconds(15)}};
   HostReport report;
+  report.crashes = {{{7, {"s", 4}, std::chrono::seconds(1)}},
+                    {{8, std::chrono::seconds(2)}},
+                    {{7, 2}}};
   report.organisations = {5, 2, {{{"first", {8, -1}}}, {}}};
   report.host = "h1";
   report.load["shelf"] = {3, {1, 2, 65535}};
@@ -439,4 +443,65 @@
   CHECK(counts.counts[1].empty());
 }
 
+// Guards against evidence that is lost on the way, and against messages of
+// earlier versions that cannot be read.
+TEST_CASE("requests that crash servers round-trip and may be missing", "[B3]") {
+  LeaderHeartbeat heartbeat;
+  heartbeat.host = "h1";
+  heartbeat.address = {"10.0.0.7", 7200};
+  HostReport report;
+  report.host = "h1";
+  const std::string old_heartbeat = protocol::EncodeMessage(heartbeat);
+  const std::string old_report = protocol::EncodeMessage(report);
+  CHECK(old_heartbeat.find("crash") == std::string::npos);
+  CHECK(old_report.find("crash") == std::string::npos);
+  CHECK(protocol::DecodeMessage(old_heartbeat));
+  CHECK(protocol::DecodeMessage(old_report));
+
+  constexpr coordination::RequestFingerprint kLarge = 0xfedcba9876543210;
+  heartbeat.crashing_requests = {
+      {kLarge, 4, true, 2, std::chrono::milliseconds(1500)},
+      {1, 2, false, 0, state::Duration(0)}};
+  const auto read = protocol::DecodeMessage(protocol::EncodeMessage(heartbeat));
+  REQUIRE(read);
+  const auto& list = std::get<LeaderHeartbeat>(*read).crashing_requests;
+  REQUIRE(list.size() == 2);
+  CHECK(list[0].request == kLarge);
+  CHECK(list[0].crashes == 4);
+  CHECK(list[0].refused);
+  CHECK(list[0].trials == 2);
+  CHECK(list[0].retry_after == std::chrono::milliseconds(1500));
+  CHECK_FALSE(list[1].refused);
+
+  report.crashes.crashes = {{kLarge, {"s", 4}, std::chrono::seconds(3)}};
+  report.crashes.answers = {{1, std::chrono::milliseconds(20)}};
+  report.crashes.trials = {{kLarge, 3}};
+  const auto read_report =
+      protocol::DecodeMessage(protocol::EncodeMessage(report));
+  REQUIRE(read_report);
+  const coordination::CrashReport& crashes =
+      std::get<HostReport>(*read_report).crashes;
+  REQUIRE(crashes.crashes.size() == 1);
+  CHECK(crashes.crashes[0].request == kLarge);
+  CHECK(crashes.crashes[0].server == state::ServerIncarnation{"s", 4});
+  CHECK(crashes.crashes[0].age == std::chrono::seconds(3));
+  REQUIRE(crashes.answers.size() == 1);
+  CHECK(crashes.answers[0].age == std::chrono::milliseconds(20));
+  REQUIRE(crashes.trials.size() == 1);
+  CHECK(crashes.trials[0].number == 3);
+}
+
+// Guards against a list that exceeds a datagram beside an update of full size.
+TEST_CASE("the largest list of crashing requests leaves room in a heartbeat",
+          "[B3]") {
+  LeaderHeartbeat heartbeat;
+  heartbeat.host = "edge-of-a-long-name-1";
+  heartbeat.address = {"100.100.100.100", 65535};
+  const std::size_t without = protocol::EncodeMessage(heartbeat).size();
+  heartbeat.crashing_requests.assign(
+      coordination::kMaxCrashingRequests,
+      {~std::uint64_t{0}, 8, true, 100, std::chrono::hours(1)});
+  CHECK(protocol::EncodeMessage(heartbeat).size() - without <= 400);
+}
+
 }  // namespace mustardflow::tests
