transport: Log refusals of crashing requests only when they begin and end

Each entry of the leader's list was logged by each host, also those of requests that had been at two crashes by chance and were answered at once. The leader's decision gave 0 for the time since an answer that there was none of.

Hosts now log refuses-request and refuses-request-no-more.

--- a/src/coordination/crash_tracker.cc
+++ b/src/coordination/crash_tracker.cc
@@ -161,7 +161,8 @@
   decision.trials = request.trials;
   for (const auto& [server, at] : request.crashes) {
     decision.servers.push_back(server);
-    decision.first_crash_age = std::max(decision.first_crash_age, now - at);
+    decision.first_crash_age =
+        std::max(decision.first_crash_age, std::optional(now - at));
   }
   if (request.answered_at) {
     decision.answer_age = now - *request.answered_at;
--- a/src/coordination/crash_tracker.h
+++ b/src/coordination/crash_tracker.h
@@ -32,10 +32,9 @@
     bool refused = false;
     // The servers that the request has crashed.
     std::vector<state::ServerIncarnation> servers;
-    // The time since the first of these crashes and since the last answer; -1
-    // if there is none.
-    state::Duration first_crash_age{-1};
-    state::Duration answer_age{-1};
+    // The time since the first of these crashes and since the last answer.
+    std::optional<state::Duration> first_crash_age;
+    std::optional<state::Duration> answer_age;
     int trials = 0;
   };
 
--- a/src/coordination/crash_watch.cc
+++ b/src/coordination/crash_watch.cc
@@ -150,9 +150,10 @@
     if (known != list_.end()) {
       entry = known->second;
     }
-    if (known == list_.end() || refused != request.refused) {
+    if (refused != request.refused) {
       changes_.push_back(request);
-      // A new leader, too, may need what this host knows.
+    }
+    if (known == list_.end() || refused != request.refused) {
       entry.answer_reported = false;
       has_news_ = has_news_ || answered_.LastAnswer(request.request);
     }
@@ -160,10 +161,9 @@
     entry.at = now;
   }
   for (const auto& [request, entry] : list_) {
-    if (!next.contains(request)) {
-      CrashingRequest removed = entry.request;
-      removed.crashes = 0;
-      changes_.push_back(removed);
+    if (entry.request.refused && !next.contains(request)) {
+      changes_.push_back(entry.request);
+      changes_.back().refused = false;
     }
   }
   list_ = std::move(next);
--- a/src/coordination/crash_watch.h
+++ b/src/coordination/crash_watch.h
@@ -59,8 +59,8 @@
   void HandleList(state::Instant now, const std::vector<CrashingRequest>& list);
   // The list as of now, with which this host begins to lead.
   std::vector<CrashingRequest> List(state::Instant now) const;
-  // The entries that were added, refused or removed since the last call.
-  // `crashes` is 0 in an entry that was removed.
+  // The requests that have become refused since the last call, or are refused
+  // no longer.
   std::vector<CrashingRequest> TakeChanges();
 
   // Whether the request is refused, unless it may be sent as a trial.
--- a/src/transport/entry_host.cc
+++ b/src/transport/entry_host.cc
@@ -551,10 +551,10 @@
   coordination::CrashWatch& watch = relay_.crash_watch();
   watch.HandleList(now, heartbeat.crashing_requests);
   for (const coordination::CrashingRequest& change : watch.TakeChanges()) {
-    log_.Write(LogPart::kRequest, "crashing-request-listed",
+    log_.Write(LogPart::kRequest,
+               change.refused ? "refuses-request" : "refuses-request-no-more",
                {{"fingerprint", protocol::FormatFingerprint(change.request)},
                 {"crashes", static_cast<std::int64_t>(change.crashes)},
-                {"refused", change.refused},
                 {"trials", static_cast<std::int64_t>(change.trials)},
                 {"next_trial_ms", change.retry_after.count() / 1000},
                 {"leader", heartbeat.host},
--- a/src/transport/leader_duty.cc
+++ b/src/transport/leader_duty.cc
@@ -73,6 +73,11 @@
       1, platform::KeyedRecord{std::string(key), std::move(value), 0});
 }
 
+// A time as it is logged: -1 if there is none.
+std::int64_t MillisecondsOrNone(std::optional<Duration> time) {
+  return time ? time->count() / 1000 : -1;
+}
+
 WriteOutcome ToWriteOutcome(AppendOutcome outcome) {
   switch (outcome) {
     case AppendOutcome::kDone:
@@ -938,8 +943,8 @@
         decision.refused ? "crashing-request" : "crashing-request-cleared",
         {{"fingerprint", protocol::FormatFingerprint(decision.request)},
          {"servers", servers},
-         {"first_crash_age_ms", decision.first_crash_age.count() / 1000},
-         {"answer_age_ms", decision.answer_age.count() / 1000},
+         {"first_crash_age_ms", MillisecondsOrNone(decision.first_crash_age)},
+         {"answer_age_ms", MillisecondsOrNone(decision.answer_age)},
          {"trials", static_cast<std::int64_t>(decision.trials)}});
   }
   return list;
