coordination: Count two attempts of one request as evidence of crashes

A request that is retried beside one that crashes servers may go to the same servers. Where routes allow three attempts and more, one such request alone would be refused.

Two attempts for one request id count now. The new test fails without the limit by construction: the first request reaches more than three servers.

--- a/src/coordination/request_flow.cc
+++ b/src/coordination/request_flow.cc
@@ -70,6 +70,10 @@
 // The priority of requests whose priority is not known: that of a route without
 // one.
 constexpr int kDefaultPriority = 0;
+// How many attempts of one request count as evidence that it crashes servers.
+// A request that is retried beside one that crashes servers may follow it from
+// server to server.
+constexpr int kMaxUnansweredAttempts = 2;
 // An attempt is started only if at least this time is left until the
 // deadline.
 constexpr Duration kMinSendTime = std::chrono::milliseconds(15);
@@ -354,11 +358,13 @@
 }
 
 void RequestFlow::RecordUnanswered(Instant now,
-                                   const Request& request,
+                                   Request* request,
                                    const Attempt& attempt,
                                    CrashWatch::End end) {
-  if (request.terms.fingerprint && !attempt.gate) {
-    crash_watch_.RecordUnanswered(now, *request.terms.fingerprint,
+  if (request->terms.fingerprint && !attempt.gate &&
+      request->unanswered < kMaxUnansweredAttempts) {
+    ++request->unanswered;
+    crash_watch_.RecordUnanswered(now, *request->terms.fingerprint,
                                   attempt.server, end);
   }
 }
@@ -588,7 +594,7 @@
   if (answered && request->terms.fingerprint) {
     crash_watch_.RecordAnswered(now, *request->terms.fingerprint);
   } else if (result == SendResult::kLost) {
-    RecordUnanswered(now, *request, attempt, CrashWatch::End::kLost);
+    RecordUnanswered(now, request, attempt, CrashWatch::End::kLost);
   }
   if (attempt.gate) {
     const std::string_view event = EventFor(result);
@@ -979,7 +985,7 @@
                         conclusion.outcome == RequestOutcome::kFailed;
   for (const Attempt& attempt : request->attempts) {
     if (!answered && attempt.connected) {
-      RecordUnanswered(now, *request, attempt, CrashWatch::End::kGivenUp);
+      RecordUnanswered(now, request, attempt, CrashWatch::End::kGivenUp);
     }
     actions->emplace_back(AbortAttempt{request->id, attempt.id});
     if (!attempt.gate) {
--- a/src/coordination/request_flow.h
+++ b/src/coordination/request_flow.h
@@ -290,6 +290,8 @@
     int failed_connections = 0;
     // The request is sent as a trial, although it is refused otherwise.
     bool trial = false;
+    // Attempts that were recorded in crash_watch_ as unanswered.
+    int unanswered = 0;
     // Whether the request has been counted in the retry budget.
     bool deposited = false;
     // Whether the request has been counted as an arrival by admission_.
@@ -319,7 +321,7 @@
   void RecordFirstSend(state::Instant now, const Request& request);
   // Records how the request ended at a server that has not answered it.
   void RecordUnanswered(state::Instant now,
-                        const Request& request,
+                        Request* request,
                         const Attempt& attempt,
                         CrashWatch::End end);
   // Sends the request to `choice`, or ends it if there is none. `by` is the key
--- a/tests/requests/crash_simulation.cc
+++ b/tests/requests/crash_simulation.cc
@@ -85,7 +85,7 @@
   }
   terms.fingerprint = request;
   terms.target_latency = milliseconds(400);
-  terms.max_attempts = 2;
+  terms.max_attempts = max_attempts_;
   terms.received = now_;
   terms.end = now_ + kDeadline;
   const std::size_t number = endings_.size();
--- a/tests/requests/crash_simulation.h
+++ b/tests/requests/crash_simulation.h
@@ -53,6 +53,7 @@
   // Requests with this fingerprint crash each server that runs them.
   void Poison(Fingerprint request) { poison_.insert(request); }
   void Cure(Fingerprint request) { poison_.erase(request); }
+  void SetMaxAttempts(int attempts) { max_attempts_ = attempts; }
   // From now on, all keys are those of one server.
   void UseKeys();
 
@@ -122,6 +123,7 @@
   state::Instant now_{std::chrono::seconds(100)};
   std::vector<Host> hosts_;
   std::vector<Server> servers_;
+  int max_attempts_ = 2;
   bool keyed_ = false;
   std::int64_t next_server_ = 0;
   coordination::RequestId next_request_ = 0;
--- a/tests/requests/crashing_requests_test.cc
+++ b/tests/requests/crashing_requests_test.cc
@@ -229,6 +229,22 @@
   CHECK(simulation.list().empty());
 }
 
+// Guards against refusing a request that was retried at the servers to which
+// one that crashes them was retried as well.
+TEST_CASE("one request is no proof against itself, however often retried",
+          "[B3]") {
+  CrashSimulation simulation(8, 12);
+  simulation.SetMaxAttempts(6);
+  simulation.Poison(kPoison);
+  simulation.Ask(kPoison);
+  simulation.Run(seconds(5));
+  REQUIRE(simulation.crashes(kPoison).size() > 3);
+  CHECK(simulation.RefusedCount() == 0);
+  simulation.Ask(kPoison);
+  simulation.Run(seconds(5));
+  CHECK(simulation.RefusedCount() == 1);
+}
+
 // Guards against a request that stays refused once servers can run it.
 TEST_CASE("a request is served again once a server has answered it", "[B3]") {
   CrashSimulation simulation(GENERATE(8, 295), 12);
