coordination: Report crashes again until the leader has them

A host counted a report of crashes as sent while it had no leader, and sent each crash three times within 1.2 s. If these datagrams were lost without a change of leader, the evidence never reached it, and the request went on to servers.

Crashes are now reported only while there is a leader, three times at once and then each 10 s. Found by reading; the new test fails without the repetition: the lost reports are the only ones.

--- a/src/coordination/crash_watch.cc
+++ b/src/coordination/crash_watch.cc
@@ -20,8 +20,10 @@
 // Bounds on what is kept: 48 bytes for each request, 96 for each crash.
 constexpr std::size_t kMaxUnanswered = 1024;
 constexpr std::size_t kMaxCrashes = 64;
-// In how many reports each crash and each trial is.
-constexpr int kReportsPerCrash = 3;
+// Each crash is in the next three reports and then in one report in this time,
+// and each trial in all reports for a while.
+constexpr int kReportsAtOnce = 3;
+constexpr Duration kReportAgainInterval = std::chrono::seconds(10);
 constexpr Duration kTrialReportTime = std::chrono::seconds(2);
 // A host that hears no leader refuses requests for this long.
 constexpr Duration kListLifetime = std::chrono::minutes(10);
@@ -129,8 +131,7 @@
   if (known || IsCleared(unanswered.request, unanswered.at)) {
     return;
   }
-  crashes_.push_back(
-      {unanswered.request, server, unanswered.at, kReportsPerCrash});
+  crashes_.push_back({unanswered.request, server, unanswered.at});
   if (crashes_.size() > kMaxCrashes) {
     crashes_.pop_front();
   }
@@ -227,6 +228,11 @@
       [](const auto& entry) { return entry.second.request.refused; }));
 }
 
+bool CrashWatch::IsReportDue(Instant now, const Crash& crash) {
+  return crash.reports < kReportsAtOnce ||
+         now - crash.reported_at >= kReportAgainInterval;
+}
+
 CrashReport CrashWatch::MakeReport(Instant now, std::int64_t term) {
   has_news_ = false;
   std::erase_if(crashes_, [now](const Crash& crash) {
@@ -236,7 +242,7 @@
     // The new leader knows nothing of what the former one was told.
     report_term_ = term;
     for (Crash& crash : crashes_) {
-      crash.reports_left = kReportsPerCrash;
+      crash.reports = 0;
     }
     for (auto& [request, entry] : list_) {
       entry.answer_reported = false;
@@ -247,8 +253,9 @@
   for (auto crash = crashes_.rbegin();
        crash != crashes_.rend() && report.crashes.size() < kMaxReportedCrashes;
        ++crash) {
-    if (crash->reports_left > 0 && !IsCleared(crash->request, crash->at)) {
-      --crash->reports_left;
+    if (IsReportDue(now, *crash) && !IsCleared(crash->request, crash->at)) {
+      ++crash->reports;
+      crash->reported_at = now;
       report.crashes.push_back(
           {crash->request, crash->server, now - crash->at});
     }
--- a/src/coordination/crash_watch.h
+++ b/src/coordination/crash_watch.h
@@ -77,8 +77,8 @@
 
   // Whether the leader should get a report without delay.
   bool has_news() const { return has_news_; }
-  // Returns the report to the leader of this term. Reports are not
-  // acknowledged, so each item is in several of them.
+  // Returns the report to the leader of this term. Call only to send it.
+  // Reports are not acknowledged, so each item is in several of them.
   CrashReport MakeReport(state::Instant now, std::int64_t term);
 
  private:
@@ -92,9 +92,12 @@
     RequestFingerprint request = 0;
     state::ServerIncarnation server;
     state::Instant at{};
-    // In how many further reports to the leader it is.
-    int reports_left = 0;
+    // In how many reports to the leader it was, and when in the last one.
+    int reports = 0;
+    state::Instant reported_at{};
   };
+  // Whether the crash has to be in the next report.
+  static bool IsReportDue(state::Instant now, const Crash& crash);
   // An entry of the leader's list, and what this host has told the leader.
   struct Entry {
     CrashingRequest request;
--- a/src/transport/entry_host.cc
+++ b/src/transport/entry_host.cc
@@ -437,11 +437,16 @@
   }
   report.announcements = announcement_reporter_.Report(now, pool_);
   report.organisations = relay_.organisation_limits().TakeCounts(now);
-  report.crashes = relay_.crash_watch().MakeReport(now, report.term);
   last_report_ = now;
-  if (leader_.leading()) {
+  const bool leading = leader_.leading();
+  if (!leading &&
+      (!registered_ || !leader_address_ || leader_.lost_contact(now))) {
+    return;
+  }
+  report.crashes = relay_.crash_watch().MakeReport(now, report.term);
+  if (leading) {
     leader_.HandleReport(now, report);
-  } else if (registered_ && leader_address_ && !leader_.lost_contact(now)) {
+  } else {
     link_.Send(*leader_address_, report);
   }
 }
--- a/tests/requests/crash_simulation.cc
+++ b/tests/requests/crash_simulation.cc
@@ -248,8 +248,10 @@
     coordination::CrashWatch& watch = host.flow->crash_watch();
     if (watch.has_news() || now_ >= host.next_report) {
       host.next_report = now_ + kReportInterval;
-      heartbeat_due_ = tracker_.Record(now_, watch.MakeReport(now_, term_)) ||
-                       heartbeat_due_;
+      const coordination::CrashReport report = watch.MakeReport(now_, term_);
+      if (!reports_lost_) {
+        heartbeat_due_ = tracker_.Record(now_, report) || heartbeat_due_;
+      }
     }
   }
 }
--- a/tests/requests/crash_simulation.h
+++ b/tests/requests/crash_simulation.h
@@ -78,6 +78,8 @@
   void ResetConnections();
   // Another host leads.
   void ChangeLeader();
+  // Reports of hosts to the leader are lost, or arrive again.
+  void SetReportsLost(bool lost) { reports_lost_ = lost; }
 
   state::Instant now() const { return now_; }
   const std::vector<Ending>& endings() const { return endings_; }
@@ -130,6 +132,7 @@
   std::int64_t term_ = 1;
   coordination::CrashTracker tracker_;
   std::vector<coordination::CrashingRequest> list_;
+  bool reports_lost_ = false;
   bool heartbeat_due_ = false;
   state::Instant next_heartbeat_{};
   std::set<Fingerprint> poison_;
--- a/tests/requests/crashing_requests_test.cc
+++ b/tests/requests/crashing_requests_test.cc
@@ -281,6 +281,22 @@
   CHECK(simulation.RefusedCount() == 1);
 }
 
+// Guards against evidence that a leader never gets, since a few of its
+// datagrams were lost.
+TEST_CASE("crashes are reported again after reports were lost", "[B3]") {
+  CrashSimulation simulation(8, 12);
+  simulation.Poison(kPoison);
+  simulation.SetReportsLost(true);
+  for (int retry = 0; retry < 2; ++retry) {
+    simulation.Ask(kPoison);
+    simulation.Run(seconds(5));
+  }
+  REQUIRE(simulation.crashes(kPoison).size() >= 3);
+  simulation.SetReportsLost(false);
+  simulation.Run(seconds(11));
+  CHECK(simulation.RefusedCount() == 1);
+}
+
 // Guards against a leader that keeps what does not matter any more.
 TEST_CASE("a request that does not come any more is forgotten", "[B3]") {
   CrashSimulation simulation(2, 12);
