coordination: Prove the end of a server by a later start at its address

Where servers renew their entries each 1.5 s, the entry of a crashed one expires up to 4.5 s later. Servers are back sooner, mostly under another id. A host now takes an entry with a later start time at the same address for proof as well, so that a request which crashes servers is refused sooner. How long a host waits for proof follows the check-in interval of the settings instead of a fixed 8 s, which would be too short for intervals of 3 s.

The first trial comes after 30 s and the second after 5 min, instead of 15 s and 2 min: a trial is one of the three retries that may still reach servers, and each costs a server's work.

--- a/src/coordination/crash_tracker.cc
+++ b/src/coordination/crash_tracker.cc
@@ -24,7 +24,7 @@
 constexpr Duration kAnswerWait = std::chrono::milliseconds(500);
 // From the refusal to the first trial, and from each trial to the next.
 constexpr std::array<Duration, 3> kTrialDelays = {
-    std::chrono::seconds(15), std::chrono::minutes(2), std::chrono::hours(1)};
+    std::chrono::seconds(30), std::chrono::minutes(5), std::chrono::hours(1)};
 // A request that no host takes for a trial in this time does not come any more.
 constexpr Duration kUnusedTrialTime = std::chrono::minutes(10);
 // Bounds on what is kept: 100 bytes for each request and for each crash.
--- a/src/coordination/crash_watch.cc
+++ b/src/coordination/crash_watch.cc
@@ -13,9 +13,11 @@
 
 namespace {
 
-// The entry of a crashed server has expired after three check-in intervals. A
-// server whose entry the store still has after this time lives.
-constexpr Duration kConfirmTime = std::chrono::seconds(8);
+// The entry of a crashed server expires after this number of check-in
+// intervals. A server lives if the store still has its entry after that and a
+// margin for reads of the store.
+constexpr int kExpiryIntervals = 3;
+constexpr Duration kExpiryMargin = std::chrono::seconds(3);
 constexpr Duration kCheckInterval = std::chrono::milliseconds(500);
 // Bounds on what is kept: 48 bytes for each request, 96 for each crash.
 constexpr std::size_t kMaxUnanswered = 1024;
@@ -83,14 +85,29 @@
   if (AnnouncedLeaving(found->second)) {
     return Fate::kLives;
   }
-  if (found->second.gone) {
+  if (found->second.gone || IsReplaced(found->second)) {
     return Fate::kCrashed;
   }
   const bool renewed = !found->second.unconfirmed && known_at &&
-                       *known_at - since > kConfirmTime;
+                       *known_at - since > ConfirmTime();
   return renewed ? Fate::kLives : Fate::kUnknown;
 }
 
+bool CrashWatch::IsReplaced(const ServerPool::ServerState& server) const {
+  const state::ServerRecord& record = server.record;
+  return std::any_of(pool_.servers().begin(), pool_.servers().end(),
+                     [&](const auto& entry) {
+                       const state::ServerRecord& other = entry.second.record;
+                       return other.address == record.address &&
+                              other.incarnation.start_time_ms >
+                                  record.incarnation.start_time_ms;
+                     });
+}
+
+Duration CrashWatch::ConfirmTime() const {
+  return kExpiryIntervals * check_in_interval_ + kExpiryMargin;
+}
+
 void CrashWatch::Tick(Instant now, std::optional<Instant> known_at) {
   if (unanswered_.empty() ||
       (pool_.change() == pool_change_ && now < next_check_)) {
@@ -113,8 +130,8 @@
         break;
       case Fate::kLives:
         unanswered_count_ -=
-            std::erase_if(requests, [known_at](const Unanswered& request) {
-              return known_at && *known_at - request.at > kConfirmTime;
+            std::erase_if(requests, [&](const Unanswered& request) {
+              return known_at && *known_at - request.at > ConfirmTime();
             });
         break;
     }
--- a/src/coordination/crash_watch.h
+++ b/src/coordination/crash_watch.h
@@ -44,6 +44,11 @@
 
   explicit CrashWatch(const ServerPool& pool) : pool_(pool) {}
 
+  // Sets how often servers renew their entries.
+  void SetCheckInInterval(state::Duration interval) {
+    check_in_interval_ = interval;
+  }
+
   // An attempt at the server has ended without an answer.
   void RecordUnanswered(state::Instant now,
                         RequestFingerprint request,
@@ -115,6 +120,10 @@
   Fate FateOf(const state::ServerIncarnation& server,
               state::Instant since,
               std::optional<state::Instant> known_at) const;
+  // Whether another server has started later at the address of this one.
+  bool IsReplaced(const ServerPool::ServerState& server) const;
+  // The time after which the entry of a crashed server has expired.
+  state::Duration ConfirmTime() const;
   void RecordCrash(const state::ServerIncarnation& server,
                    const Unanswered& unanswered);
   // Whether an answer rules out that the request caused a crash at `crash`.
@@ -122,6 +131,7 @@
   const Entry* Find(state::Instant now, RequestFingerprint request) const;
 
   const ServerPool& pool_;
+  state::Duration check_in_interval_ = std::chrono::seconds(1);
   AnsweredRequests answered_;
   // Invariant: unanswered_count_ requests in all, kMaxUnanswered at most, and
   // none of the lists is empty.
--- a/src/transport/request_relay.cc
+++ b/src/transport/request_relay.cc
@@ -275,6 +275,7 @@
       gate_connections_(context, memory_, open_connections_),
       flow_(view, pool, profile.bounds, std::move(random)),
       organisation_limits_(profile.bounds) {
+  crash_watch().SetCheckInInterval(profile.server_heartbeat);
   if (profile.admission_by_priority) {
     pool_.EstimateByKind();
     flow_.AdmitByPriority();
--- a/tests/requests/crash_simulation.cc
+++ b/tests/requests/crash_simulation.cc
@@ -50,6 +50,7 @@
   }
   for (std::size_t i = 0; i < servers; ++i) {
     Server& server = servers_.emplace_back();
+    server.record.address = {"10.0.0.1", static_cast<std::uint16_t>(80 + i)};
     server.record.incarnation = {"s" + std::to_string(next_server_++), 1};
     server.record.service = "desk";
     server.record.zone = "near";
