--- a/src/coordination/crash_tracker.cc
+++ b/src/coordination/crash_tracker.cc
@@ -27,7 +27,7 @@
     std::chrono::seconds(30), std::chrono::minutes(5), std::chrono::hours(1)};
 // A request that no host takes for a trial in this time does not come any more.
 constexpr Duration kUnusedTrialTime = std::chrono::minutes(10);
-// Bounds on what is kept: 100 bytes for each request and for each crash.
+// Bounds on what is kept.
 constexpr std::size_t kMaxTracked = 512;
 constexpr std::size_t kMaxCrashes = 8;
 
--- a/src/coordination/crash_watch.cc
+++ b/src/coordination/crash_watch.cc
@@ -19,7 +19,7 @@
 constexpr int kExpiryIntervals = 3;
 constexpr Duration kExpiryMargin = std::chrono::seconds(3);
 constexpr Duration kCheckInterval = std::chrono::milliseconds(500);
-// Bounds on what is kept: 48 bytes for each request, 96 for each crash.
+// Bounds on what is kept.
 constexpr std::size_t kMaxUnanswered = 1024;
 constexpr std::size_t kMaxCrashes = 64;
 // Each crash is in the next three reports and then in one report in this time,
--- a/src/coordination/crash_watch.h
+++ b/src/coordination/crash_watch.h
@@ -68,7 +68,7 @@
   // no longer.
   std::vector<CrashingRequest> TakeChanges();
 
-  // Whether the request is refused, unless it may be sent as a trial.
+  // Whether the request is refused, except as a trial; see IsTrialOpen().
   bool IsRefused(state::Instant now, RequestFingerprint request) const;
   // Whether the refused request may be sent as a trial.
   bool IsTrialOpen(state::Instant now, RequestFingerprint request) const;
--- a/src/transport/header_fields.h
+++ b/src/transport/header_fields.h
@@ -36,8 +36,8 @@
 inline constexpr std::string_view kForwardPriorityField =
     "X-Mustardflow-Priority";
 inline constexpr std::string_view kForwardRouteField = "X-Mustardflow-Route";
-// The fingerprint of the request, and the value of kForwardTrialField if the
-// forwarding host sends it as a trial.
+// What makes the request the same when it comes again, see FingerprintOf(), and
+// whether the forwarding host sends it as a trial; kForwardTrialValue if so.
 inline constexpr std::string_view kForwardFingerprintField =
     "X-Mustardflow-Fingerprint";
 inline constexpr std::string_view kForwardTrialField = "X-Mustardflow-Trial";
