coordination: Take evidence of a server that is back under its own id

A request that crashes servers was not found where a server ended without a reset of its connections and was back under its own id before the host gave the request up: the host ignored requests at a former incarnation. Found by reading.

Such a request is evidence now. A server that leaves as planned closes its connections before it starts anew, so its requests end earlier.

The new test failed before (0 crashes reported) and passes now.

--- a/src/coordination/crash_watch.cc
+++ b/src/coordination/crash_watch.cc
@@ -43,13 +43,16 @@
                                   const ServerIncarnation& server,
                                   End end) {
   const auto found = pool_.servers().find(server.id);
-  if (found == pool_.servers().end() ||
-      found->second.record.incarnation != server ||
-      AnnouncedLeaving(found->second)) {
+  if (found == pool_.servers().end()) {
     return;
   }
+  // A server that has left as planned has closed its connections before it
+  // starts anew under its id.
+  const bool started_anew = found->second.record.incarnation != server;
   const bool removed = found->second.gone || found->second.unconfirmed;
-  if (end == End::kLost && removed) {
+  const bool left_as_planned =
+      AnnouncedLeaving(found->second) || (end == End::kLost && removed);
+  if (!started_anew && left_as_planned) {
     return;
   }
   // In an overload, many requests are given up.
--- a/tests/requests/crashing_requests_test.cc
+++ b/tests/requests/crashing_requests_test.cc
@@ -245,6 +245,30 @@
   CHECK(watch.MakeReport(now + seconds(2), 1).crashes.size() == 1);
 }
 
+// Guards against evidence that is lost because a server which ended without a
+// reset is back under its id before the request is given up.
+TEST_CASE("a request that outlasts the restart of its server is evidence",
+          "[B3]") {
+  state::ServiceBounds bounds;
+  coordination::ServerPool pool("near", bounds, [] { return 0.5; });
+  coordination::CrashWatch watch(pool);
+  Instant now{seconds(100)};
+  state::ServerRecord record;
+  record.incarnation = {"s1", 7};
+  pool.Update(now, record);
+  const state::ServerIncarnation former = record.incarnation;
+  record.incarnation.start_time_ms = 9;
+  pool.Update(now, record);
+  const auto end = GENERATE(coordination::CrashWatch::End::kGivenUp,
+                            coordination::CrashWatch::End::kLost);
+  watch.RecordUnanswered(now, kPoison, former, end);
+  now += seconds(1);
+  watch.Tick(now, now);
+  const CrashReport report = watch.MakeReport(now, 1);
+  REQUIRE(report.crashes.size() == 1);
+  CHECK(report.crashes[0].server == former);
+}
+
 // Guards against a rare request that is refused because its few attempts were
 // at work on servers whose connections were reset.
 TEST_CASE("a lost connection is not a crash", "[B3]") {
