coordination: Check addresses of servers in one pass, ten times a second at most

After a reset of all connections, a host of a large fleet could spend more than its processor time on evidence of crashes, so that requests wait: each server with an unanswered request was compared with all servers, after each change of the list.

The latest start at each address is found once in a check now, and changes within 100 ms share one check.

--- a/src/coordination/crash_watch.cc
+++ b/src/coordination/crash_watch.cc
@@ -18,7 +18,9 @@
 // margin for reads of the store.
 constexpr int kExpiryIntervals = 3;
 constexpr Duration kExpiryMargin = std::chrono::seconds(3);
-constexpr Duration kCheckInterval = std::chrono::milliseconds(500);
+// The time between two checks of the servers, after a change and without one.
+constexpr Duration kMinCheckInterval = std::chrono::milliseconds(100);
+constexpr Duration kMaxCheckInterval = std::chrono::milliseconds(500);
 // Bounds on what is kept.
 constexpr std::size_t kMaxUnanswered = 1024;
 constexpr std::size_t kMaxCrashes = 64;
@@ -77,9 +79,19 @@
   return answer && crash - *answer <= kAnswerLifetime;
 }
 
+CrashWatch::LatestStarts CrashWatch::FindLatestStarts() const {
+  LatestStarts latest;
+  for (const auto& [id, server] : pool_.servers()) {
+    std::int64_t& start = latest[server.record.address];
+    start = std::max(start, server.record.incarnation.start_time_ms);
+  }
+  return latest;
+}
+
 CrashWatch::Fate CrashWatch::FateOf(const ServerIncarnation& server,
                                     Instant since,
-                                    std::optional<Instant> known_at) const {
+                                    std::optional<Instant> known_at,
+                                    const LatestStarts& latest_starts) const {
   const auto found = pool_.servers().find(server.id);
   if (found == pool_.servers().end() ||
       found->second.record.incarnation != server) {
@@ -88,7 +100,9 @@
   if (AnnouncedLeaving(found->second)) {
     return Fate::kLives;
   }
-  if (found->second.gone || IsReplaced(found->second)) {
+  const bool replaced =
+      latest_starts.at(found->second.record.address) > server.start_time_ms;
+  if (found->second.gone || replaced) {
     return Fate::kCrashed;
   }
   const bool renewed = !found->second.unconfirmed && known_at &&
@@ -96,31 +110,22 @@
   return renewed ? Fate::kLives : Fate::kUnknown;
 }
 
-bool CrashWatch::IsReplaced(const ServerPool::ServerState& server) const {
-  const state::ServerRecord& record = server.record;
-  return std::any_of(pool_.servers().begin(), pool_.servers().end(),
-                     [&](const auto& entry) {
-                       const state::ServerRecord& other = entry.second.record;
-                       return other.address == record.address &&
-                              other.incarnation.start_time_ms >
-                                  record.incarnation.start_time_ms;
-                     });
-}
-
 Duration CrashWatch::ConfirmTime() const {
   return kExpiryIntervals * check_in_interval_ + kExpiryMargin;
 }
 
 void CrashWatch::Tick(Instant now, std::optional<Instant> known_at) {
-  if (unanswered_.empty() ||
-      (pool_.change() == pool_change_ && now < next_check_)) {
+  const Duration interval =
+      pool_.change() == pool_change_ ? kMaxCheckInterval : kMinCheckInterval;
+  if (unanswered_.empty() || now - checked_at_ < interval) {
     return;
   }
   pool_change_ = pool_.change();
-  next_check_ = now + kCheckInterval;
+  checked_at_ = now;
+  const LatestStarts latest_starts = FindLatestStarts();
   for (auto server = unanswered_.begin(); server != unanswered_.end();) {
     auto& [incarnation, requests] = *server;
-    switch (FateOf(incarnation, requests.front().at, known_at)) {
+    switch (FateOf(incarnation, requests.front().at, known_at, latest_starts)) {
       case Fate::kUnknown:
         ++server;
         continue;
--- a/src/coordination/crash_watch.h
+++ b/src/coordination/crash_watch.h
@@ -115,13 +115,15 @@
   };
 
   enum class Fate { kUnknown, kLives, kCrashed };
+  // The latest start time of the servers at each address.
+  using LatestStarts = std::map<state::Address, std::int64_t>;
+  LatestStarts FindLatestStarts() const;
   // What the store said at `known_at` of the server, which was last known to be
-  // alive before `since`.
+  // alive before `since`. A later start at its address proves its end.
   Fate FateOf(const state::ServerIncarnation& server,
               state::Instant since,
-              std::optional<state::Instant> known_at) const;
-  // Whether another server has started later at the address of this one.
-  bool IsReplaced(const ServerPool::ServerState& server) const;
+              std::optional<state::Instant> known_at,
+              const LatestStarts& latest_starts) const;
   // The time after which the entry of a crashed server has expired.
   state::Duration ConfirmTime() const;
   void RecordCrash(const state::ServerIncarnation& server,
@@ -137,10 +139,9 @@
   // none of the lists is empty.
   std::map<state::ServerIncarnation, std::vector<Unanswered>> unanswered_;
   std::size_t unanswered_count_ = 0;
-  // The change count of the pool at the last check, and the time of the next
-  // one without a change.
+  // The change count of the pool at the last check, and its time.
   std::uint64_t pool_change_ = 0;
-  state::Instant next_check_{};
+  state::Instant checked_at_{};
   // Invariant: in the order in which the crashes were found.
   std::deque<Crash> crashes_;
   std::map<RequestFingerprint, Entry> list_;
--- a/tests/requests/crashing_requests_test.cc
+++ b/tests/requests/crashing_requests_test.cc
@@ -3,6 +3,8 @@
 
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <ctime>
+#include <string>
 #include <vector>
 
 #include "tests/requests/crash_simulation.h"
@@ -269,6 +271,38 @@
   CHECK(report.crashes[0].server == former);
 }
 
+// Guards against a host of a large fleet that spends its processor time on the
+// evidence after all connections were reset.
+TEST_CASE("checks of many servers take little processor time", "[B3]") {
+  constexpr int kServers = 720;
+  // The processor time of a second that the smallest hosts have.
+  constexpr double kShareOfSecond = 0.2;
+  state::ServiceBounds bounds;
+  coordination::ServerPool pool("near", bounds, [] { return 0.5; });
+  coordination::CrashWatch watch(pool);
+  Instant now{seconds(100)};
+  state::ServerRecord record;
+  for (int i = 0; i < kServers; ++i) {
+    record.incarnation = {"s" + std::to_string(i), 7};
+    record.address = {"10.0.0.1", static_cast<std::uint16_t>(1 + i)};
+    pool.Update(now, record);
+    watch.RecordUnanswered(now, static_cast<std::uint64_t>(i),
+                           record.incarnation,
+                           coordination::CrashWatch::End::kLost);
+  }
+  const std::clock_t begin = std::clock();
+  for (int change = 0; change < 50; ++change) {
+    now += milliseconds(20);
+    record.incarnation = {"new" + std::to_string(change), 7};
+    record.address.port = static_cast<std::uint16_t>(2000 + change);
+    pool.Update(now, record);
+    watch.Tick(now, now);
+  }
+  const double used =
+      static_cast<double>(std::clock() - begin) / CLOCKS_PER_SEC;
+  CHECK(used < kShareOfSecond / 4);
+}
+
 // Guards against a rare request that is refused because its few attempts were
 // at work on servers whose connections were reset.
 TEST_CASE("a lost connection is not a crash", "[B3]") {
