tests: Play outages that hosts see differently to a host

A leader that alone was turned away, a leader that changed in the outage, and a host cut off from store and leader, with entries that are back in time and not.

--- a/tests/transport/store_watch_test.cc
+++ b/tests/transport/store_watch_test.cc
@@ -242,6 +242,7 @@
   // carries `entries`, which follow those that the host has read.
   void HearServers(std::vector<protocol::ServerEntryChange> entries = {}) {
     protocol::LeaderHeartbeat heartbeat;
+    heartbeat.term = leader_term_;
     heartbeat.number = ++heartbeats_;
     heartbeat.progress.operators = store_.end();
     heartbeat.progress.servers = store_.servers_end();
@@ -254,6 +255,11 @@
     }
     watch_.HandleProgress(transport::Now(), heartbeat);
   }
+  // From now on, heartbeats are those of the next leader.
+  void ChangeLeader() {
+    ++leader_term_;
+    heartbeats_ = 0;
+  }
   // Runs the host for `time`, in which it hears the leader each 100 ms.
   void Follow(milliseconds time) {
     const auto end = transport::Now() + time;
@@ -301,6 +307,7 @@
   transport::StoreClient client_;
   transport::StoreWatch watch_;
   std::int64_t version_ = 0;
+  std::int64_t leader_term_ = 1;
   std::int64_t heartbeats_ = 0;
   std::set<std::string> evacuated_;
 };
@@ -729,6 +736,68 @@
   }
 }
 
+// Guards against the same where hosts differ in what they saw of the outage.
+TEST_CASE("each host judges an outage by the reads that it knows of", "[S1]") {
+  WatchFixture host;
+  host.store().PutServer("s1", Entry("10.0.0.1:80", "1"));
+  host.store().PutServer("s2", Entry("10.0.0.2:80", "1"));
+  host.watch().Start();
+  host.Run(milliseconds(1700));
+  REQUIRE(host.pool().servers().size() == 2);
+  const auto gone = [&host](const std::string& id) {
+    return host.pool().servers().at(id).gone;
+  };
+
+  SECTION("only the leader was turned away") {
+    // The host reads the store itself meanwhile, so the server has left.
+    host.Follow(milliseconds(300));
+    host.Run(milliseconds(4000));
+    host.store().PutServer("s1", "");
+    host.HearServers({{"s1", std::nullopt}});
+    host.Run(milliseconds(30));
+    CHECK(gone("s1"));
+  }
+  SECTION("the leader changed in it") {
+    host.Follow(milliseconds(300));
+    host.RunUntilReadFails();
+    host.ChangeLeader();
+    // Both entries have expired in the outage; one server is alive.
+    host.store().PutServer("s1", "");
+    host.store().PutServer("s2", "");
+    host.HearServers({{"s1", std::nullopt}, {"s2", std::nullopt}});
+    host.Follow(milliseconds(1000));
+    host.store().PutServer("s2", Entry("10.0.0.2:80", "1"));
+    host.HearServers({{"s2", Entry("10.0.0.2:80", "1")}});
+    host.Follow(milliseconds(900));
+    CHECK_FALSE(gone("s1"));
+    host.Follow(milliseconds(800));
+    CHECK(gone("s1"));
+    CHECK_FALSE(gone("s2"));
+    CHECK_FALSE(host.pool().servers().at("s2").unconfirmed);
+  }
+  SECTION("the host was cut off from the store and from the leader") {
+    host.Follow(milliseconds(300));
+    host.store().SetServersSilent(true);
+    host.Run(milliseconds(4000));
+    host.store().PutServer("s1", "");
+    CHECK_FALSE(gone("s1"));
+    host.store().SetServersSilent(false);
+    // It hears that it lacks entries and gets them from another host.
+    host.HearServers();
+    host.Run(milliseconds(70));
+    const auto from = host.watch().MissingEntriesFrom(transport::Now());
+    REQUIRE(from);
+    REQUIRE(host.watch().HandleEntryUpdates(
+        transport::Now(),
+        {{*from, host.store().servers_end(), {{"s1", std::nullopt}}}}));
+    host.Follow(milliseconds(1900));
+    CHECK_FALSE(gone("s1"));
+    host.Follow(milliseconds(700));
+    CHECK(gone("s1"));
+    CHECK_FALSE(gone("s2"));
+  }
+}
+
 // Guards against a new leader whose heartbeats tell the age of a read of its
 // own, so that all hosts read the store.
 TEST_CASE("a host vouches for the servers as of the leader's last read",
