--- a/tests/requests/crash_simulation.cc
+++ b/tests/requests/crash_simulation.cc
@@ -26,6 +26,7 @@
 constexpr Duration kDeadline = seconds(1);
 constexpr Duration kReportInterval = milliseconds(400);
 constexpr Duration kHeartbeatInterval = milliseconds(200);
+const state::Address kGateAddress{"10.0.1.1", 7201};
 
 }  // namespace
 
@@ -71,11 +72,21 @@
   for (std::size_t i = 0; i < hosts_.size(); ++i) {
     state::OwnershipTable& table = hosts_[i].view.table;
     table.services["desk"] = {range};
+    table.gates.clear();
+    if (gate_) {
+      table.gates[range.holder.id] = kGateAddress;
+    }
     ++table.revision;
     Perform(i, hosts_[i].flow->HandleTableChange(now_));
   }
 }
 
+void CrashSimulation::UseGate() {
+  gate_ = hosts_.size() / 2;
+  hosts_[*gate_].flow->SetOwnGate(kGateAddress);
+  UseKeys();
+}
+
 std::size_t CrashSimulation::Ask(Fingerprint request, state::RequestKind kind) {
   const std::size_t host = random_() % hosts_.size();
   coordination::RequestTerms terms;
@@ -93,6 +104,7 @@
   endings_.push_back({request, {}, now_, {}});
   const coordination::RequestId id = ++next_request_;
   hosts_[host].endings[id] = number;
+  hosts_[host].terms[id] = terms;
   Perform(host, hosts_[host].flow->Start(now_, id, terms));
   return number;
 }
@@ -101,7 +113,7 @@
                               const coordination::FlowActions& actions) {
   for (const coordination::FlowAction& action : actions) {
     if (const auto* send = std::get_if<coordination::SendAttempt>(&action)) {
-      Deliver(host, *send);
+      send->gate ? Forward(host, *send) : Deliver(host, *send);
     } else if (const auto* abort =
                    std::get_if<coordination::AbortAttempt>(&action)) {
       for (Server& server : servers_) {
@@ -109,6 +121,11 @@
       }
     } else if (const auto* end =
                    std::get_if<coordination::FinishRequest>(&action)) {
+      const auto forwarded = hosts_[host].forwarded.find(end->request);
+      if (forwarded != hosts_[host].forwarded.end()) {
+        ReturnFromGate(forwarded->second, *end);
+        continue;
+      }
       Ending& ending = endings_[hosts_[host].endings.at(end->request)];
       ending.end = *end;
       ending.at = now_;
@@ -116,6 +133,35 @@
   }
 }
 
+void CrashSimulation::Forward(std::size_t host,
+                              const coordination::SendAttempt& send) {
+  const coordination::RequestId id = ++next_request_;
+  Host& gate = hosts_[*gate_];
+  coordination::RequestTerms terms = hosts_[host].terms.at(send.request);
+  terms.forwarded = true;
+  terms.trial = send.trial;
+  gate.forwarded[id] = {host, send.request, send.attempt};
+  gate.endings[id] = hosts_[host].endings.at(send.request);
+  hosts_[host].flow->HandleConnected(send.request, send.attempt);
+  results_.push_back([this, id, terms] {
+    Perform(*gate_, hosts_[*gate_].flow->Start(now_, id, terms));
+  });
+}
+
+void CrashSimulation::ReturnFromGate(const Forwarded& forwarded,
+                                     const coordination::FinishRequest& end) {
+  const SendResult result =
+      end.outcome == RequestOutcome::kAnswered   ? SendResult::kAnswered
+      : end.outcome == RequestOutcome::kRefused  ? SendResult::kGateRefused
+      : end.outcome == RequestOutcome::kTimedOut ? SendResult::kGateTimedOut
+                                                 : SendResult::kGateUnknown;
+  results_.push_back([this, forwarded, result, after = end.retry_after] {
+    Perform(forwarded.host,
+            hosts_[forwarded.host].flow->HandleResult(
+                now_, forwarded.request, forwarded.attempt, result, after));
+  });
+}
+
 CrashSimulation::Server* CrashSimulation::FindServer(const std::string& id) {
   const auto found = std::find_if(servers_.begin(), servers_.end(),
                                   [&id](const Server& server) {
--- a/tests/requests/crash_simulation.h
+++ b/tests/requests/crash_simulation.h
@@ -56,6 +56,8 @@
   void SetMaxAttempts(int attempts) { max_attempts_ = attempts; }
   // From now on, all keys are those of one server.
   void UseKeys();
+  // The same, and one host sends all requests to that server.
+  void UseGate();
 
   // Sends a request to a random host. Returns the number of its ending.
   std::size_t Ask(Fingerprint request,
@@ -100,15 +102,30 @@
   coordination::CrashTracker& tracker() { return tracker_; }
 
  private:
+  // A request that a host has forwarded to a gate.
+  struct Forwarded {
+    std::size_t host = 0;
+    coordination::RequestId request = 0;
+    coordination::AttemptId attempt = 0;
+  };
+
   struct Host {
     state::RoutingView view;
     std::unique_ptr<coordination::ServerPool> pool;
     std::unique_ptr<coordination::RequestFlow> flow;
+    // By request: the number of its ending, and where it came from if this
+    // host is its gate.
     std::map<coordination::RequestId, std::size_t> endings;
+    std::map<coordination::RequestId, Forwarded> forwarded;
+    std::map<coordination::RequestId, coordination::RequestTerms> terms;
     state::Instant next_report{};
   };
 
   void Perform(std::size_t host, const coordination::FlowActions& actions);
+  void Forward(std::size_t host, const coordination::SendAttempt& send);
+  // Passes the gate's answer on to the host that forwarded the request.
+  void ReturnFromGate(const Forwarded& forwarded,
+                      const coordination::FinishRequest& end);
   void Deliver(std::size_t host, const coordination::SendAttempt& send);
   void Finish(std::size_t host,
               coordination::AttemptId attempt,
@@ -127,6 +144,7 @@
   std::vector<Server> servers_;
   int max_attempts_ = 2;
   bool keyed_ = false;
+  std::optional<std::size_t> gate_;
   std::int64_t next_server_ = 0;
   coordination::RequestId next_request_ = 0;
   std::int64_t term_ = 1;
--- a/tests/requests/crashing_requests_test.cc
+++ b/tests/requests/crashing_requests_test.cc
@@ -82,13 +82,16 @@
 // work of other callers there, for as long as it comes.
 TEST_CASE("a request that crashes servers is refused by all hosts", "[B3]") {
   const std::size_t hosts = GENERATE(8, 295);
-  const bool keyed = GENERATE(false, true);
+  const std::string way = GENERATE("without keys", "with keys", "by a gate");
   const auto kind =
       GENERATE(RequestKind::kIdempotent, RequestKind::kNonIdempotent);
   const auto interval = GENERATE(milliseconds(400), milliseconds(2500));
+  CAPTURE(hosts, way, kind, interval.count());
   CrashSimulation simulation(hosts, 13);
-  if (keyed) {
+  if (way == "with keys") {
     simulation.UseKeys();
+  } else if (way == "by a gate") {
+    simulation.UseGate();
   }
   simulation.Poison(kPoison);
   Repeater poison(simulation, kPoison, interval, kind);
@@ -360,6 +363,9 @@
 // Guards against a request that stays refused once servers can run it.
 TEST_CASE("a request is served again once a server has answered it", "[B3]") {
   CrashSimulation simulation(GENERATE(8, 295), 12);
+  if (GENERATE(false, true)) {
+    simulation.UseGate();
+  }
   Repeater poison(simulation, kPoison, milliseconds(1500));
   RunUntilRefused(simulation, poison);
   simulation.Cure(kPoison);
