--- a/src/coordination/crash_watch.cc
+++ b/src/coordination/crash_watch.cc
@@ -13,9 +13,9 @@
 
 namespace {
 
-// The entry of a crashed server expires after this number of check-in
-// intervals. A server lives if the store still has its entry after that and a
-// margin for reads of the store.
+// An entry that is not renewed for this number of check-in intervals expires. A
+// server lives if the store still has its entry after that time and a margin
+// for reads of the store.
 constexpr int kExpiryIntervals = 3;
 constexpr Duration kExpiryMargin = std::chrono::seconds(3);
 // The time between two checks of the servers, after a change and without one.
--- a/src/coordination/missing_entries.cc
+++ b/src/coordination/missing_entries.cc
@@ -22,10 +22,9 @@
 // is really gone fail at once meanwhile and go to others.
 constexpr Duration kLostEntriesGracePeriod = std::chrono::seconds(5);
 
-// Between two reads that are farther apart, there may have been an outage that
-// made entries expire. An entry expires after three check-in intervals, of
-// which the outage covers at least two. A host that loses its leader reads the
-// store 1.5 s after the leader's last read.
+// A longer time between two reads counts as an outage, in which entries of live
+// servers may have expired. Expiry takes three check-in intervals, and a host
+// that loses its leader reads the store within 1.5 s.
 constexpr Duration kMaxReadGap = std::chrono::milliseconds(1700);
 
 }  // namespace
--- a/src/coordination/request_flow.cc
+++ b/src/coordination/request_flow.cc
@@ -215,7 +215,7 @@
   attempt.sent = now;
   ++request->sends;
   request->attempts.push_back(attempt);
-  RecordFirstSend(now, *request);
+  RecordTrialSend(now, *request);
   SendAttempt send;
   send.request = request->id;
   send.attempt = attempt.id;
@@ -350,7 +350,7 @@
   return !request->trial;
 }
 
-void RequestFlow::RecordFirstSend(Instant now, const Request& request) {
+void RequestFlow::RecordTrialSend(Instant now, const Request& request) {
   if (request.trial && request.sends == 1 && request.failed_connections == 0 &&
       !request.terms.forwarded) {
     crash_watch_.RecordTrial(now, *request.terms.fingerprint);
@@ -547,7 +547,7 @@
   pool_.RecordSent(now, choice.record.incarnation, request->terms.route,
                    choice.probe);
   request->attempts.push_back(attempt);
-  RecordFirstSend(now, *request);
+  RecordTrialSend(now, *request);
   actions->emplace_back(SendAttempt{
       request->id, attempt.id, choice.record, std::nullopt,
       !state::MayRetry(request->terms.kind), choice.expected, request->trial});
--- a/src/coordination/request_flow.h
+++ b/src/coordination/request_flow.h
@@ -317,8 +317,8 @@
   // Whether the request is refused because it crashes servers. Makes it a trial
   // if one is open.
   bool IsRefusedForCrashes(state::Instant now, Request* request) const;
-  // Records that the request is sent for the first time.
-  void RecordFirstSend(state::Instant now, const Request& request);
+  // If the request is a trial of this host, records that it is sent.
+  void RecordTrialSend(state::Instant now, const Request& request);
   // Records how the request ended at a server that has not answered it.
   void RecordUnanswered(state::Instant now,
                         Request* request,
